Add the decision objects, the adapters and the stand-ins

Cause: the project starts empty. This brings the parts that the whole path is built of: rules, configuration, leases and roles, rate grants, orders, streams, queue, routing and placement as deterministic objects; HTTP, Cap'n Proto peers, platform and target clients; stand-ins of platform, engine and service. Ruled out: a single build target; the decisions are a library that links no sockets, so that the boundary is held by the linker.

--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,180 @@
+#include "http/client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <utility>
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace bluebell {
+namespace {
+
+constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t PieceBytes = 8192;
+constexpr std::uint64_t LargestBody = 64U << 20U;
+
+Error transportError(const Endpoint &endpoint, std::string_view step, beast::error_code ec,
+                     Execution execution)
+{
+    const auto code = ec == beast::error::timeout ? ErrorCode::DeadlineExceeded
+                                                  : ErrorCode::Unavailable;
+    return Error { code, toString(endpoint) + ": " + std::string(step) + ": " + ec.message(),
+                   execution, std::nullopt };
+}
+
+} // namespace
+
+namespace detail {
+
+/// A connection that carries one request.
+class HttpClientConnection
+{
+public:
+    HttpClientConnection(const asio::any_io_executor &executor, Endpoint endpoint)
+        : m_endpoint(std::move(endpoint))
+        , m_stream(executor)
+    {
+        m_parser.body_limit(LargestBody);
+    }
+
+    asio::awaitable<Result<void>> send(HttpRequest request, Duration timeout);
+    asio::awaitable<Result<std::optional<std::string>>> read(Duration timeout);
+
+    [[nodiscard]] const auto &head() const { return m_parser.get(); }
+
+private:
+    Endpoint m_endpoint;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    http::response_parser<http::buffer_body> m_parser;
+};
+
+asio::awaitable<Result<void>> HttpClientConnection::send(HttpRequest request, Duration timeout)
+{
+    beast::error_code addressError;
+    const auto address = asio::ip::make_address(m_endpoint.host, addressError);
+    if (addressError)
+        co_return transportError(m_endpoint, "address", addressError, Execution::NotRun);
+    m_stream.expires_after(timeout);
+    const auto [connectError]
+            = co_await m_stream.async_connect(tcp::endpoint(address, m_endpoint.port), Await);
+    if (connectError)
+        co_return transportError(m_endpoint, "connect", connectError, Execution::NotRun);
+    beast::error_code ignored;
+    m_stream.socket().set_option(tcp::no_delay(true), ignored);
+
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.path);
+    message.set(http::field::host, toString(m_endpoint));
+    for (const auto &it : request.headers)
+        message.set(it.name, it.value);
+    message.keep_alive(false);
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    const auto [writeError, written] = co_await http::async_write(m_stream, message, Await);
+    if (writeError)
+        co_return transportError(m_endpoint, "send", writeError, Execution::OutcomeUnknown);
+    const auto [readError, n]
+            = co_await http::async_read_header(m_stream, m_buffer, m_parser, Await);
+    if (readError)
+        co_return transportError(m_endpoint, "receive", readError, Execution::OutcomeUnknown);
+    co_return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+asio::awaitable<Result<std::optional<std::string>>> HttpClientConnection::read(Duration timeout)
+{
+    if (m_parser.is_done())
+        co_return std::optional<std::string>();
+    std::array<char, PieceBytes> buf {};
+    auto &body = m_parser.get().body();
+    body.data = buf.data();
+    body.size = buf.size();
+    m_stream.expires_after(timeout);
+    auto [ec, n] = co_await http::async_read_some(m_stream, m_buffer, m_parser, Await);
+    if (ec == http::error::need_buffer)
+        ec = {};
+    if (ec)
+        co_return transportError(m_endpoint, "receive", ec, Execution::OutcomeUnknown);
+    const auto size = buf.size() - m_parser.get().body().size;
+    if (size == 0 && m_parser.is_done())
+        co_return std::optional<std::string>();
+    co_return std::optional<std::string>(std::string(buf.data(), size));
+}
+
+} // namespace detail
+
+HttpStream::HttpStream(std::unique_ptr<detail::HttpClientConnection> connection)
+    : m_connection(std::move(connection))
+{
+}
+
+HttpStream::~HttpStream() = default;
+HttpStream::HttpStream(HttpStream &&) noexcept = default;
+HttpStream &HttpStream::operator=(HttpStream &&) noexcept = default;
+
+unsigned HttpStream::status() const
+{
+    return m_connection->head().result_int();
+}
+
+std::string HttpStream::header(std::string_view name) const
+{
+    const auto &head = m_connection->head();
+    const auto it = head.find(beast::string_view(name.data(), name.size()));
+    return it == head.end() ? std::string() : std::string(it->value());
+}
+
+asio::awaitable<Result<std::optional<std::string>>> HttpStream::read(Duration timeout)
+{
+    return m_connection->read(timeout);
+}
+
+asio::awaitable<Result<HttpStream>> openStream(HttpCall call)
+{
+    auto executor = co_await asio::this_coro::executor;
+    auto connection
+            = std::make_unique<detail::HttpClientConnection>(executor, std::move(call.endpoint));
+    auto sent = co_await connection->send(std::move(call.request), call.timeout);
+    if (!sent)
+        co_return sent.error();
+    co_return HttpStream(std::move(connection));
+}
+
+asio::awaitable<Result<HttpResponse>> exchange(HttpCall call)
+{
+    const auto deadline = BootClock::now() + call.timeout;
+    auto stream = co_await openStream(std::move(call));
+    if (!stream)
+        co_return stream.error();
+    HttpResponse response;
+    response.status = stream.value().status();
+    response.contentType = stream.value().header("Content-Type");
+    for (const auto *name : { "Execution", "Retry-After" })
+        if (auto value = stream.value().header(name); !value.empty())
+            response.headers.push_back({ name, std::move(value) });
+    for (;;) {
+        const auto left = deadline - BootClock::now();
+        if (left <= Duration::zero())
+            co_return Error { ErrorCode::DeadlineExceeded, "the response did not arrive in time",
+                              Execution::OutcomeUnknown, std::nullopt };
+        auto piece = co_await stream.value().read(left);
+        if (!piece)
+            co_return piece.error();
+        if (!piece.value())
+            co_return response;
+        response.body += *piece.value();
+    }
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/membership/roles.cpp
@@ -0,0 +1,215 @@
+#include "membership/roles.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bluebell {
+
+namespace {
+
+constexpr std::string_view SharePrefix = "share/";
+
+bool isBaseShare(const RoleId &role)
+{
+    return role.value().starts_with(SharePrefix);
+}
+
+/// What a role's place is chosen by: a base share goes where its organisation's home would go.
+struct Preference
+{
+    std::string subject;
+    std::size_t rank = 0;
+};
+
+Preference preferenceOf(const RoleId &role)
+{
+    const auto &name = role.value();
+    if (!isBaseShare(role))
+        return { name, 0 };
+    const auto slash = name.rfind('/');
+    const auto organisation = name.substr(SharePrefix.size(), slash - SharePrefix.size());
+    return { homeRole(OrganisationId(organisation)).value(), std::stoul(name.substr(slash + 1)) };
+}
+
+} // namespace
+
+RoleId homeRole(const OrganisationId &organisation)
+{
+    return RoleId("org/" + organisation.value());
+}
+
+RoleId baseShareRole(const OrganisationId &organisation, std::size_t index)
+{
+    return RoleId(std::string(SharePrefix) + organisation.value() + '/' + std::to_string(index));
+}
+
+RoleId placementRole(std::size_t shard)
+{
+    return RoleId("placement/" + std::to_string(shard));
+}
+
+const Member *preferredMember(const RoleId &role, const std::vector<Member> &members)
+{
+    if (members.empty())
+        return nullptr;
+    const auto [subject, rank] = preferenceOf(role);
+    std::vector<const Member *> order;
+    order.reserve(members.size());
+    for (const auto &member : members)
+        order.push_back(&member);
+    const auto score = [&subject = subject](const Member *it) {
+        return std::pair(rendezvousScore(subject, it->vm.value()), it->incarnation.value());
+    };
+    std::sort(order.begin(), order.end(),
+              [&score](const Member *a, const Member *b) { return score(a) > score(b); });
+    return order[std::min(rank, order.size() - 1)];
+}
+
+RoleTable::RoleTable(Member self, LeaseSettings settings)
+    : m_self(std::move(self))
+    , m_settings(settings)
+{
+}
+
+void RoleTable::noteRows(const std::vector<RoleRow> &roles, const std::vector<MemberRow> &members,
+                         TimePoint now)
+{
+    m_roles.clear();
+    for (const auto &row : roles)
+        m_roles.emplace(row.role, row);
+    noteMembers(members, now);
+    m_hasRead = true;
+}
+
+void RoleTable::noteMembers(const std::vector<MemberRow> &rows, TimePoint now)
+{
+    std::set<IncarnationId> seen;
+    for (const auto &row : rows) {
+        const auto &id = row.member.incarnation;
+        seen.insert(id);
+        auto &it = m_members.try_emplace(id, Observed { row, LeaseObserver(m_settings) })
+                           .first->second;
+        it.row = row;
+        it.observer.noteRead(row.version, now);
+    }
+    std::erase_if(m_members, [&](const auto &it) { return !seen.contains(it.first); });
+}
+
+void RoleTable::noteClaimed(const RoleClaim &claim, RowVersion version)
+{
+    m_roles.insert_or_assign(claim.role, RoleRow { claim.role, m_self, claim.epoch, version, {} });
+}
+
+std::vector<Member> RoleTable::liveMembers(TimePoint now) const
+{
+    std::vector<Member> live;
+    for (const auto &[id, observed] : m_members) {
+        const bool isSelf = id == m_self.incarnation;
+        if (isSelf || !observed.observer.hasLapsed(now))
+            live.push_back(observed.row.member);
+    }
+    return live;
+}
+
+bool RoleTable::isPreferred(const RoleId &role, TimePoint now) const
+{
+    const auto live = liveMembers(now);
+    const auto *member = preferredMember(role, live);
+    return member != nullptr && member->incarnation == m_self.incarnation;
+}
+
+void RoleTable::noteListedVms(const std::set<VmId> &listed)
+{
+    m_listed = listed;
+    m_everListed.insert(listed.begin(), listed.end());
+}
+
+bool RoleTable::isVmGone(const VmId &vm) const
+{
+    return m_everListed.contains(vm) && !m_listed.contains(vm);
+}
+
+std::optional<RoleClaim> RoleTable::claimOfShare(const RoleId &role) const
+{
+    const auto *row = find(role);
+    if (row == nullptr)
+        return RoleClaim { role, 1, 0, std::nullopt };
+    const bool isOwnRestart = row->holder.vm == m_self.vm && row->holder.address == m_self.address
+            && row->holder.incarnation != m_self.incarnation;
+    if (isOwnRestart || isVmGone(row->holder.vm))
+        return RoleClaim { role, row->epoch + 1, row->version, std::nullopt };
+    return std::nullopt;
+}
+
+std::optional<RoleClaim> RoleTable::claimOf(const RoleId &role, TimePoint now) const
+{
+    const auto *row = find(role);
+    if (row == nullptr)
+        return RoleClaim { role, 1, 0, std::nullopt };
+    RoleClaim claim { role, row->epoch + 1, row->version, MemberRow { row->holder, 0 } };
+    const auto it = m_members.find(row->holder.incarnation);
+    if (it == m_members.end())
+        return claim;
+    if (row->holder.incarnation == m_self.incarnation || !it->second.observer.hasLapsed(now))
+        return std::nullopt;
+    claim.formerHolder = it->second.row;
+    return claim;
+}
+
+std::vector<RoleClaim> RoleTable::claims(const std::set<RoleId> &wanted, TimePoint now) const
+{
+    std::vector<RoleClaim> claims;
+    if (!m_hasRead || m_isLeaving)
+        return claims;
+    for (const auto &role : wanted) {
+        const bool isShare = isBaseShare(role);
+        const auto *row = find(role);
+        const bool isOwnShare = isShare && row != nullptr && row->holder.vm == m_self.vm;
+        if (!isOwnShare && !isPreferred(role, now))
+            continue;
+        if (auto claim = isShare ? claimOfShare(role) : claimOf(role, now))
+            claims.push_back(std::move(*claim));
+    }
+    return claims;
+}
+
+const RoleRow *RoleTable::find(const RoleId &role) const
+{
+    const auto it = m_roles.find(role);
+    return it == m_roles.end() ? nullptr : &it->second;
+}
+
+std::optional<Epoch> RoleTable::heldEpoch(const RoleId &role) const
+{
+    const auto *row = find(role);
+    if (row == nullptr || row->holder.incarnation != m_self.incarnation)
+        return std::nullopt;
+    return row->epoch;
+}
+
+std::vector<MemberRow> RoleTable::lapsedMembers(TimePoint now) const
+{
+    std::vector<MemberRow> lapsed;
+    for (const auto &[id, observed] : m_members) {
+        const bool holdsRole = std::any_of(m_roles.begin(), m_roles.end(), [&](const auto &it) {
+            return it.second.holder.incarnation == id;
+        });
+        if (id != m_self.incarnation && !holdsRole && observed.observer.hasLapsed(now))
+            lapsed.push_back(observed.row);
+    }
+    return lapsed;
+}
+
+std::optional<Member> RoleTable::successor(const RoleId &role, TimePoint now) const
+{
+    auto live = liveMembers(now);
+    std::erase_if(live, [this](const Member &it) { return it.incarnation == m_self.incarnation; });
+    const auto *member = preferredMember(role, live);
+    if (member == nullptr)
+        return std::nullopt;
+    return *member;
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/orders/orderflow.cpp
@@ -0,0 +1,119 @@
+#include "orders/orderflow.h"
+
+#include <cassert>
+#include <utility>
+
+namespace bluebell {
+namespace {
+
+constexpr std::size_t LargestWatch = 10'000;
+
+Error notRun(const Error &cause)
+{
+    Error it = cause;
+    it.execution = Execution::NotRun;
+    return it;
+}
+
+Error outcomeUnknown(const std::string &reason)
+{
+    return Error { ErrorCode::OutcomeUnknown, reason, Execution::OutcomeUnknown, std::nullopt };
+}
+
+} // namespace
+
+OrderFlow::OrderFlow(std::string requestDigest, ChangeId claim, TimePoint deadline)
+    : m_requestDigest(std::move(requestDigest))
+    , m_claim(std::move(claim))
+    , m_deadline(deadline)
+{
+}
+
+OrderRecord OrderFlow::record(OrderState state) const
+{
+    return OrderRecord { state, m_requestDigest, m_claim, std::nullopt };
+}
+
+OrderAction OrderFlow::start() const
+{
+    return InsertClaim {};
+}
+
+OrderAction OrderFlow::claimInserted(TimePoint now)
+{
+    assert(!m_isDispatched);
+    m_isClaimed = true;
+    if (now >= m_deadline) {
+        m_reply = makeError(ErrorCode::DeadlineExceeded,
+                            "the deadline passed before the call was sent");
+        return ReleaseClaim {};
+    }
+    m_isDispatched = true;
+    return Dispatch {};
+}
+
+OrderAction OrderFlow::claimExists(const OrderRecord &record, bool holderMayRun) const
+{
+    if (record.requestDigest != m_requestDigest)
+        return Reply { makeError(ErrorCode::Conflict,
+                                 "the idempotency key belongs to a call with another body") };
+    if (record.state == OrderState::Done && record.answer)
+        return Reply { *record.answer };
+    if (record.state == OrderState::Claimed && holderMayRun) {
+        constexpr Duration RetryAfter = std::chrono::seconds(1);
+        return Reply { Error { ErrorCode::StillRunning, "a call with this idempotency key is running",
+                               Execution::OutcomeUnknown, RetryAfter } };
+    }
+    return Reply { outcomeUnknown("a call with this idempotency key was sent, and its outcome "
+                                  "could not be learnt") };
+}
+
+OrderAction OrderFlow::claimFailed(const Error &cause)
+{
+    assert(!m_isDispatched);
+    m_reply = notRun(cause);
+    return ReleaseClaim {};
+}
+
+OrderAction OrderFlow::dispatched(DispatchOutcome outcome)
+{
+    assert(m_isDispatched);
+    if (auto *it = std::get_if<NotStarted>(&outcome)) {
+        m_reply = notRun(it->cause);
+        return ReleaseClaim {};
+    }
+    if (auto *it = std::get_if<Completed>(&outcome)) {
+        auto done = record(OrderState::Done);
+        done.answer = it->answer;
+        m_reply = std::move(it->answer);
+        return WriteRecord { std::move(done) };
+    }
+    m_reply = outcomeUnknown(std::get<Unresolved>(outcome).cause.message);
+    return WriteRecord { record(OrderState::Unknown) };
+}
+
+OrderAction OrderFlow::released(bool succeeded) const
+{
+    assert(m_reply);
+    if (succeeded || !m_isClaimed)
+        return Reply { *m_reply };
+    return Reply { outcomeUnknown("the call was not sent, but its idempotency key could not be "
+                                  "released; repeats of this key will not run") };
+}
+
+OrderAction OrderFlow::recorded() const
+{
+    assert(m_reply);
+    return Reply { *m_reply };
+}
+
+bool ClaimWatch::holderMayRun(const ChangeId &claim, TimePoint now)
+{
+    if (m_firstSeen.size() >= LargestWatch)
+        std::erase_if(m_firstSeen,
+                      [&](const auto &it) { return now - it.second > 2 * m_longestRun; });
+    const auto firstSeen = m_firstSeen.try_emplace(claim, now).first->second;
+    return now - firstSeen <= m_longestRun;
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/platform/configstore.cpp
@@ -0,0 +1,118 @@
+#include "platform/configstore.h"
+
+#include "platform/rows.h"
+
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace bluebell {
+namespace {
+
+/// Versions from one snapshot in the object store to the next.
+constexpr ConfigVersion SnapshotInterval = 200;
+
+/// The head row with its version in the table; absent before the first change.
+struct Head
+{
+    rows::ConfigHeadRow row;
+    RowVersion version = 0;
+};
+
+asio::awaitable<Result<Head>> readHead(PlatformClient &platform)
+{
+    auto row = co_await platform.get(std::string(rows::ConfigHead));
+    if (!row)
+        co_return row.error();
+    if (!row.value())
+        co_return Head {};
+    auto head = rows::decodeHead(row.value()->value);
+    if (!head)
+        co_return head.error();
+    co_return Head { head.value(), row.value()->version };
+}
+
+asio::awaitable<Result<void>> pullSnapshot(PlatformClient &platform, ConfigReplica &replica,
+                                           ConfigVersion version)
+{
+    auto object = co_await platform.getObject(rows::snapshotName(version));
+    if (!object)
+        co_return object.error();
+    auto snapshot = rows::decodeSnapshot(object.value());
+    if (!snapshot)
+        co_return snapshot.error();
+    co_return replica.install(snapshot.value());
+}
+
+asio::awaitable<Result<void>> pullDeltas(PlatformClient &platform, ConfigReplica &replica)
+{
+    auto found = co_await platform.range(std::string(rows::ConfigLogPrefix),
+                                         rows::configLogKey(replica.version()));
+    if (!found)
+        co_return found.error();
+    std::vector<ConfigDelta> deltas;
+    for (const auto &row : found.value()) {
+        auto delta = rows::decodeDelta(row.value);
+        if (!delta)
+            co_return delta.error();
+        deltas.push_back(std::move(delta.value()));
+    }
+    co_return replica.apply(deltas);
+}
+
+} // namespace
+
+asio::awaitable<Result<void>> pullConfig(PlatformClient &platform, ConfigReplica &replica)
+{
+    const auto sentAt = BootClock::now();
+    auto head = co_await readHead(platform);
+    if (!head)
+        co_return head.error();
+    const auto &row = head.value().row;
+    if (row.snapshot > replica.version() && row.snapshot > 0) {
+        auto pulled = co_await pullSnapshot(platform, replica, row.snapshot);
+        if (!pulled)
+            co_return pulled;
+    }
+    if (row.version > replica.version()) {
+        auto pulled = co_await pullDeltas(platform, replica);
+        if (!pulled)
+            co_return pulled;
+    }
+    replica.noteHead(row.version, sentAt);
+    co_return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+asio::awaitable<Result<PublishOutcome>> publishConfig(PlatformClient &platform,
+                                                      const LineSet &baseLines, ConfigVersion base,
+                                                      ConfigDelta delta, TimePoint deadline)
+{
+    auto head = co_await readHead(platform);
+    if (!head)
+        co_return head.error();
+    if (head.value().row.version != base)
+        co_return PublishOutcome(Superseded { head.value().row.version });
+    delta.version = base + 1;
+    auto snapshot = head.value().row.snapshot;
+    if (base >= snapshot + SnapshotInterval) {
+        const auto object = rows::encode(ConfigSnapshot { base, baseLines });
+        if (const auto put = co_await platform.putObject(rows::snapshotName(base), object); put)
+            snapshot = base;
+    }
+    const std::string headKey(rows::ConfigHead);
+    const auto logKey = rows::configLogKey(delta.version);
+    Transaction transaction { delta.change,
+                              { { logKey, 0 }, { headKey, head.value().version } },
+                              { { logKey, rows::encode(delta) },
+                                { headKey, rows::encode(rows::ConfigHeadRow { delta.version, snapshot },
+                                                        delta.change) } } };
+    auto outcome = co_await platform.commit(std::move(transaction), deadline);
+    if (!outcome)
+        co_return outcome.error();
+    if (std::holds_alternative<Committed>(outcome.value()))
+        co_return PublishOutcome(Published { delta.version });
+    auto now = co_await readHead(platform);
+    co_return PublishOutcome(Superseded { now ? now.value().row.version : base + 1 });
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/platform/rows.cpp
@@ -0,0 +1,247 @@
+#include "platform/rows.h"
+
+#include <fmt/core.h>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+using nlohmann::json;
+
+namespace bluebell::rows {
+namespace {
+
+template<typename T, typename Read>
+Result<T> decodeWith(const std::string &value, Read read)
+{
+    const auto body = json::parse(value, nullptr, false);
+    if (body.is_discarded())
+        return makeError(ErrorCode::InvalidArgument, "a row is not JSON");
+    try {
+        return read(body);
+    } catch (const json::exception &e) {
+        return makeError(ErrorCode::InvalidArgument, std::string("a row is malformed: ") + e.what());
+    }
+}
+
+json toJson(const Member &member)
+{
+    return { { "vm", member.vm.value() },
+             { "incarnation", member.incarnation.value() },
+             { "host", member.address.host },
+             { "port", member.address.port } };
+}
+
+Member toMember(const json &it)
+{
+    return { VmId(it.at("vm").get<std::string>()),
+             IncarnationId(it.at("incarnation").get<std::string>()),
+             { it.at("host").get<std::string>(), it.at("port").get<std::uint16_t>() } };
+}
+
+std::string dump(const json &it)
+{
+    return it.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace
+
+std::string configLogKey(ConfigVersion version)
+{
+    return fmt::format("{}{:020}", ConfigLogPrefix, version);
+}
+
+std::string snapshotName(ConfigVersion version)
+{
+    return fmt::format("config/snapshot/{}", version);
+}
+
+std::string memberKey(const Member &member)
+{
+    return fmt::format("{}{}/{}", MemberPrefix, member.vm.value(), member.incarnation.value());
+}
+
+std::string roleKey(const RoleId &role)
+{
+    return std::string(RolePrefix) + role.value();
+}
+
+std::string targetKey(const TargetId &target)
+{
+    return std::string(TargetPrefix) + target.value();
+}
+
+std::string replicaKey(const ReplicaKey &key)
+{
+    return std::string(ReplicaPrefix) + toString(key);
+}
+
+std::string orderKey(const OrganisationId &organisation, const OrderKey &key)
+{
+    return fmt::format("order/{}/{}", organisation.value(), key.value());
+}
+
+std::string encode(const ConfigHeadRow &head, const ChangeId &change)
+{
+    return dump({ { "version", head.version },
+                  { "snapshot", head.snapshot },
+                  { "change", change.value() } });
+}
+
+std::string encode(const ConfigDelta &delta)
+{
+    return dump({ { "version", delta.version },
+                  { "added", delta.added },
+                  { "removed", delta.removed },
+                  { "author", delta.author },
+                  { "change", delta.change.value() } });
+}
+
+std::string encode(const Member &member, const ChangeId &change)
+{
+    auto it = toJson(member);
+    it["change"] = change.value();
+    return dump(it);
+}
+
+std::string encode(const RoleRow &row, const ChangeId &change)
+{
+    json it = { { "role", row.role.value() },
+                { "holder", toJson(row.holder) },
+                { "epoch", row.epoch },
+                { "change", change.value() } };
+    if (row.handover)
+        it["handover"] = { { "level", row.handover->level },
+                           { "outstanding", row.handover->outstanding } };
+    return dump(it);
+}
+
+std::string encode(const Ledger &ledger, const ChangeId &change)
+{
+    json replicas = json::array();
+    for (const auto &[key, entry] : ledger)
+        replicas.push_back({ { "replica", toString(key) },
+                             { "intent", entry.intent.value() },
+                             { "action", entry.action == IntentAction::Load ? "load" : "unload" },
+                             { "bytes", entry.bytes },
+                             { "epoch", entry.epoch },
+                             { "incarnation", entry.incarnation.value() } });
+    return dump({ { "replicas", std::move(replicas) }, { "change", change.value() } });
+}
+
+std::string encode(const ReplicaPlaces &places, const ChangeId &change)
+{
+    json targets = json::array();
+    for (const auto &target : places)
+        targets.push_back(target.value());
+    return dump({ { "targets", std::move(targets) }, { "change", change.value() } });
+}
+
+std::string encode(const OrderRecord &record, const ChangeId &change)
+{
+    json it = { { "state", static_cast<int>(record.state) },
+                { "digest", record.requestDigest },
+                { "claim", record.claim.value() },
+                { "change", change.value() } };
+    if (record.answer)
+        it["answer"] = { { "status", record.answer->status },
+                         { "type", record.answer->contentType },
+                         { "body", record.answer->body } };
+    return dump(it);
+}
+
+std::string encode(const ConfigSnapshot &snapshot)
+{
+    return dump({ { "version", snapshot.version }, { "lines", snapshot.lines } });
+}
+
+Result<ConfigHeadRow> decodeHead(const std::string &value)
+{
+    return decodeWith<ConfigHeadRow>(value, [](const json &it) {
+        return ConfigHeadRow { it.at("version").get<ConfigVersion>(),
+                               it.at("snapshot").get<ConfigVersion>() };
+    });
+}
+
+Result<ConfigDelta> decodeDelta(const std::string &value)
+{
+    return decodeWith<ConfigDelta>(value, [](const json &it) {
+        return ConfigDelta { it.at("version").get<ConfigVersion>(),
+                             it.at("added").get<std::vector<std::string>>(),
+                             it.at("removed").get<std::vector<std::string>>(),
+                             it.at("author").get<std::string>(),
+                             ChangeId(it.at("change").get<std::string>()) };
+    });
+}
+
+Result<Member> decodeMember(const std::string &value)
+{
+    return decodeWith<Member>(value, [](const json &it) { return toMember(it); });
+}
+
+Result<RoleRow> decodeRole(const std::string &value)
+{
+    return decodeWith<RoleRow>(value, [](const json &it) {
+        RoleRow row { RoleId(it.at("role").get<std::string>()), toMember(it.at("holder")),
+                      it.at("epoch").get<Epoch>(), 0, std::nullopt };
+        if (it.contains("handover"))
+            row.handover = RateHandover { it.at("handover").at("level").get<std::int64_t>(),
+                                          it.at("handover").at("outstanding").get<std::int64_t>() };
+        return row;
+    });
+}
+
+Result<Ledger> decodeLedger(const std::string &value)
+{
+    return decodeWith<Ledger>(value, [](const json &it) {
+        Ledger ledger;
+        for (const auto &item : it.at("replicas"))
+            ledger.emplace(
+                    parseReplicaKey(item.at("replica").get<std::string>()),
+                    LedgerEntry { IntentId(item.at("intent").get<std::string>()),
+                                  item.at("action") == "load" ? IntentAction::Load
+                                                              : IntentAction::Unload,
+                                  item.at("bytes").get<Bytes>(), item.at("epoch").get<Epoch>(),
+                                  IncarnationId(item.at("incarnation").get<std::string>()) });
+        return ledger;
+    });
+}
+
+Result<ReplicaPlaces> decodePlaces(const std::string &value)
+{
+    return decodeWith<ReplicaPlaces>(value, [](const json &it) {
+        ReplicaPlaces places;
+        for (const auto &target : it.at("targets"))
+            places.emplace(target.get<std::string>());
+        return places;
+    });
+}
+
+Result<OrderRecord> decodeOrder(const std::string &value)
+{
+    return decodeWith<OrderRecord>(value, [](const json &it) {
+        OrderRecord record;
+        const auto state = it.at("state").get<int>();
+        record.state = state == 0 ? OrderState::Claimed
+                : state == 1      ? OrderState::Done
+                                  : OrderState::Unknown;
+        record.requestDigest = it.at("digest").get<std::string>();
+        record.claim = ChangeId(it.at("claim").get<std::string>());
+        if (it.contains("answer")) {
+            const auto &answer = it.at("answer");
+            record.answer = RecordedAnswer { answer.at("status").get<unsigned>(),
+                                             answer.at("type").get<std::string>(),
+                                             answer.at("body").get<std::string>() };
+        }
+        return record;
+    });
+}
+
+Result<ConfigSnapshot> decodeSnapshot(const std::string &value)
+{
+    return decodeWith<ConfigSnapshot>(value, [](const json &it) {
+        return ConfigSnapshot { it.at("version").get<ConfigVersion>(),
+                                it.at("lines").get<LineSet>() };
+    });
+}
+
+} // namespace bluebell::rows
--- /dev/null
+++ b/src/queue/requestqueue.cpp
@@ -0,0 +1,219 @@
+#include "queue/requestqueue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace bluebell {
+namespace {
+
+constexpr Duration RateWindow = std::chrono::seconds(1);
+constexpr double RateSmoothing = 0.5;
+/// Work that has waited this long without any of it being served is not estimated any more.
+constexpr Duration RateLifetime = std::chrono::seconds(10);
+
+} // namespace
+
+// FirstComeOrder
+
+void FirstComeOrder::add(const Waiting &waiting)
+{
+    m_entries.push_back({ waiting.ticket, waiting.tokens });
+}
+
+void FirstComeOrder::remove(const Waiting &waiting)
+{
+    std::erase_if(m_entries, [&](const Entry &it) { return it.ticket == waiting.ticket; });
+}
+
+std::optional<TicketId> FirstComeOrder::first() const
+{
+    if (m_entries.empty())
+        return std::nullopt;
+    return m_entries.front().ticket;
+}
+
+Tokens FirstComeOrder::tokensAhead(const Waiting & /*waiting*/) const
+{
+    Tokens sum = 0;
+    for (const auto &it : m_entries)
+        sum += it.tokens;
+    return sum;
+}
+
+// FairOrder
+
+double FairOrder::span(const Waiting &waiting)
+{
+    return static_cast<double>(std::max<Tokens>(waiting.tokens, 1)) / waiting.weight;
+}
+
+double FairOrder::startTag(const Waiting &waiting) const
+{
+    const auto it = m_finish.find({ waiting.organisation, waiting.weight });
+    return it == m_finish.end() ? m_virtualTime : std::max(m_virtualTime, it->second);
+}
+
+void FairOrder::add(const Waiting &waiting)
+{
+    const auto start = startTag(waiting);
+    m_finish[{ waiting.organisation, waiting.weight }] = start + span(waiting);
+    m_entries.emplace(Key { start, waiting.ticket }, waiting.tokens);
+    m_starts.emplace(waiting.ticket, start);
+}
+
+void FairOrder::remove(const Waiting &waiting)
+{
+    const auto it = m_starts.find(waiting.ticket);
+    if (it == m_starts.end())
+        return;
+    m_entries.erase({ it->second, waiting.ticket });
+    m_starts.erase(it);
+    if (m_entries.empty())
+        m_finish.clear();
+}
+
+std::optional<TicketId> FairOrder::first() const
+{
+    if (m_entries.empty())
+        return std::nullopt;
+    return m_entries.begin()->first.ticket;
+}
+
+Tokens FairOrder::tokensAhead(const Waiting &waiting) const
+{
+    const auto start = startTag(waiting);
+    Tokens sum = 0;
+    for (const auto &[key, tokens] : m_entries) {
+        if (key.start > start)
+            break;
+        sum += tokens;
+    }
+    return sum;
+}
+
+void FairOrder::served(const Waiting &waiting)
+{
+    if (const auto it = m_starts.find(waiting.ticket); it != m_starts.end())
+        m_virtualTime = std::max(m_virtualTime, it->second);
+}
+
+QueueOrder makeQueueOrder(QueueKind kind)
+{
+    if (kind == QueueKind::FirstCome)
+        return FirstComeOrder {};
+    return FairOrder {};
+}
+
+// RequestQueue
+
+RequestQueue::RequestQueue(QueueOrder order, QueueLimits limits)
+    : m_order(std::move(order))
+    , m_limits(limits)
+{
+}
+
+Result<void> RequestQueue::push(const Waiting &waiting, TimePoint now)
+{
+    auto &usage = m_usage[waiting.organisation];
+    const auto estimate = estimateWait(waiting);
+    const bool isFull = usage.count >= m_limits.countPerOrganisation
+            || usage.bytes + waiting.bytes > m_limits.bytesPerOrganisation;
+    if (isFull)
+        return Error { ErrorCode::Overloaded, "too many requests of this organisation are waiting",
+                       Execution::NotRun, estimate };
+    if (estimate && now + *estimate > waiting.deadline)
+        return Error { ErrorCode::Overloaded, "the request would not be served in time",
+                       Execution::NotRun, *estimate - (waiting.deadline - now) };
+    ++usage.count;
+    usage.bytes += waiting.bytes;
+    m_tokens += waiting.tokens;
+    std::visit([&](auto &order) { order.add(waiting); }, m_order);
+    m_waiting.emplace(waiting.ticket, waiting);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+std::optional<Waiting> RequestQueue::pop(TimePoint now)
+{
+    const auto ticket = std::visit([](const auto &order) { return order.first(); }, m_order);
+    if (!ticket)
+        return std::nullopt;
+    const auto &waiting = m_waiting.at(*ticket);
+    if (waiting.deadline <= now)
+        return std::nullopt;
+    std::visit([&](auto &order) { order.served(waiting); }, m_order);
+    return takeOut(*ticket);
+}
+
+std::vector<Waiting> RequestQueue::expire(TimePoint now)
+{
+    std::vector<TicketId> due;
+    for (const auto &[ticket, waiting] : m_waiting)
+        if (waiting.deadline <= now)
+            due.push_back(ticket);
+    std::vector<Waiting> expired;
+    expired.reserve(due.size());
+    for (const auto ticket : due)
+        expired.push_back(takeOut(ticket));
+    return expired;
+}
+
+bool RequestQueue::remove(TicketId ticket)
+{
+    if (!m_waiting.contains(ticket))
+        return false;
+    (void)takeOut(ticket);
+    return true;
+}
+
+Waiting RequestQueue::takeOut(TicketId ticket)
+{
+    const auto it = m_waiting.find(ticket);
+    assert(it != m_waiting.end());
+    Waiting waiting = std::move(it->second);
+    m_waiting.erase(it);
+    std::visit([&](auto &order) { order.remove(waiting); }, m_order);
+    m_tokens -= waiting.tokens;
+    const auto usage = m_usage.find(waiting.organisation);
+    usage->second.bytes -= waiting.bytes;
+    if (--usage->second.count == 0)
+        m_usage.erase(usage);
+    return waiting;
+}
+
+void RequestQueue::noteServed(Tokens tokens, TimePoint now)
+{
+    if (now - m_rateSince > RateLifetime) {
+        m_rate = 0;
+        m_rateSince = now;
+        m_rateTokens = 0;
+    }
+    m_rateTokens += tokens;
+    const auto elapsed = now - m_rateSince;
+    if (elapsed < RateWindow)
+        return;
+    const auto rate = static_cast<double>(m_rateTokens) / toSeconds(elapsed);
+    m_rate = m_rate == 0 ? rate : (RateSmoothing * rate) + ((1 - RateSmoothing) * m_rate);
+    m_rateSince = now;
+    m_rateTokens = 0;
+}
+
+std::optional<Duration> RequestQueue::estimateWait(const Waiting &waiting) const
+{
+    if (m_rate <= 0)
+        return std::nullopt;
+    const auto ahead
+            = std::visit([&](const auto &order) { return order.tokensAhead(waiting); }, m_order);
+    const std::chrono::duration<double> wait(static_cast<double>(ahead) / m_rate);
+    return std::chrono::duration_cast<Duration>(wait);
+}
+
+std::optional<TimePoint> RequestQueue::oldestArrival() const
+{
+    std::optional<TimePoint> oldest;
+    for (const auto &[ticket, waiting] : m_waiting)
+        oldest = std::min(oldest.value_or(waiting.arrival), waiting.arrival);
+    return oldest;
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/rate/grantholder.cpp
@@ -0,0 +1,121 @@
+#include "rate/grantholder.h"
+
+#include <algorithm>
+
+namespace bluebell {
+namespace {
+
+constexpr Duration DemandWindow = std::chrono::seconds(1);
+/// A question without an answer is forgotten after this time.
+constexpr Duration QuestionLifetime = std::chrono::seconds(30);
+
+} // namespace
+
+std::optional<ReservationId> GrantHolder::admit(Tokens tokens, TimePoint now)
+{
+    for (auto &[id, grant] : m_grants) {
+        const bool isUsable = grant.isAnswered && !grant.report.isClosed && now < grant.validUntil
+                && grant.amount - grant.report.admitted >= tokens;
+        if (!isUsable)
+            continue;
+        grant.report.admitted += tokens;
+        grant.isChanged = true;
+        if (now - m_windowStart > DemandWindow) {
+            m_windowStart = now;
+            m_windowTokens = 0;
+        }
+        m_windowTokens += tokens;
+        m_reservations.emplace(m_nextReservation, Reservation { id, tokens });
+        return m_nextReservation++;
+    }
+    return std::nullopt;
+}
+
+Tokens GrantHolder::wanted(TimePoint now)
+{
+    if (now - m_windowStart > 2 * DemandWindow)
+        m_windowTokens = 0;
+    return m_windowTokens;
+}
+
+GrantQuestion GrantHolder::question(Tokens least, TimePoint now)
+{
+    GrantId id(m_name + '-' + std::to_string(m_nextGrant++));
+    Grant grant;
+    grant.askedAt = now;
+    grant.report.id = id;
+    m_grants.emplace(id, grant);
+    return { std::move(id), least, std::max(least, wanted(now)) };
+}
+
+void GrantHolder::answered(const Granted &granted)
+{
+    const auto it = m_grants.find(granted.id);
+    if (it == m_grants.end() || it->second.isAnswered)
+        return;
+    auto &grant = it->second;
+    grant.isAnswered = true;
+    grant.amount = granted.amount;
+    grant.validUntil = grant.askedAt + granted.validity;
+}
+
+void GrantHolder::refused(const GrantId &id)
+{
+    m_grants.erase(id);
+}
+
+void GrantHolder::settle(ReservationId reservation, Tokens used)
+{
+    const auto it = m_reservations.find(reservation);
+    if (it == m_reservations.end())
+        return;
+    const auto consumed = std::clamp<Tokens>(used, 0, it->second.tokens);
+    if (const auto grant = m_grants.find(it->second.grant); grant != m_grants.end()) {
+        grant->second.report.consumed += consumed;
+        grant->second.report.refunded += it->second.tokens - consumed;
+        grant->second.isChanged = true;
+    }
+    m_reservations.erase(it);
+}
+
+bool GrantHolder::isSettled(const Grant &grant)
+{
+    const auto &report = grant.report;
+    return report.isClosed && report.admitted == report.consumed + report.refunded;
+}
+
+std::vector<GrantReport> GrantHolder::takeReports(TimePoint now)
+{
+    std::vector<GrantReport> reports;
+    for (auto it = m_grants.begin(); it != m_grants.end();) {
+        auto &grant = it->second;
+        if (!grant.isAnswered) {
+            it = now - grant.askedAt > QuestionLifetime ? m_grants.erase(it) : std::next(it);
+            continue;
+        }
+        const bool isEmpty = grant.report.admitted == grant.amount;
+        if (!grant.report.isClosed && (isEmpty || now >= grant.validUntil)) {
+            grant.report.isClosed = true;
+            grant.isChanged = true;
+        }
+        if (std::exchange(grant.isChanged, false))
+            reports.push_back(grant.report);
+        it = isSettled(grant) ? m_grants.erase(it) : std::next(it);
+    }
+    return reports;
+}
+
+void GrantHolder::reportsLost(const std::vector<GrantReport> &reports)
+{
+    for (const auto &report : reports) {
+        auto &grant = m_grants.try_emplace(report.id).first->second;
+        if (grant.report.id.isEmpty()) {
+            grant.report = report;
+            grant.isAnswered = true;
+            grant.amount = report.admitted;
+        }
+        grant.isChanged = true;
+    }
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/routing/entryadvisor.cpp
@@ -0,0 +1,27 @@
+#include "routing/entryadvisor.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bluebell {
+
+EntryAdvice adviseEntries(std::string_view organisation, std::vector<EntryAddress> entries,
+                          std::size_t count, Duration holdFor)
+{
+    const auto role = "org/" + std::string(organisation);
+    const auto rank = [&role](const EntryAddress &it) {
+        return std::pair(!it.isLeaving, rendezvousScore(role, it.vm.value()));
+    };
+    std::sort(entries.begin(), entries.end(),
+              [&rank](const auto &a, const auto &b) { return rank(a) > rank(b); });
+    const bool someStay = !entries.empty() && !entries.front().isLeaving;
+    if (someStay)
+        std::erase_if(entries, [](const EntryAddress &it) { return it.isLeaving; });
+    if (entries.size() > count)
+        entries.resize(count);
+    return EntryAdvice { std::move(entries), holdFor };
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/rules/ruleset.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "rules/rule.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// \file
+/// A checked set of rules with its look-ups.
+
+namespace bluebell {
+
+/// The rules in force, by name. Made by parseRules(); all references in it resolve.
+struct RuleSet
+{
+    std::map<ClassId, ClassRule> classes;
+    std::map<OrganisationId, OrganisationRule> organisations;
+    std::map<KeyDigest, KeyRule> keys;
+    std::map<ModelId, ModelRule> models;
+    std::map<AdapterId, AdapterRule> adapters;
+    std::multimap<OrganisationId, GrantRule> grants;
+    std::map<TargetId, TargetRule> targets;
+    std::map<std::string, RouteRule> routes;
+    std::optional<StoreRule> store;
+    PolicyRule policy;
+
+    /// \returns the organisation of the key with this digest, or null
+    [[nodiscard]] const OrganisationRule *organisationOfKey(const KeyDigest &digest) const;
+
+    /// \returns whether `organisation` may call `model`, with `adapter` unless that is empty
+    [[nodiscard]] bool mayCall(const OrganisationId &organisation, const ModelId &model,
+                               const AdapterId &adapter) const;
+
+    /// \returns the route with the longest prefix that fits `path`, or null
+    [[nodiscard]] const RouteRule *routeOfPath(std::string_view path) const;
+};
+
+} // namespace bluebell
