--- /dev/null
+++ b/programs/controller/configsync.cpp
@@ -0,0 +1,178 @@
+#include "controller/configsync.h"
+
+#include "core/digest.h"
+#include "core/log.h"
+#include "io/notifier.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace bluebell::controller {
+namespace {
+
+constexpr Duration PollEvery = std::chrono::milliseconds(800);
+constexpr Duration PollJitter = std::chrono::milliseconds(400);
+constexpr Duration PeerTimeout = std::chrono::milliseconds(700);
+constexpr std::size_t PeersPerRound = 2;
+constexpr std::size_t IdBytes = 8;
+
+} // namespace
+
+ConfigSync::ConfigSync(PlatformClient platform, RoleKeeper &roles, PeerNode &peers,
+                       std::vector<Endpoint> seeds, ConfigReplica::Settings settings)
+    : m_platform(std::move(platform)), m_roles(roles), m_peers(peers), m_seeds(std::move(seeds)),
+      m_replica(settings), m_random(std::random_device()())
+{
+}
+
+asio::awaitable<void> ConfigSync::run()
+{
+    while (!m_isStopping) {
+        const auto before = m_replica.version();
+        const auto pulled = co_await pullConfig(m_platform, m_replica);
+        if (!pulled)
+            log::debug("table service not read", { { "cause", pulled.error().message } });
+        noteMembers();
+        co_await askPeers();
+        if (m_replica.version() != before)
+            log::info("configuration in force",
+                      { { "version", std::to_string(m_replica.version()) } });
+        co_await publishWithdrawals();
+        std::uniform_int_distribution<std::int64_t> jitter(0, PollJitter.count());
+        co_await sleepFor(PollEvery + Duration(jitter(m_random)));
+    }
+}
+
+void ConfigSync::noteMembers()
+{
+    std::set<VmId> members = m_roles.listedVms();
+    for (const auto &it : m_roles.table().liveMembers(BootClock::now()))
+        members.insert(it.vm);
+    if (members.empty())
+        return;
+    members.insert(m_roles.self().vm);
+    m_replica.setMembers(std::move(members));
+}
+
+std::vector<Endpoint> ConfigSync::peerAddresses() const
+{
+    std::set<Endpoint> addresses(m_seeds.begin(), m_seeds.end());
+    for (const auto &it : m_roles.table().liveMembers(BootClock::now()))
+        addresses.insert(it.address);
+    addresses.erase(m_roles.self().address);
+    return { addresses.begin(), addresses.end() };
+}
+
+asio::awaitable<void> ConfigSync::askPeers()
+{
+    auto peers = peerAddresses();
+    std::shuffle(peers.begin(), peers.end(), m_random);
+    if (peers.size() > PeersPerRound)
+        peers.resize(PeersPerRound);
+    for (const auto &peer : peers)
+        co_await askPeer(peer);
+}
+
+asio::awaitable<void> ConfigSync::askPeer(Endpoint peer)
+{
+    SyncQuestion question;
+    question.vm = m_roles.self().vm;
+    question.version = m_replica.version();
+    question.withdrawnChecksum = m_replica.withdrawnChecksum();
+    const auto sentAt = BootClock::now();
+    auto answer =
+            expectAnswer<SyncAnswer>(co_await m_peers.ask(std::move(peer), question, PeerTimeout));
+    if (answer)
+        takeIn(answer.value(), sentAt);
+}
+
+void ConfigSync::takeIn(const SyncAnswer &answer, TimePoint sentAt)
+{
+    for (const auto &digest : answer.withdrawn)
+        m_replica.withdraw(digest);
+    if (m_replica.members().empty() && !answer.members.empty())
+        m_replica.setMembers({ answer.members.begin(), answer.members.end() });
+    if (answer.update) {
+        const auto applied = applyUpdate(*answer.update, m_replica);
+        if (!applied)
+            log::warning("configuration of a peer not taken",
+                         { { "peer", answer.vm.value() }, { "cause", applied.error().message } });
+    }
+    if (answer.age)
+        m_replica.noteHead(answer.version, sentAt - *answer.age);
+    m_replica.noteContact(answer.vm, sentAt);
+    for (const auto &[vm, age] : answer.contacts)
+        m_replica.noteContact(vm, sentAt - age);
+}
+
+SyncAnswer ConfigSync::answer(const SyncQuestion &question, TimePoint now) const
+{
+    SyncAnswer answer;
+    answer.vm = m_roles.self().vm;
+    answer.version = m_replica.version();
+    answer.age = m_replica.age(now);
+    answer.update = m_replica.updateSince(question.version);
+    const auto &withdrawn = m_replica.withdrawn();
+    if (question.withdrawnChecksum != m_replica.withdrawnChecksum())
+        answer.withdrawn.assign(withdrawn.begin(), withdrawn.end());
+    const auto &members = m_replica.members();
+    answer.members.assign(members.begin(), members.end());
+    for (const auto &[vm, heardAt] : m_replica.contacts())
+        answer.contacts.push_back({ vm, now - heardAt });
+    if (question.wantsDirectory) {
+        answer.entries = m_roles.table().entries(now);
+        for (const auto &[role, row] : m_roles.table().roles())
+            answer.roles.push_back(row);
+    }
+    return answer;
+}
+
+asio::awaitable<WithdrawAnswer> ConfigSync::withdraw(WithdrawQuestion question)
+{
+    if (m_replica.withdraw(question.digest))
+        log::info("key withdrawn", { { "digest", question.digest.value() } });
+    WithdrawAnswer answer;
+    answer.acknowledged.push_back(m_roles.self().vm);
+    if (!question.spreads)
+        co_return answer;
+    question.spreads = false;
+    auto missing = m_replica.members();
+    missing.erase(m_roles.self().vm);
+    for (const auto &peer : peerAddresses()) {
+        auto heard =
+                expectAnswer<WithdrawAnswer>(co_await m_peers.ask(peer, question, PeerTimeout));
+        if (!heard)
+            continue;
+        for (const auto &vm : heard.value().acknowledged) {
+            missing.erase(vm);
+            answer.acknowledged.push_back(vm);
+        }
+    }
+    answer.missing.assign(missing.begin(), missing.end());
+    co_return answer;
+}
+
+asio::awaitable<void> ConfigSync::publishWithdrawals()
+{
+    const auto live = m_roles.table().liveMembers(BootClock::now());
+    const auto *publisher = preferredMember(RoleId("withdrawals"), live);
+    const bool isPublisher =
+            publisher != nullptr && publisher->incarnation == m_roles.self().incarnation;
+    if (!isPublisher || m_replica.state(BootClock::now()) != ServingState::Fresh)
+        co_return;
+    ConfigDelta delta;
+    for (const auto &digest : m_replica.withdrawn())
+        for (const auto &line : m_replica.lines())
+            if (line.starts_with("key " + digest.value() + ' '))
+                delta.removed.push_back(line);
+    if (delta.removed.empty())
+        co_return;
+    delta.author = "withdrawal";
+    delta.change = ChangeId(randomHex(IdBytes));
+    (void)co_await publishConfig(m_platform, m_replica.lines(), m_replica.version(),
+                                 std::move(delta), BootClock::now() + PollEvery);
+}
+
+} // namespace bluebell::controller
--- /dev/null
+++ b/programs/controller/main.cpp
@@ -0,0 +1,109 @@
+#include "controller/daemon.h"
+#include "core/log.h"
+#include "settings/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <fmt/core.h>
+
+#include <fstream>
+
+/// \file
+/// bluebell-controller: decides about state on every entry VM.
+
+namespace {
+
+using namespace bluebell;
+
+std::vector<SettingSpec> specs()
+{
+    const auto ms = std::chrono::nanoseconds(std::chrono::milliseconds(1)).count();
+    const controller::DaemonSettings defaults;
+    return {
+        { "vm", std::string("vm-1"), "name of this VM, as the platform lists it" },
+        { "listen", Endpoint { "127.0.0.1", 0 }, "address of the peer interface" },
+        { "platform", Endpoint { "127.0.0.1", 7000 }, "address of the platform's services" },
+        { "peers", std::string(), "controllers to ask while the table service is out" },
+        { "log-level", std::string("info"), "debug, info, warning or error" },
+        { "write-address", std::string(), "file that gets the peer address" },
+        { "lease-duration", defaults.lease.duration, "how long a lease lasts", 500 * ms,
+          120000 * ms },
+        { "lease-margin", defaults.lease.margin, "allowance for clock speeds", 10 * ms,
+          10000 * ms },
+        { "lease-renewal", defaults.lease.renewEvery, "time between renewals", 50 * ms,
+          60000 * ms },
+        { "freshness-bound", defaults.config.freshnessBound,
+          "how long a configuration counts as the newest", 500 * ms, 8000 * ms },
+        { "grant-validity", defaults.rate.grantValidity, "how long a rate grant may be spent",
+          100 * ms, 60000 * ms },
+        { "grant-lapse", defaults.rate.grantLapse, "when an unreported grant counts as spent",
+          200 * ms, 120000 * ms },
+    };
+}
+
+Result<controller::DaemonSettings> daemonSettings(const Settings &settings)
+{
+    controller::DaemonSettings it;
+    it.vm = VmId(settings.text("vm"));
+    it.listen = settings.endpoint("listen");
+    it.platform = settings.endpoint("platform");
+    BOOST_OUTCOME_TRY(it.seeds, parseEndpoints(settings.text("peers")));
+    it.lease.duration = settings.duration("lease-duration");
+    it.lease.margin = settings.duration("lease-margin");
+    it.lease.renewEvery = settings.duration("lease-renewal");
+    it.lease.observationGap = it.lease.renewEvery;
+    it.config.freshnessBound = settings.duration("freshness-bound");
+    it.rate.grantValidity = settings.duration("grant-validity");
+    it.rate.grantLapse = settings.duration("grant-lapse");
+    if (it.lease.renewEvery * 2 > it.lease.duration - it.lease.margin)
+        return makeError(ErrorCode::InvalidArgument,
+                         "lease-renewal must fit twice into lease-duration less lease-margin");
+    if (it.rate.grantLapse <= it.rate.grantValidity)
+        return makeError(ErrorCode::InvalidArgument,
+                         "grant-lapse must be longer than grant-validity");
+    return it;
+}
+
+int fail(const Error &error)
+{
+    fmt::print(stderr, "bluebell-controller: {}\n", error.message);
+    return 2;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    log::setProgram("bluebell-controller");
+    Settings settings("bluebell-controller", "decides about state on an entry VM", specs());
+    const auto mode = settings.load(argc, argv);
+    if (!mode)
+        return fail(mode.error());
+    auto daemon = daemonSettings(settings);
+    if (!daemon)
+        return fail(daemon.error());
+    if (mode.value() == StartMode::Finished)
+        return 0;
+    log::setLevel(log::levelFromString(settings.text("log-level")));
+
+    boost::asio::io_context context;
+    controller::Daemon it(context, std::move(daemon.value()));
+    const auto address = it.start();
+    if (!address)
+        return fail(address.error());
+    log::info("listening", { { "address", toString(address.value()) } });
+    if (const auto &path = settings.text("write-address"); !path.empty())
+        std::ofstream(path) << toString(address.value()) << '\n';
+    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+    std::function<void()> waitForSignal = [&] {
+        signals.async_wait([&](const auto &ec, int) {
+            if (ec)
+                return;
+            it.requestStop();
+            waitForSignal();
+        });
+    };
+    waitForSignal();
+    context.run();
+    return it.stoppedGracefully() ? 0 : 1;
+}
--- /dev/null
+++ b/programs/controller/rolekeeper.cpp
@@ -0,0 +1,246 @@
+#include "controller/rolekeeper.h"
+
+#include "core/digest.h"
+#include "core/log.h"
+#include "io/notifier.h"
+#include "platform/rows.h"
+
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace bluebell::controller {
+namespace {
+
+constexpr Duration Tick = std::chrono::milliseconds(100);
+constexpr Duration ReadEvery = std::chrono::seconds(1);
+constexpr Duration CommitTime = std::chrono::seconds(2);
+constexpr std::size_t IdBytes = 8;
+
+ChangeId newChange()
+{
+    return ChangeId(randomHex(IdBytes));
+}
+
+template<typename T>
+std::vector<T> decodeRows(const std::vector<Row> &found, Result<T> (*decode)(const std::string &))
+{
+    std::vector<T> decoded;
+    for (const auto &row : found) {
+        auto it = decode(row.value);
+        if (!it) {
+            log::warning("row passed over",
+                         { { "key", row.key }, { "cause", it.error().message } });
+            continue;
+        }
+        it.value().version = row.version;
+        decoded.push_back(std::move(it.value()));
+    }
+    return decoded;
+}
+
+} // namespace
+
+RoleKeeper::RoleKeeper(PlatformClient platform, Member self, LeaseSettings settings,
+                       WantedRoles wanted)
+    : m_platform(std::move(platform)), m_self(std::move(self)), m_settings(settings),
+      m_wanted(std::move(wanted)), m_lease(settings), m_table(m_self, settings)
+{
+}
+
+void RoleKeeper::setEntry(const EntryAddress &entry)
+{
+    const bool isSame =
+            m_entry && m_entry->address == entry.address && m_entry->isLeaving == entry.isLeaving;
+    if (isSame)
+        return;
+    m_entry = entry;
+    m_entryChanged = true;
+}
+
+const RoleRow *RoleKeeper::held(const RoleId &role, TimePoint now) const
+{
+    const auto *row = m_table.find(role);
+    if (row == nullptr || row->holder.incarnation != m_self.incarnation)
+        return nullptr;
+    return isBaseShare(role) || m_lease.isValid(now) ? row : nullptr;
+}
+
+asio::awaitable<void> RoleKeeper::run()
+{
+    TimePoint lastRead;
+    while (!m_isStopping) {
+        if (m_lease.isFenced())
+            reincarnate();
+        const auto now = BootClock::now();
+        if (m_lease.renewalDue(now) || m_entryChanged)
+            co_await renew();
+        if (BootClock::now() - lastRead >= ReadEvery) {
+            lastRead = BootClock::now();
+            co_await readRows();
+            co_await claimRoles();
+            co_await deleteLapsedMembers();
+        }
+        co_await sleepFor(Tick);
+    }
+}
+
+void RoleKeeper::reincarnate()
+{
+    log::warning("the member lease was taken over; starting anew",
+                 { { "incarnation", m_self.incarnation.value() } });
+    m_self.incarnation = IncarnationId(randomHex(IdBytes));
+    m_lease = LeaseHolder(m_settings);
+    m_table = RoleTable(m_self, m_settings);
+    m_memberVersion = 0;
+    m_lostRenewal.reset();
+}
+
+asio::awaitable<void> RoleKeeper::resolveLostRenewal()
+{
+    const auto row = co_await m_platform.get(rows::memberKey(m_self));
+    if (!row)
+        co_return;
+    const auto &found = row.value();
+    if (found && found->value.find(m_lostRenewal->value()) != std::string::npos)
+        m_memberVersion = found->version;
+    else if ((found ? found->version : 0) != m_memberVersion)
+        m_lease.fenced();
+    m_lostRenewal.reset();
+}
+
+asio::awaitable<void> RoleKeeper::renew()
+{
+    if (m_lostRenewal)
+        co_await resolveLostRenewal();
+    if (m_lostRenewal || m_lease.isFenced())
+        co_return;
+    m_entryChanged = false;
+    const auto change = newChange();
+    const auto key = rows::memberKey(m_self);
+    Transaction transaction { change,
+                              { { key, m_memberVersion } },
+                              { { key, rows::encode(MemberRow { m_self, 0, m_entry }, change) } } };
+    const auto sentAt = BootClock::now();
+    m_lease.renewalSent(sentAt);
+    const auto outcome = co_await m_platform.commit(std::move(transaction), sentAt + CommitTime);
+    if (!outcome) {
+        m_lease.renewalFailed();
+        m_lostRenewal = change;
+        co_return;
+    }
+    if (const auto *committed = std::get_if<Committed>(&outcome.value())) {
+        m_memberVersion = committed->version;
+        m_lease.renewalSucceeded(committed->version);
+        co_return;
+    }
+    m_lease.fenced();
+}
+
+asio::awaitable<void> RoleKeeper::readRows()
+{
+    const auto roles = co_await m_platform.range(std::string(rows::RolePrefix));
+    if (!roles)
+        co_return;
+    const auto members = co_await m_platform.range(std::string(rows::MemberPrefix));
+    if (!members)
+        co_return;
+    m_table.noteRows(decodeRows<RoleRow>(roles.value(), rows::decodeRole),
+                     decodeRows<MemberRow>(members.value(), rows::decodeMember), BootClock::now());
+    const auto vms = co_await m_platform.listVms();
+    if (!vms)
+        co_return;
+    m_listedVms.clear();
+    for (const auto &it : vms.value())
+        m_listedVms.insert(it.vm);
+    m_table.noteListedVms(m_listedVms);
+}
+
+asio::awaitable<void> RoleKeeper::claimRoles()
+{
+    if (!m_lease.isValid(BootClock::now()))
+        co_return;
+    const auto claims = m_table.claims(m_wanted(), BootClock::now());
+    for (const auto &it : claims)
+        co_await claim(it);
+}
+
+asio::awaitable<void> RoleKeeper::claim(RoleClaim claim)
+{
+    const auto change = newChange();
+    const auto key = rows::roleKey(claim.role);
+    const RoleRow row { claim.role, m_self, claim.epoch, 0, std::nullopt };
+    Transaction transaction { change, {}, {} };
+    transaction.conditions.push_back({ key, claim.roleVersion });
+    transaction.conditions.push_back({ rows::memberKey(m_self), m_memberVersion });
+    transaction.mutations.push_back({ key, rows::encode(row, change) });
+    if (claim.formerHolder) {
+        const auto memberKey = rows::memberKey(claim.formerHolder->member);
+        transaction.conditions.push_back({ memberKey, claim.formerHolder->version });
+        if (claim.formerHolder->version != 0)
+            transaction.mutations.push_back({ memberKey, std::nullopt });
+    }
+    const auto outcome =
+            co_await m_platform.commit(std::move(transaction), BootClock::now() + CommitTime);
+    if (!outcome)
+        co_return;
+    const auto *committed = std::get_if<Committed>(&outcome.value());
+    if (committed == nullptr)
+        co_return;
+    m_table.noteClaimed(claim, committed->version);
+    log::info("role taken",
+              { { "role", claim.role.value() }, { "epoch", std::to_string(claim.epoch) } });
+}
+
+asio::awaitable<void> RoleKeeper::deleteLapsedMembers()
+{
+    const auto lapsed = m_table.lapsedMembers(BootClock::now());
+    for (const auto &row : lapsed) {
+        const auto key = rows::memberKey(row.member);
+        Transaction transaction { newChange(),
+                                  { { key, row.version } },
+                                  { { key, std::nullopt } } };
+        (void)co_await m_platform.commitOnce(std::move(transaction));
+    }
+}
+
+asio::awaitable<bool> RoleKeeper::handOver(RoleRow row, std::optional<RateHandover> handover)
+{
+    const auto successor = m_table.successor(row.role, BootClock::now());
+    if (!successor)
+        co_return false;
+    const auto change = newChange();
+    const auto key = rows::roleKey(row.role);
+    const RoleRow next { row.role, *successor, row.epoch + 1, 0, handover };
+    Transaction transaction { change,
+                              { { key, row.version },
+                                { rows::memberKey(m_self), m_memberVersion } },
+                              { { key, rows::encode(next, change) } } };
+    const auto outcome =
+            co_await m_platform.commit(std::move(transaction), BootClock::now() + CommitTime);
+    co_return outcome &&std::holds_alternative<Committed>(outcome.value());
+}
+
+asio::awaitable<void>
+RoleKeeper::leave(std::function<std::optional<RateHandover>(const RoleId &)> handover)
+{
+    m_table.noteLeaving();
+    co_await readRows();
+    std::vector<RoleRow> held;
+    for (const auto &[role, row] : m_table.roles())
+        if (row.holder.incarnation == m_self.incarnation && !isBaseShare(role))
+            held.push_back(row);
+    for (const auto &row : held) {
+        auto passedOn = handover(row.role);
+        if (!co_await handOver(row, std::move(passedOn)))
+            log::warning("role not handed over; it moves when the lease has lapsed",
+                         { { "role", row.role.value() } });
+    }
+    const auto key = rows::memberKey(m_self);
+    Transaction transaction { newChange(),
+                              { { key, m_memberVersion } },
+                              { { key, std::nullopt } } };
+    (void)co_await m_platform.commitOnce(std::move(transaction));
+}
+
+} // namespace bluebell::controller
--- /dev/null
+++ b/programs/ctl/commands.cpp
@@ -0,0 +1,493 @@
+#include "ctl/commands.h"
+
+#include "core/digest.h"
+#include "io/notifier.h"
+#include "peer/peernode.h"
+#include "platform/configstore.h"
+#include "platform/rows.h"
+#include "rate/shares.h"
+#include "rules/parser.h"
+
+#include <boost/asio/this_coro.hpp>
+#include <fmt/core.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace bluebell::ctl {
+namespace {
+
+constexpr std::string_view VersionHeading = "# version: ";
+constexpr Duration AskTimeout = std::chrono::seconds(1);
+constexpr Duration SpreadTimeout = std::chrono::seconds(10);
+constexpr Duration CommitTime = std::chrono::seconds(10);
+constexpr Duration PollPause = std::chrono::milliseconds(100);
+constexpr std::size_t KeyBytes = 24;
+constexpr std::size_t IdBytes = 8;
+constexpr std::size_t DigestDigits = 64;
+
+/// A rule file with the version that it was made from.
+struct RuleFile
+{
+    std::string path;
+    std::string text;
+    ParsedRules parsed;
+    ConfigVersion base = 0;
+};
+
+void printError(std::string_view message)
+{
+    fmt::print(stderr, "bluebell-ctl: {}\n", message);
+}
+
+std::optional<ConfigVersion> headingVersion(const std::string &text)
+{
+    const auto it = text.find(VersionHeading);
+    if (it == std::string::npos)
+        return std::nullopt;
+    return std::strtoull(text.c_str() + it + VersionHeading.size(), nullptr, 10);
+}
+
+/// Replaces or adds the heading with the version; the file is replaced whole.
+bool writeHeading(const RuleFile &file, ConfigVersion version)
+{
+    auto text = file.text;
+    const auto heading = std::string(VersionHeading) + std::to_string(version);
+    if (const auto it = text.find(VersionHeading); it != std::string::npos)
+        text.replace(it, std::min(text.find('\n', it), text.size()) - it, heading);
+    else
+        text = heading + '\n' + text;
+    const auto temporary = file.path + ".tmp";
+    std::ofstream out(temporary);
+    out << text;
+    out.close();
+    return out && std::rename(temporary.c_str(), file.path.c_str()) == 0;
+}
+
+std::optional<RuleFile> readRules(const std::string &path, const Options &options)
+{
+    std::ifstream in(path);
+    if (!in) {
+        printError("cannot read '" + path + "'");
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    RuleFile file { path, text.str(), {}, 0 };
+    auto parsed = parseRules(path, file.text);
+    if (!parsed) {
+        for (const auto &error : parsed.error())
+            fmt::print(stderr, "{}\n", toString(error));
+        return std::nullopt;
+    }
+    file.parsed = std::move(parsed.value());
+    file.base = options.base >= 0 ? static_cast<ConfigVersion>(options.base)
+                                  : headingVersion(file.text).value_or(0);
+    return file;
+}
+
+LineSet toLineSet(const std::vector<std::string> &lines)
+{
+    return { lines.begin(), lines.end() };
+}
+
+void printDelta(const ConfigDelta &delta)
+{
+    for (const auto &line : delta.removed)
+        fmt::print("- {}\n", line);
+    for (const auto &line : delta.added)
+        fmt::print("+ {}\n", line);
+}
+
+/// Shows what was accepted since `base`.
+void printConflict(const ConfigReplica &replica, ConfigVersion base)
+{
+    printError(fmt::format("version {} is in the table, but the file was made from version {}; "
+                           "accepted in between:",
+                           replica.version(), base));
+    const auto update = replica.updateSince(base);
+    const auto *deltas = update ? std::get_if<std::vector<ConfigDelta>>(&*update) : nullptr;
+    if (deltas == nullptr)
+        return;
+    for (const auto &delta : *deltas) {
+        fmt::print("version {} by {}\n", delta.version, delta.author);
+        printDelta(delta);
+    }
+}
+
+class Tool
+{
+public:
+    Tool(asio::any_io_executor executor, Options options)
+        : m_options(std::move(options)), m_platform(m_options.platform),
+          m_peers(std::move(executor), {})
+    {
+    }
+
+    asio::awaitable<ExitCode> check(std::string path);
+    asio::awaitable<ExitCode> get();
+    asio::awaitable<ExitCode> diff(std::string path);
+    asio::awaitable<ExitCode> apply(std::string path);
+    asio::awaitable<ExitCode> newKey(std::string organisation);
+    asio::awaitable<ExitCode> withdrawKey(std::string keyOrDigest);
+    asio::awaitable<ExitCode> status();
+    asio::awaitable<ExitCode> explain(std::string organisation, std::string replica);
+    asio::awaitable<ExitCode> drain(std::string address);
+
+private:
+    asio::awaitable<bool> pull(ConfigReplica &replica);
+    asio::awaitable<bool> pullFromPeers(ConfigReplica &replica);
+    asio::awaitable<ExitCode> publish(const RuleFile &file, const ConfigReplica &replica);
+    asio::awaitable<ExitCode> awaitInForce(ConfigVersion version);
+    asio::awaitable<std::vector<Member>> members();
+    asio::awaitable<std::vector<Endpoint>> controllers();
+
+    Options m_options;
+    PlatformClient m_platform;
+    PeerNode m_peers;
+};
+
+asio::awaitable<bool> Tool::pull(ConfigReplica &replica)
+{
+    const auto pulled = co_await pullConfig(m_platform, replica);
+    if (pulled)
+        co_return true;
+    printError("the table service gave no answer: " + pulled.error().message);
+    co_return false;
+}
+
+asio::awaitable<bool> Tool::pullFromPeers(ConfigReplica &replica)
+{
+    for (const auto &controller : m_options.controllers) {
+        SyncQuestion question;
+        question.vm = VmId("ctl");
+        auto answer = expectAnswer<SyncAnswer>(
+                co_await m_peers.ask(controller, std::move(question), AskTimeout));
+        if (!answer || !answer.value().update)
+            continue;
+        if (applyUpdate(*answer.value().update, replica))
+            co_return true;
+    }
+    co_return false;
+}
+
+asio::awaitable<std::vector<Member>> Tool::members()
+{
+    std::vector<Member> members;
+    const auto found = co_await m_platform.range(std::string(rows::MemberPrefix));
+    if (!found)
+        co_return members;
+    for (const auto &row : found.value())
+        if (const auto it = rows::decodeMember(row.value))
+            members.push_back(it.value().member);
+    co_return members;
+}
+
+asio::awaitable<std::vector<Endpoint>> Tool::controllers()
+{
+    auto addresses = m_options.controllers;
+    const auto known = co_await members();
+    for (const auto &member : known)
+        if (std::find(addresses.begin(), addresses.end(), member.address) == addresses.end())
+            addresses.push_back(member.address);
+    co_return addresses;
+}
+
+asio::awaitable<ExitCode> Tool::check(std::string path)
+{
+    const auto file = readRules(path, m_options);
+    if (!file)
+        co_return ExitCode::Invalid;
+    fmt::print("{}: {} rules, no faults\n", path, file->parsed.lines.size());
+    co_return ExitCode::Success;
+}
+
+asio::awaitable<ExitCode> Tool::get()
+{
+    ConfigReplica replica;
+    if (!co_await pull(replica))
+        co_return ExitCode::Unavailable;
+    fmt::print("{}{}\n", VersionHeading, replica.version());
+    for (const auto &line : replica.lines())
+        fmt::print("{}\n", line);
+    co_return ExitCode::Success;
+}
+
+asio::awaitable<ExitCode> Tool::diff(std::string path)
+{
+    const auto file = readRules(path, m_options);
+    if (!file)
+        co_return ExitCode::Invalid;
+    ConfigReplica replica;
+    if (!co_await pull(replica))
+        co_return ExitCode::Unavailable;
+    printDelta(diffLines(replica.lines(), toLineSet(file->parsed.lines)));
+    co_return ExitCode::Success;
+}
+
+asio::awaitable<ExitCode> Tool::apply(std::string path)
+{
+    const auto file = readRules(path, m_options);
+    if (!file)
+        co_return ExitCode::Invalid;
+    ConfigReplica replica;
+    if (!co_await pull(replica))
+        co_return ExitCode::Unavailable;
+    if (replica.version() != file->base) {
+        printConflict(replica, file->base);
+        co_return ExitCode::Conflict;
+    }
+    co_return co_await publish(*file, replica);
+}
+
+asio::awaitable<ExitCode> Tool::publish(const RuleFile &file, const ConfigReplica &replica)
+{
+    auto delta = diffLines(replica.lines(), toLineSet(file.parsed.lines));
+    if (delta.added.empty() && delta.removed.empty()) {
+        fmt::print("nothing to change in version {}\n", replica.version());
+        co_return ExitCode::Success;
+    }
+    delta.author = m_options.author;
+    delta.change = ChangeId(randomHex(IdBytes));
+    const auto change = delta.change.value();
+    const auto outcome = co_await publishConfig(m_platform, replica.lines(), file.base,
+                                                std::move(delta), BootClock::now() + CommitTime);
+    if (!outcome) {
+        printError(fmt::format("it is {} whether change {} took effect: {}; 'bluebell-ctl diff' "
+                               "shows it once the table service answers",
+                               outcome.error().execution == Execution::NotRun
+                                       ? "certain that it did not, not in doubt,"
+                                       : "not known",
+                               change, outcome.error().message));
+        co_return ExitCode::Unavailable;
+    }
+    if (std::holds_alternative<Superseded>(outcome.value())) {
+        ConfigReplica newer;
+        if (co_await pull(newer))
+            printConflict(newer, file.base);
+        co_return ExitCode::Conflict;
+    }
+    const auto version = std::get<Published>(outcome.value()).version;
+    fmt::print("accepted as version {}\n", version);
+    if (!writeHeading(file, version))
+        printError(fmt::format("'{}' could not be updated; apply it next with --base {}", file.path,
+                               version));
+    co_return co_await awaitInForce(version);
+}
+
+asio::awaitable<ExitCode> Tool::awaitInForce(ConfigVersion version)
+{
+    const auto start = BootClock::now();
+    const auto deadline = start + m_options.wait;
+    std::set<VmId> missing;
+    do {
+        missing.clear();
+        const auto known = co_await members();
+        for (const auto &member : known) {
+            SyncQuestion question;
+            question.vm = VmId("ctl");
+            question.version = version;
+            const auto answer = expectAnswer<SyncAnswer>(
+                    co_await m_peers.ask(member.address, question, AskTimeout));
+            if (!answer || answer.value().version < version)
+                missing.insert(member.vm);
+        }
+        if (missing.empty()) {
+            fmt::print("in force everywhere after {} ms\n",
+                       toMilliseconds(BootClock::now() - start).count());
+            co_return ExitCode::Success;
+        }
+        co_await sleepFor(PollPause);
+    } while (BootClock::now() < deadline);
+    for (const auto &vm : missing)
+        printError("not in force on " + vm.value());
+    co_return ExitCode::NotInForce;
+}
+
+asio::awaitable<ExitCode> Tool::newKey(std::string organisation)
+{
+    const auto key = "bw-" + randomHex(KeyBytes);
+    const auto line = fmt::format("key {} organisation={} # asked for by {}",
+                                  digestOfKey(key).value(), organisation, m_options.author);
+    if (m_options.json)
+        fmt::print("{}\n", json { { "key", key }, { "rule", line } }.dump());
+    else
+        fmt::print("key (shown once): {}\nrule line: {}\n", key, line);
+    co_return ExitCode::Success;
+}
+
+asio::awaitable<ExitCode> Tool::withdrawKey(std::string keyOrDigest)
+{
+    const bool isDigest = keyOrDigest.size() == DigestDigits
+            && keyOrDigest.find_first_not_of("0123456789abcdef") == std::string::npos;
+    const auto digest = isDigest ? KeyDigest(keyOrDigest) : digestOfKey(keyOrDigest);
+    const auto addresses = co_await controllers();
+    for (const auto &controller : addresses) {
+        PeerQuestion question = WithdrawQuestion { digest, true };
+        const auto answer = expectAnswer<WithdrawAnswer>(
+                co_await m_peers.ask(controller, std::move(question), SpreadTimeout));
+        if (!answer)
+            continue;
+        const auto acknowledged = answer.value().acknowledged.size();
+        const auto missing = answer.value().missing.size();
+        fmt::print("withdrawn on {} daemons\n", acknowledged);
+        for (const auto &vm : answer.value().missing)
+            printError("not acknowledged by " + vm.value()
+                       + "; it stops serving keys unless it hears from a majority");
+        const bool isMajority = acknowledged * 2 > acknowledged + missing;
+        if (!isMajority)
+            printError("not accepted: fewer than half of the daemons have it; try again");
+        co_return isMajority ? ExitCode::Success : ExitCode::NotInForce;
+    }
+    printError("no controller answered");
+    co_return ExitCode::Unavailable;
+}
+
+asio::awaitable<ExitCode> Tool::status()
+{
+    json list = json::array();
+    bool hasAnswer = false;
+    const auto addresses = co_await controllers();
+    for (const auto &controller : addresses) {
+        PeerQuestion question = StatusQuestion {};
+        const auto answer = expectAnswer<StatusAnswer>(
+                co_await m_peers.ask(controller, std::move(question), AskTimeout));
+        if (!answer) {
+            printError(toString(controller) + ": " + answer.error().message);
+            continue;
+        }
+        hasAnswer = true;
+        for (const auto &[kind, name, detail] : answer.value().rows) {
+            if (m_options.json)
+                list.push_back({ { "controller", toString(controller) },
+                                 { "kind", kind },
+                                 { "name", name },
+                                 { "detail", detail } });
+            else
+                fmt::print("{:<12} {:<28} {}\n", kind, name, detail);
+        }
+    }
+    if (m_options.json)
+        fmt::print("{}\n", list.dump());
+    co_return hasAnswer ? ExitCode::Success : ExitCode::Unavailable;
+}
+
+asio::awaitable<ExitCode> Tool::explain(std::string organisation, std::string replica)
+{
+    ConfigReplica config;
+    bool isKnown = co_await pullFromPeers(config);
+    if (!isKnown)
+        isKnown = co_await pull(config);
+    if (!isKnown)
+        co_return ExitCode::Unavailable;
+    const auto rules = config.rules();
+    const OrganisationId id(organisation);
+    const auto key = parseReplicaKey(replica);
+    const auto rule = rules->organisations.find(id);
+    if (rule == rules->organisations.end()) {
+        fmt::print("refused: version {} has no organisation '{}'\n", config.version(),
+                   organisation);
+        co_return ExitCode::Invalid;
+    }
+    if (!rules->mayCall(id, key.model, key.adapter)) {
+        fmt::print("refused (not_found): no grant lets '{}' call '{}'\n", organisation, replica);
+        co_return ExitCode::Invalid;
+    }
+    const auto home = shareOf(*rules, id, 0);
+    fmt::print("admitted while its rate lasts: {} tokens a second and a burst of {}, of which its "
+               "home holds {} and {}; class '{}' waits at most {} ms\n",
+               rule->second.rate, rule->second.burst, home->rate, home->burst,
+               rule->second.classId.value(),
+               toMilliseconds(rules->classes.at(rule->second.classId).timeout).count());
+    const auto shards = rules->policy.shards;
+    fmt::print("loads of '{}' are decided by role {}\n", key.model.value(),
+               placementRole(shardOf(key.model, shards)).value());
+    const auto addresses = co_await controllers();
+    for (const auto &controller : addresses) {
+        PeerQuestion question = StatusQuestion {};
+        const auto answer = expectAnswer<StatusAnswer>(
+                co_await m_peers.ask(controller, std::move(question), AskTimeout));
+        if (!answer)
+            continue;
+        for (const auto &row : answer.value().rows)
+            if (row.name == organisation || row.name == key.model.value())
+                fmt::print("{} {}: {}\n", row.kind, row.name, row.detail);
+    }
+    co_return ExitCode::Success;
+}
+
+asio::awaitable<ExitCode> Tool::drain(std::string address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        printError(endpoint.error().message);
+        co_return ExitCode::Usage;
+    }
+    PeerQuestion question = DrainQuestion {};
+    const auto answer = expectAnswer<DrainAnswer>(
+            co_await m_peers.ask(endpoint.value(), std::move(question), AskTimeout));
+    if (!answer) {
+        printError(answer.error().message);
+        co_return ExitCode::Unavailable;
+    }
+    fmt::print("{} hands its roles over and leaves\n", address);
+    co_return ExitCode::Success;
+}
+
+} // namespace
+
+std::string usage()
+{
+    return "usage: bluebell-ctl COMMAND [options]\n"
+           "  check FILE              read a rule file and report every fault\n"
+           "  get                     print the rules in force\n"
+           "  diff FILE               show what apply would change\n"
+           "  apply FILE              put a rule file in force\n"
+           "  key new ORGANISATION    make a key and the rule line with its digest\n"
+           "  key withdraw KEY        withdraw a key, given itself or as its digest\n"
+           "  status                  daemons, rates, models and targets\n"
+           "  explain ORG MODEL       why a request would be admitted or refused\n"
+           "  drain ADDRESS           stop a controller gracefully\n"
+           "'bluebell-ctl --help' lists the options.\n"
+           "exit codes: 0 done, 1 faults or not found, 2 usage, 3 not in force everywhere,\n"
+           "            4 conflict with another change, 5 no answer from platform or daemons\n";
+}
+
+asio::awaitable<ExitCode> run(Options options, std::vector<std::string> words)
+{
+    Tool tool(co_await asio::this_coro::executor, std::move(options));
+    const auto is = [&words](std::string_view first, std::size_t count) {
+        return words.size() == count && words.front() == first;
+    };
+    const bool isKey = words.size() == 3 && words.front() == "key";
+    if (is("check", 2))
+        co_return co_await tool.check(words[1]);
+    if (is("get", 1))
+        co_return co_await tool.get();
+    if (is("diff", 2))
+        co_return co_await tool.diff(words[1]);
+    if (is("apply", 2))
+        co_return co_await tool.apply(words[1]);
+    if (isKey && words[1] == "new")
+        co_return co_await tool.newKey(words[2]);
+    if (isKey && words[1] == "withdraw")
+        co_return co_await tool.withdrawKey(words[2]);
+    if (is("status", 1))
+        co_return co_await tool.status();
+    if (is("explain", 3))
+        co_return co_await tool.explain(words[1], words[2]);
+    if (is("drain", 2))
+        co_return co_await tool.drain(words[1]);
+    fmt::print(stderr, "{}", usage());
+    co_return ExitCode::Usage;
+}
+
+} // namespace bluebell::ctl
--- /dev/null
+++ b/programs/entry/chathandler.cpp
@@ -0,0 +1,248 @@
+#include "entry/chathandler.h"
+
+#include "core/log.h"
+#include "io/notifier.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace bluebell::entry {
+namespace {
+
+constexpr Duration StalePause = std::chrono::milliseconds(50);
+constexpr Duration StartTimeout = std::chrono::seconds(5);
+/// An answer that has begun may go on this much longer than the deadline of its start.
+constexpr Duration LongestAnswer = std::chrono::minutes(5);
+
+std::string event(const json &body)
+{
+    return "data: " + body.dump(-1, ' ', false, json::error_handler_t::replace) + "\n\n";
+}
+
+json chunkHead(const RequestContext &context)
+{
+    return { { "id", context.id.value() },
+             { "object", "chat.completion.chunk" },
+             { "model", toString(context.chat->replica) } };
+}
+
+std::string tokenEvent(const RequestContext &context, const std::string &text)
+{
+    auto body = chunkHead(context);
+    body["choices"] = json::array();
+    body["choices"].push_back(
+            { { "index", 0 }, { "delta", { { "content", text } } }, { "finish_reason", nullptr } });
+    return event(body);
+}
+
+std::string endEvents(const RequestContext &context)
+{
+    auto body = chunkHead(context);
+    body["choices"] = json::array();
+    body["choices"].push_back(
+            { { "index", 0 }, { "delta", json::object() }, { "finish_reason", "length" } });
+    return event(body) + "data: [DONE]\n\n";
+}
+
+std::string errorEvent(const Error &error, const RequestContext &context)
+{
+    return "data: " + errorResponse(error, context.id.value()).body + "\n\n";
+}
+
+HttpResponse wholeAnswer(const RequestContext &context, const std::string &text, Tokens tokens)
+{
+    json body = { { "id", context.id.value() },
+                  { "object", "chat.completion" },
+                  { "model", toString(context.chat->replica) } };
+    body["choices"] = json::array();
+    body["choices"].push_back({ { "index", 0 },
+                                { "message", { { "role", "assistant" }, { "content", text } } },
+                                { "finish_reason", "length" } });
+    body["usage"] = { { "prompt_tokens", context.chat->promptTokens },
+                      { "completion_tokens", tokens },
+                      { "total_tokens", context.chat->promptTokens + tokens } };
+    HttpResponse response;
+    response.body = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    return response;
+}
+
+HttpResponse streamHead()
+{
+    HttpResponse head;
+    head.contentType = "text/event-stream";
+    head.headers.push_back({ "Cache-Control", "no-store" });
+    return head;
+}
+
+} // namespace
+
+asio::awaitable<void> ChatHandler::serve(RequestContext &context, HttpResponder &responder)
+{
+    m_budget.noteFirstAttempt();
+    Relay it { context,
+               responder,
+               StreamAssembler(context.id, StreamAssembler::Settings {},
+                               context.arrival + LongestAnswer),
+               {},
+               {},
+               false };
+    const auto outcome = co_await relay(it);
+    const auto delivered = static_cast<Tokens>(it.assembler.offset());
+    const bool hasRun = outcome || outcome.error().execution != Execution::NotRun || delivered > 0;
+    m_gate.settle(context, hasRun ? context.chat->promptTokens + delivered : 0);
+    m_metrics.count("bluebell_tokens_total", { context.organisation, context.classRule.id, {} },
+                    static_cast<std::uint64_t>(delivered));
+    co_await finish(it, outcome);
+}
+
+asio::awaitable<Result<void>> ChatHandler::relay(Relay &it)
+{
+    auto resume = it.assembler.start(BootClock::now());
+    for (;;) {
+        const auto assignment = co_await m_dispatcher.acquire(it.context);
+        if (!assignment) {
+            auto error = assignment.error();
+            if (it.assembler.offset() > 0)
+                error.execution = Execution::Ran;
+            co_return error;
+        }
+        const auto before = it.assembler.offset();
+        const auto end = co_await attempt(it, assignment.value(), resume);
+        const auto served = static_cast<Tokens>(it.assembler.offset() - before);
+        m_dispatcher.release(assignment.value(), it.context, end.result, served);
+        if (it.callerIsGone)
+            co_return Error { ErrorCode::Unavailable, "the caller has gone", Execution::Ran, {} };
+        if (std::holds_alternative<Complete>(end.action))
+            co_return BOOST_OUTCOME_V2_NAMESPACE::success();
+        if (const auto *abort = std::get_if<Abort>(&end.action))
+            co_return abort->error;
+        if (const auto *next = std::get_if<Resume>(&end.action); next != nullptr) {
+            if (next->attempt != resume.attempt && !m_budget.takeRetry())
+                co_return makeError(ErrorCode::Overloaded, "too many retries are under way");
+            resume = *next;
+        }
+    }
+}
+
+asio::awaitable<ChatHandler::AttemptEnd>
+ChatHandler::attempt(Relay &it, const Assignment &assignment, Resume resume)
+{
+    const auto &context = it.context;
+    GenerateCall call { context.id,
+                        resume.attempt,
+                        context.chat->replica,
+                        context.chat->prompt,
+                        context.chat->mostTokens,
+                        resume.offset,
+                        context.classRule.weight };
+    auto stream = co_await startGeneration(assignment.address, std::move(call), StartTimeout);
+    if (!stream) {
+        const auto &error = stream.error();
+        const bool isRefused =
+                error.execution == Execution::NotRun && error.code == ErrorCode::Unavailable;
+        if (isRefused && BootClock::now() < context.deadline)
+            co_return AttemptEnd { AttemptResult::Refused, resume };
+        co_return AttemptEnd { AttemptResult::Failed,
+                               it.assembler.onBroken(resume.attempt, error, BootClock::now()) };
+    }
+    const auto silence = StreamAssembler::Settings {}.progressTimeout;
+    for (;;) {
+        if (auto serving = co_await waitUntilServing(it); !serving) {
+            co_await cancelGeneration(assignment.address, context.id);
+            co_return AttemptEnd { AttemptResult::Succeeded, Abort { serving.error() } };
+        }
+        auto event = co_await stream.value().next(silence);
+        const auto now = BootClock::now();
+        if (!event) {
+            auto action = it.assembler.onBroken(resume.attempt, event.error(), now);
+            co_return AttemptEnd { AttemptResult::Failed, std::move(action) };
+        }
+        auto *token = std::get_if<StreamToken>(&event.value());
+        auto action = token != nullptr
+                ? it.assembler.onToken(std::move(*token), now)
+                : it.assembler.onEnd(std::get<StreamEnd>(event.value()), now);
+        if (const auto *text = std::get_if<Deliver>(&action)) {
+            co_await deliver(it, *text);
+            if (it.callerIsGone) {
+                co_await cancelGeneration(assignment.address, context.id);
+                co_return AttemptEnd { AttemptResult::Succeeded, Ignore {} };
+            }
+            continue;
+        }
+        if (std::holds_alternative<Complete>(action))
+            co_return AttemptEnd { AttemptResult::Succeeded, std::move(action) };
+        if (!std::holds_alternative<Ignore>(action))
+            co_return AttemptEnd { AttemptResult::Failed, std::move(action) };
+    }
+}
+
+asio::awaitable<Result<void>> ChatHandler::waitUntilServing(const Relay &it)
+{
+    for (;;) {
+        const auto now = BootClock::now();
+        const auto valid = m_config.replica().authenticate(it.context.key, now);
+        if (valid)
+            co_return BOOST_OUTCOME_V2_NAMESPACE::success();
+        auto error = valid.error();
+        error.execution = Execution::Ran;
+        const bool mayRecover =
+                error.code == ErrorCode::Unavailable && now < it.context.arrival + LongestAnswer;
+        if (!mayRecover)
+            co_return error;
+        co_await sleepFor(StalePause);
+    }
+}
+
+asio::awaitable<void> ChatHandler::deliver(Relay &it, const Deliver &token)
+{
+    const auto now = BootClock::now();
+    const MetricLabels labels { it.context.organisation, it.context.classRule.id, {} };
+    if (it.assembler.offset() == 1)
+        m_metrics.observe("bluebell_first_token_seconds", labels, now - it.context.arrival);
+    else
+        m_metrics.observe("bluebell_token_gap_seconds", labels, now - it.lastToken);
+    it.lastToken = now;
+    it.text += token.text;
+    if (!it.context.chat->streams)
+        co_return;
+    if (!it.responder.hasBegun()) {
+        const bool hasBegun = co_await it.responder.begin(streamHead());
+        it.callerIsGone = !hasBegun;
+        if (!hasBegun)
+            co_return;
+    }
+    it.callerIsGone = !co_await it.responder.write(tokenEvent(it.context, token.text));
+}
+
+asio::awaitable<void> ChatHandler::finish(Relay &it, Result<void> outcome)
+{
+    const auto &context = it.context;
+    m_metrics.count("bluebell_requests_total",
+                    { context.organisation, context.classRule.id,
+                      outcome ? "ok" : std::string(toString(outcome.error().code)) });
+    if (it.callerIsGone)
+        co_return;
+    if (!outcome)
+        log::info("request failed",
+                  { { "request", context.id.value() },
+                    { "organisation", context.organisation.value() },
+                    { "code", std::string(toString(outcome.error().code)) },
+                    { "cause", outcome.error().message } });
+    if (it.responder.hasBegun()) {
+        const auto last = outcome ? endEvents(context) : errorEvent(outcome.error(), context);
+        const bool isWritten = co_await it.responder.write(last);
+        if (isWritten && outcome)
+            (void)co_await it.responder.end();
+        co_return;
+    }
+    auto response = outcome
+            ? wholeAnswer(context, it.text, static_cast<Tokens>(it.assembler.offset()))
+            : errorResponse(outcome.error(), context.id.value());
+    (void)co_await it.responder.send(std::move(response));
+}
+
+} // namespace bluebell::entry
--- /dev/null
+++ b/programs/entry/main.cpp
@@ -0,0 +1,106 @@
+#include "core/log.h"
+#include "entry/daemon.h"
+#include "settings/settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <fmt/core.h>
+
+#include <fstream>
+#include <functional>
+
+/// \file
+/// bluebell-entry: what callers talk to, on every entry VM.
+
+namespace {
+
+using namespace bluebell;
+
+std::vector<SettingSpec> specs()
+{
+    const auto ms = std::chrono::nanoseconds(std::chrono::milliseconds(1)).count();
+    const entry::DaemonSettings defaults;
+    return {
+        { "vm", std::string("vm-1"), "name of this VM, as the platform lists it" },
+        { "listen", Endpoint { "127.0.0.1", 8080 }, "address for callers" },
+        { "platform", Endpoint { "127.0.0.1", 7000 }, "address of the platform's services" },
+        { "controllers", std::string("127.0.0.1:7100"),
+          "peer addresses of controllers, the one on this VM first" },
+        { "log-level", std::string("info"), "debug, info, warning or error" },
+        { "write-address", std::string(), "file that gets the address for callers" },
+        { "freshness-bound", defaults.config.freshnessBound,
+          "how long a configuration counts as the newest", 500 * ms, 8000 * ms },
+        { "hold-time", defaults.drain.holdTime, "how long a stopping entry still accepts", 0,
+          600000 * ms },
+        { "drain-deadline", defaults.drain.deadline, "when a stop ends whatever is left", 100 * ms,
+          3600000 * ms },
+        { "body-bytes", std::int64_t { 1 << 20 }, "largest body of a request", 1024, 1 << 28 },
+        { "header-bytes", std::int64_t { 16 << 10 }, "largest head of a request", 1024, 1 << 20 },
+        { "connections", std::int64_t { 4096 }, "callers connected at one time", 1, 100000 },
+        { "transfer-timeout", defaults.http.transferTimeout,
+          "longest time to send a request or to take a piece of an answer", 100 * ms, 600000 * ms },
+    };
+}
+
+Result<entry::DaemonSettings> daemonSettings(const Settings &settings)
+{
+    entry::DaemonSettings it;
+    it.vm = VmId(settings.text("vm"));
+    it.listen = settings.endpoint("listen");
+    it.platform = settings.endpoint("platform");
+    BOOST_OUTCOME_TRY(it.controllers, parseEndpoints(settings.text("controllers")));
+    if (it.controllers.empty())
+        return makeError(ErrorCode::InvalidArgument, "controllers must name at least one address");
+    it.config.freshnessBound = settings.duration("freshness-bound");
+    it.drain.holdTime = settings.duration("hold-time");
+    it.drain.deadline = settings.duration("drain-deadline");
+    it.http.bodyBytes = static_cast<std::size_t>(settings.number("body-bytes"));
+    it.http.headerBytes = static_cast<std::size_t>(settings.number("header-bytes"));
+    it.http.connections = static_cast<std::size_t>(settings.number("connections"));
+    it.http.transferTimeout = settings.duration("transfer-timeout");
+    return it;
+}
+
+int fail(const Error &error)
+{
+    fmt::print(stderr, "bluebell-entry: {}\n", error.message);
+    return 2;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    log::setProgram("bluebell-entry");
+    Settings settings("bluebell-entry", "serves callers on an entry VM", specs());
+    const auto mode = settings.load(argc, argv);
+    if (!mode)
+        return fail(mode.error());
+    auto daemon = daemonSettings(settings);
+    if (!daemon)
+        return fail(daemon.error());
+    if (mode.value() == StartMode::Finished)
+        return 0;
+    log::setLevel(log::levelFromString(settings.text("log-level")));
+
+    boost::asio::io_context context;
+    entry::Daemon it(context, std::move(daemon.value()));
+    const auto address = it.start();
+    if (!address)
+        return fail(address.error());
+    log::info("listening", { { "address", toString(address.value()) } });
+    if (const auto &path = settings.text("write-address"); !path.empty())
+        std::ofstream(path) << toString(address.value()) << '\n';
+    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+    std::function<void()> waitForSignal = [&] {
+        signals.async_wait([&](const auto &ec, int) {
+            if (ec)
+                return;
+            it.requestStop();
+            waitForSignal();
+        });
+    };
+    waitForSignal();
+    context.run();
+    return it.stoppedGracefully() ? 0 : 1;
+}
--- /dev/null
+++ b/programs/entry/servicehandler.cpp
@@ -0,0 +1,213 @@
+#include "entry/servicehandler.h"
+
+#include "core/digest.h"
+#include "core/log.h"
+#include "platform/rows.h"
+#include "target/targetclient.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace bluebell::entry {
+namespace {
+
+constexpr Duration CallTimeout = std::chrono::seconds(10);
+constexpr Duration ClaimTime = std::chrono::seconds(3);
+constexpr Duration RecordTime = std::chrono::seconds(3);
+/// From a claim to its last write, with allowance.
+constexpr Duration LongestRun = ClaimTime + CallTimeout + RecordTime + std::chrono::seconds(4);
+constexpr std::size_t IdBytes = 12;
+constexpr std::size_t LongestOrderKey = 200;
+
+RecordedAnswer toAnswer(HttpResponse response)
+{
+    return { response.status, std::move(response.contentType), std::move(response.body) };
+}
+
+/// \returns what is passed on to a service; the caller's key is not
+HttpRequest withoutKey(const HttpRequest &request, const RequestContext &context)
+{
+    HttpRequest it { request.method, request.path, {}, request.body };
+    for (const auto *name : { "Content-Type", "Idempotency-Key", "Accept" })
+        if (const auto value = request.header(name); !value.empty())
+            it.headers.push_back({ name, std::string(value) });
+    it.headers.push_back({ "X-Request-Id", context.id.value() });
+    return it;
+}
+
+bool mayRepeat(const RequestContext &context, const HttpRequest &request)
+{
+    return context.route->idempotent || request.method == "GET" || request.method == "HEAD";
+}
+
+std::string digestOf(const HttpRequest &request)
+{
+    return sha256Hex(request.method + '\n' + request.path + '\n' + request.body);
+}
+
+} // namespace
+
+ServiceHandler::ServiceHandler(const ConfigView &config, PlatformClient platform, RateGate &gate,
+                               Metrics &metrics)
+    : m_config(config), m_platform(std::move(platform)), m_gate(gate), m_metrics(metrics),
+      m_claims(LongestRun), m_budget(RetryBudget::Settings {})
+{
+}
+
+asio::awaitable<void> ServiceHandler::serve(RequestContext &context, const HttpRequest &request,
+                                            HttpResponder &responder)
+{
+    const OrderKey key { std::string(request.header("Idempotency-Key")) };
+    const bool isRepeatable = mayRepeat(context, request);
+    const bool hasKey = !key.isEmpty() && key.value().size() <= LongestOrderKey;
+    Result<RecordedAnswer> answer = makeError(
+            ErrorCode::InvalidArgument,
+            "a call that may not be repeated needs an Idempotency-Key of at most 200 bytes");
+    if (isRepeatable)
+        answer = co_await callIdempotent(context, withoutKey(request, context));
+    else if (hasKey)
+        answer = co_await callOnce(context, withoutKey(request, context), key);
+    const bool hasRun = answer || answer.error().execution != Execution::NotRun;
+    m_gate.settle(context, hasRun ? context.tokens : 0);
+    m_metrics.count("bluebell_service_calls_total",
+                    { context.organisation, context.classRule.id,
+                      answer ? "ok" : std::string(toString(answer.error().code)) });
+    if (!answer) {
+        (void)co_await responder.send(errorResponse(answer.error(), context.id.value()));
+        co_return;
+    }
+    HttpResponse response;
+    response.status = answer.value().status;
+    response.contentType = answer.value().contentType;
+    response.body = std::move(answer.value().body);
+    (void)co_await responder.send(std::move(response));
+}
+
+std::vector<Endpoint> ServiceHandler::targetsOf(const RequestContext &context) const
+{
+    const auto rules = m_config.replica().rules();
+    std::vector<Endpoint> targets;
+    for (const auto &id : context.route->targets)
+        if (const auto it = rules->targets.find(id); it != rules->targets.end())
+            targets.push_back(it->second.address);
+    return targets;
+}
+
+asio::awaitable<Result<RecordedAnswer>>
+ServiceHandler::callIdempotent(const RequestContext &context, HttpRequest request)
+{
+    constexpr std::size_t MostAttempts = 3;
+    m_budget.noteFirstAttempt();
+    Error error = makeError(ErrorCode::Unavailable, "the route has no target");
+    for (std::size_t n = 0; n < MostAttempts; ++n) {
+        const auto targets = targetsOf(context);
+        const auto left = context.deadline - BootClock::now();
+        if (targets.empty() || left <= Duration::zero() || (n > 0 && !m_budget.takeRetry()))
+            break;
+        auto response = co_await callService(targets[m_nextTarget++ % targets.size()], request,
+                                             std::min<Duration>(left, CallTimeout));
+        if (response)
+            co_return toAnswer(std::move(response.value()));
+        error = response.error();
+    }
+    co_return error;
+}
+
+asio::awaitable<Result<RecordedAnswer>> ServiceHandler::callOnce(const RequestContext &context,
+                                                                 HttpRequest request, OrderKey key)
+{
+    const auto rowKey = rows::orderKey(context.organisation, key);
+    OrderFlow flow(digestOf(request), ChangeId(randomHex(IdBytes)), context.deadline);
+    auto action = flow.start();
+    for (;;) {
+        if (std::holds_alternative<InsertClaim>(action))
+            action = co_await insertClaim(flow, rowKey);
+        else if (std::holds_alternative<Dispatch>(action))
+            action = co_await dispatch(flow, context, request);
+        else if (std::holds_alternative<ReleaseClaim>(action))
+            action = co_await releaseClaim(flow, rowKey);
+        else if (auto *write = std::get_if<WriteRecord>(&action))
+            action = co_await writeRecord(flow, rowKey, std::move(write->record));
+        else
+            co_return std::get<Reply>(action).answer;
+    }
+}
+
+asio::awaitable<OrderAction> ServiceHandler::insertClaim(OrderFlow &flow, std::string rowKey)
+{
+    const OrderRecord record { OrderState::Claimed, flow.requestDigest(), flow.claim(),
+                               std::nullopt };
+    Transaction transaction { flow.claim(),
+                              { { rowKey, 0 } },
+                              { { rowKey, rows::encode(record, flow.claim()) } } };
+    const auto outcome =
+            co_await m_platform.commit(std::move(transaction), BootClock::now() + ClaimTime);
+    if (!outcome)
+        co_return flow.claimFailed(outcome.error());
+    if (std::holds_alternative<Committed>(outcome.value()))
+        co_return flow.claimInserted(BootClock::now());
+    const auto row = co_await m_platform.get(rowKey);
+    if (!row || !row.value())
+        co_return flow.claimFailed(row ? makeError(ErrorCode::Unavailable, "the claim is in flux")
+                                       : row.error());
+    const auto found = rows::decodeOrder(row.value()->value);
+    if (!found)
+        co_return flow.claimFailed(found.error());
+    co_return flow.claimExists(found.value(),
+                               m_claims.holderMayRun(found.value().claim, BootClock::now()));
+}
+
+asio::awaitable<OrderAction>
+ServiceHandler::dispatch(OrderFlow &flow, const RequestContext &context, HttpRequest request)
+{
+    const auto targets = targetsOf(context);
+    if (targets.empty())
+        co_return flow.dispatched(
+                NotStarted { makeError(ErrorCode::Unavailable, "the route has no target") });
+    auto response = co_await callService(targets[m_nextTarget++ % targets.size()],
+                                         std::move(request), CallTimeout);
+    if (response)
+        co_return flow.dispatched(Completed { toAnswer(std::move(response.value())) });
+    if (response.error().execution == Execution::NotRun)
+        co_return flow.dispatched(NotStarted { response.error() });
+    co_return flow.dispatched(Unresolved { response.error() });
+}
+
+asio::awaitable<OrderAction> ServiceHandler::releaseClaim(OrderFlow &flow, std::string rowKey)
+{
+    const auto deadline = BootClock::now() + ClaimTime;
+    const auto row = co_await m_platform.get(rowKey);
+    if (!row)
+        co_return flow.released(false);
+    const bool isOwn =
+            row.value() && row.value()->value.find(flow.claim().value()) != std::string::npos;
+    if (!isOwn)
+        co_return flow.released(true);
+    Transaction transaction { ChangeId(randomHex(IdBytes)),
+                              { { rowKey, row.value()->version } },
+                              { { rowKey, std::nullopt } } };
+    const auto outcome = co_await m_platform.commit(std::move(transaction), deadline);
+    co_return flow.released(outcome && std::holds_alternative<Committed>(outcome.value()));
+}
+
+asio::awaitable<OrderAction> ServiceHandler::writeRecord(OrderFlow &flow, std::string rowKey,
+                                                         OrderRecord record)
+{
+    const auto deadline = BootClock::now() + RecordTime;
+    const ChangeId change(randomHex(IdBytes));
+    const auto row = co_await m_platform.get(rowKey);
+    if (row && row.value()) {
+        Transaction transaction { change,
+                                  { { rowKey, row.value()->version } },
+                                  { { rowKey, rows::encode(record, change) } } };
+        const auto outcome = co_await m_platform.commit(std::move(transaction), deadline);
+        if (!outcome)
+            log::warning("answer of a call not recorded; repeats hear that its outcome is unknown",
+                         { { "cause", outcome.error().message } });
+    }
+    co_return flow.recorded();
+}
+
+} // namespace bluebell::entry
--- a/programs/standin/engineserver.cpp
+++ b/programs/standin/engineserver.cpp
@@ -95,20 +95,17 @@
 std::string answerToken(const std::string &prompt, std::uint64_t offset)
 {
     static constexpr std::array<std::string_view, 12> Words {
-        "stylus", "groove", "tracks", "gently", "the",    "spare",
-        "clasp",  "fits",   "your",   "brooch", "hinge",  "cartridge",
+        "stylus", "groove", "tracks", "gently", "the",   "spare",
+        "clasp",  "fits",   "your",   "brooch", "hinge", "cartridge",
     };
     const auto hash = stableHash(prompt + '#' + std::to_string(offset));
     return std::string(Words.at(hash % Words.size())) + ' ';
 }
 
 EngineServer::EngineServer(asio::io_context &context, WeightStore &store, EngineSettings settings)
-    : m_context(context)
-    , m_store(store)
-    , m_settings(std::move(settings))
-    , m_incarnation(randomHex(8))
-    , m_tiers(m_settings.tiers)
-    , m_server(context, HttpLimits {},
+    : m_context(context), m_store(store), m_settings(std::move(settings)),
+      m_incarnation(randomHex(8)), m_tiers(m_settings.tiers),
+      m_server(context, HttpLimits {},
                [this](const HttpRequest &request, HttpResponder &responder) {
                    return handle(request, responder);
                })
@@ -159,14 +156,10 @@
 
 HttpResponse EngineServer::report()
 {
-    json body = { { "incarnation", m_incarnation },
-                  { "sequence", ++m_sequence },
-                  { "leaving", m_faults.isLeaving },
-                  { "memory", m_settings.memory },
-                  { "running", m_running },
-                  { "waiting", m_waiting },
-                  { "replicas", json::array() },
-                  { "tiers", json::object() },
+    json body = { { "incarnation", m_incarnation },  { "sequence", ++m_sequence },
+                  { "leaving", m_faults.isLeaving }, { "memory", m_settings.memory },
+                  { "running", m_running },          { "waiting", m_waiting },
+                  { "replicas", json::array() },     { "tiers", json::object() },
                   { "refused", json::array() } };
     for (const auto &[key, replica] : m_replicas)
         body["replicas"].push_back({ { "replica", toString(key) },
@@ -216,8 +209,8 @@
 
 void EngineServer::startLoad(const Order &order)
 {
-    const bool lacksBase = !order.key.adapter.isEmpty()
-            && !isResident({ order.key.model, AdapterId() });
+    const bool lacksBase =
+            !order.key.adapter.isEmpty() && !isResident({ order.key.model, AdapterId() });
     if (m_replicas.contains(order.key) || lacksBase) {
         refuse(order.intent);
         return;
@@ -314,7 +307,8 @@
         co_await pause(SlotPoll);
     --m_waiting;
     ++m_running;
-    const bool isStruck = m_faults.strikes > 0 && (m_faults.cutAfter > 0 || m_faults.silentAfter > 0);
+    const bool isStruck =
+            m_faults.strikes > 0 && (m_faults.cutAfter > 0 || m_faults.silentAfter > 0);
     if (isStruck)
         --m_faults.strikes;
     const auto faults = m_faults;
@@ -357,12 +351,13 @@
     m_faults.crossesTokens = it.value("crosses_tokens", m_faults.crossesTokens);
     if (it.value("restart", false))
         restart();
-    return jsonResponse(200, { { "loads", m_audit.loads },
-                               { "unloads", m_audit.unloads },
-                               { "stale_orders", m_audit.staleOrders },
-                               { "generations", m_audit.generations },
-                               { "replicas", m_replicas.size() },
-                               { "peak_bytes", m_audit.peakBytes } });
+    return jsonResponse(200,
+                        { { "loads", m_audit.loads },
+                          { "unloads", m_audit.unloads },
+                          { "stale_orders", m_audit.staleOrders },
+                          { "generations", m_audit.generations },
+                          { "replicas", m_replicas.size() },
+                          { "peak_bytes", m_audit.peakBytes } });
 }
 
 } // namespace bluebell::standin
--- a/programs/standin/farm.cpp
+++ b/programs/standin/farm.cpp
@@ -3,10 +3,8 @@
 namespace bluebell::standin {
 
 Farm::Farm(boost::asio::io_context &context, FarmSettings settings)
-    : m_context(context)
-    , m_settings(std::move(settings))
-    , m_store(context, m_settings.store)
-    , m_platform(context, m_settings.limits)
+    : m_context(context), m_settings(std::move(settings)), m_store(context, m_settings.store),
+      m_platform(context, m_settings.limits)
 {
 }
 
@@ -25,8 +23,8 @@
         settings.slots = rule.slots;
         settings.checksFencing = rule.checksFencing;
         settings.tokenInterval = m_settings.tokenInterval;
-        auto &engine = m_engines[id]
-                = std::make_unique<EngineServer>(m_context, m_store, std::move(settings));
+        auto &engine = m_engines[id] =
+                std::make_unique<EngineServer>(m_context, m_store, std::move(settings));
         BOOST_OUTCOME_TRY(m_addresses[id], engine->listen(any));
     }
     return BOOST_OUTCOME_V2_NAMESPACE::success();
--- a/programs/standin/main.cpp
+++ b/programs/standin/main.cpp
@@ -19,13 +19,13 @@
 using namespace bluebell;
 using namespace bluebell::standin;
 
-constexpr std::string_view Usage
-        = "usage: bluebell-standin platform|engine|service|farm [options]\n"
-          "  platform  table service, object store and VM list\n"
-          "  engine    one model engine\n"
-          "  service   one plain service\n"
-          "  farm      a platform and a stand-in for every target of a rule file\n"
-          "'bluebell-standin NAME --help' lists the options.\n";
+constexpr std::string_view Usage =
+        "usage: bluebell-standin platform|engine|service|farm [options]\n"
+        "  platform  table service, object store and VM list\n"
+        "  engine    one model engine\n"
+        "  service   one plain service\n"
+        "  farm      a platform and a stand-in for every target of a rule file\n"
+        "'bluebell-standin NAME --help' lists the options.\n";
 
 std::vector<SettingSpec> specs()
 {
--- a/programs/standin/platformserver.cpp
+++ b/programs/standin/platformserver.cpp
@@ -23,12 +23,10 @@
 } // namespace
 
 PlatformServer::PlatformServer(asio::io_context &context, PlatformLimits limits)
-    : m_context(context)
-    , m_limits(limits)
-    , m_server(context, Limits,
-               [this](const HttpRequest &request, HttpResponder &responder) {
-                   return handle(request, responder);
-               })
+    : m_context(context), m_limits(limits),
+      m_server(context, Limits, [this](const HttpRequest &request, HttpResponder &responder) {
+          return handle(request, responder);
+      })
 {
 }
 
@@ -171,18 +169,19 @@
     m_faults.outage = it.value("outage", m_faults.outage);
     m_faults.silent = it.value("silent", m_faults.silent);
     m_faults.lostReplies = it.value("lost_replies", m_faults.lostReplies);
-    m_faults.delay = std::chrono::milliseconds(
-            it.value("delay_ms", toMilliseconds(m_faults.delay).count()));
+    m_faults.delay =
+            std::chrono::milliseconds(it.value("delay_ms", toMilliseconds(m_faults.delay).count()));
     for (const auto &vm : it.value("live_vms", json::array()))
         setVm(VmId(vm.get<std::string>()), VmState::Live);
     for (const auto &vm : it.value("leaving_vms", json::array()))
         setVm(VmId(vm.get<std::string>()), VmState::Leaving);
     for (const auto &vm : it.value("gone_vms", json::array()))
         removeVm(VmId(vm.get<std::string>()));
-    return jsonResponse(200, { { "reads", m_usage.reads },
-                               { "writes", m_usage.writes },
-                               { "refused", m_usage.refused },
-                               { "bytes", m_usage.bytes } });
+    return jsonResponse(200,
+                        { { "reads", m_usage.reads },
+                          { "writes", m_usage.writes },
+                          { "refused", m_usage.refused },
+                          { "bytes", m_usage.bytes } });
 }
 
 } // namespace bluebell::standin
--- a/programs/standin/serviceserver.cpp
+++ b/programs/standin/serviceserver.cpp
@@ -12,11 +12,10 @@
 namespace bluebell::standin {
 
 ServiceServer::ServiceServer(asio::io_context &context)
-    : m_context(context)
-    , m_server(context, HttpLimits {},
-               [this](const HttpRequest &request, HttpResponder &responder) {
-                   return handle(request, responder);
-               })
+    : m_context(context), m_server(context, HttpLimits {},
+                                   [this](const HttpRequest &request, HttpResponder &responder) {
+                                       return handle(request, responder);
+                                   })
 {
 }
 
@@ -60,13 +59,14 @@
     const auto it = json::parse(body, nullptr, false);
     if (it.is_discarded())
         return errorText(400, "not JSON");
-    m_faults.delay = std::chrono::milliseconds(
-            it.value("delay_ms", toMilliseconds(m_faults.delay).count()));
+    m_faults.delay =
+            std::chrono::milliseconds(it.value("delay_ms", toMilliseconds(m_faults.delay).count()));
     m_faults.lostReplies = it.value("lost_replies", m_faults.lostReplies);
     m_faults.refusals = it.value("refusals", m_faults.refusals);
-    return jsonResponse(200, { { "orders", m_orders },
-                               { "lookups", m_lookups },
-                               { "saw_caller_key", m_sawCallerKey } });
+    return jsonResponse(200,
+                        { { "orders", m_orders },
+                          { "lookups", m_lookups },
+                          { "saw_caller_key", m_sawCallerKey } });
 }
 
 } // namespace bluebell::standin
--- a/programs/standin/weightstore.h
+++ b/programs/standin/weightstore.h
@@ -27,8 +27,7 @@
 {
 public:
     WeightStore(boost::asio::io_context &context, WeightStoreSettings settings)
-        : m_context(context)
-        , m_settings(settings)
+        : m_context(context), m_settings(settings)
     {
     }
 
--- a/src/config/configreplica.cpp
+++ b/src/config/configreplica.cpp
@@ -175,4 +175,11 @@
     return deltas;
 }
 
+Result<void> applyUpdate(const ConfigUpdate &update, ConfigReplica &replica)
+{
+    if (const auto *snapshot = std::get_if<ConfigSnapshot>(&update))
+        return replica.install(*snapshot);
+    return replica.apply(std::get<std::vector<ConfigDelta>>(update));
+}
+
 } // namespace bluebell
--- a/src/config/configreplica.h
+++ b/src/config/configreplica.h
@@ -56,10 +56,7 @@
     };
 
     ConfigReplica() = default;
-    explicit ConfigReplica(Settings settings)
-        : m_settings(settings)
-    {
-    }
+    explicit ConfigReplica(Settings settings) : m_settings(settings) { }
 
     // Events.
 
@@ -106,8 +103,7 @@
     [[nodiscard]] ServingState state(TimePoint now) const;
 
     /// \returns the organisation of a key, or why the key is not accepted
-    [[nodiscard]] Result<OrganisationId> authenticate(const KeyDigest &digest,
-                                                      TimePoint now) const;
+    [[nodiscard]] Result<OrganisationId> authenticate(const KeyDigest &digest, TimePoint now) const;
 
     /// \returns what a peer at version `since` is missing, or nothing
     [[nodiscard]] std::optional<ConfigUpdate> updateSince(ConfigVersion since) const;
@@ -135,4 +131,7 @@
     std::map<VmId, TimePoint> m_contacts;
 };
 
+/// Puts an update of a peer into `replica`.
+Result<void> applyUpdate(const ConfigUpdate &update, ConfigReplica &replica);
+
 } // namespace bluebell
--- a/src/core/digest.cpp
+++ b/src/core/digest.cpp
@@ -38,8 +38,8 @@
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> buf {};
     unsigned int n = 0;
-    [[maybe_unused]] const int ok
-            = EVP_Digest(data.data(), data.size(), buf.data(), &n, EVP_sha256(), nullptr);
+    [[maybe_unused]] const int ok =
+            EVP_Digest(data.data(), data.size(), buf.data(), &n, EVP_sha256(), nullptr);
     assert(ok == 1);
     return toHex(buf.data(), n);
 }
--- a/src/core/digest.h
+++ b/src/core/digest.h
@@ -27,6 +27,7 @@
 [[nodiscard]] std::uint64_t stableHash(std::string_view data) noexcept;
 
 /// Score of `member` for `role` in rendezvous hashing; the highest score is preferred.
-[[nodiscard]] std::uint64_t rendezvousScore(std::string_view role, std::string_view member) noexcept;
+[[nodiscard]] std::uint64_t rendezvousScore(std::string_view role,
+                                            std::string_view member) noexcept;
 
 } // namespace bluebell
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -17,10 +17,7 @@
 {
 public:
     Id() = default;
-    explicit Id(std::string value)
-        : m_value(std::move(value))
-    {
-    }
+    explicit Id(std::string value) : m_value(std::move(value)) { }
 
     [[nodiscard]] const std::string &value() const noexcept { return m_value; }
     [[nodiscard]] bool isEmpty() const noexcept { return m_value.empty(); }
--- a/src/core/result.h
+++ b/src/core/result.h
@@ -54,8 +54,9 @@
 
 /// A value or an Error. Reading the wrong one is a broken invariant and stops the process.
 template<typename T>
-using Result = BOOST_OUTCOME_V2_NAMESPACE::basic_result<
-        T, Error, BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
+using Result =
+        BOOST_OUTCOME_V2_NAMESPACE::basic_result<T, Error,
+                                                 BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
 
 /// \returns the stable name of `code` as it stands in responses, such as `rate_limited`
 [[nodiscard]] std::string_view toString(ErrorCode code) noexcept;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -26,8 +26,8 @@
 Error transportError(const Endpoint &endpoint, std::string_view step, beast::error_code ec,
                      Execution execution)
 {
-    const auto code = ec == beast::error::timeout ? ErrorCode::DeadlineExceeded
-                                                  : ErrorCode::Unavailable;
+    const auto code =
+            ec == beast::error::timeout ? ErrorCode::DeadlineExceeded : ErrorCode::Unavailable;
     return Error { code, toString(endpoint) + ": " + std::string(step) + ": " + ec.message(),
                    execution, std::nullopt };
 }
@@ -41,8 +41,7 @@
 {
 public:
     HttpClientConnection(const asio::any_io_executor &executor, Endpoint endpoint)
-        : m_endpoint(std::move(endpoint))
-        , m_stream(executor)
+        : m_endpoint(std::move(endpoint)), m_stream(executor)
     {
         m_parser.body_limit(LargestBody);
     }
@@ -66,8 +65,8 @@
     if (addressError)
         co_return transportError(m_endpoint, "address", addressError, Execution::NotRun);
     m_stream.expires_after(timeout);
-    const auto [connectError]
-            = co_await m_stream.async_connect(tcp::endpoint(address, m_endpoint.port), Await);
+    const auto [connectError] =
+            co_await m_stream.async_connect(tcp::endpoint(address, m_endpoint.port), Await);
     if (connectError)
         co_return transportError(m_endpoint, "connect", connectError, Execution::NotRun);
     beast::error_code ignored;
@@ -85,8 +84,8 @@
     const auto [writeError, written] = co_await http::async_write(m_stream, message, Await);
     if (writeError)
         co_return transportError(m_endpoint, "send", writeError, Execution::OutcomeUnknown);
-    const auto [readError, n]
-            = co_await http::async_read_header(m_stream, m_buffer, m_parser, Await);
+    const auto [readError, n] =
+            co_await http::async_read_header(m_stream, m_buffer, m_parser, Await);
     if (readError)
         co_return transportError(m_endpoint, "receive", readError, Execution::OutcomeUnknown);
     co_return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -143,8 +142,8 @@
 asio::awaitable<Result<HttpStream>> openStream(HttpCall call)
 {
     auto executor = co_await asio::this_coro::executor;
-    auto connection
-            = std::make_unique<detail::HttpClientConnection>(executor, std::move(call.endpoint));
+    auto connection =
+            std::make_unique<detail::HttpClientConnection>(executor, std::move(call.endpoint));
     auto sent = co_await connection->send(std::move(call.request), call.timeout);
     if (!sent)
         co_return sent.error();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -9,8 +9,8 @@
 #include <optional>
 
 /// \file
-/// HTTP/1.1 client. Every call uses a connection of its own, so that no call meets a connection that
-/// went silent while it was unused.
+/// HTTP/1.1 client. Every call uses a connection of its own, so that no call meets a connection
+/// that went silent while it was unused.
 
 namespace bluebell {
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,7 @@
 #include "http/server.h"
 
+#include "core/log.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -34,8 +36,7 @@
     request.method = std::string(message.method_string());
     request.path = std::string(message.target());
     for (const auto &field : message)
-        request.headers.push_back(
-                { std::string(field.name_string()), std::string(field.value()) });
+        request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
     request.body = std::move(message.body());
     return request;
 }
@@ -82,9 +83,7 @@
 {
 public:
     HttpListener(asio::io_context &context, HttpLimits limits, HttpHandler handler)
-        : m_acceptor(context)
-        , m_limits(limits)
-        , m_handler(std::move(handler))
+        : m_acceptor(context), m_limits(limits), m_handler(std::move(handler))
     {
     }
 
@@ -108,10 +107,8 @@
 };
 
 HttpSession::HttpSession(tcp::socket socket, HttpListener &listener)
-    : m_stream(std::move(socket))
-    , m_owner(listener.weak_from_this())
-    , m_limits(listener.limits())
-    , m_handler(listener.handler())
+    : m_stream(std::move(socket)), m_owner(listener.weak_from_this()), m_limits(listener.limits()),
+      m_handler(listener.handler())
 {
 }
 
@@ -124,7 +121,11 @@
 asio::awaitable<void> HttpSession::run()
 {
     m_stream.socket().set_option(tcp::no_delay(true));
-    while (m_keepAlive && co_await readRequest()) {
+    for (;;) {
+        // GCC 12 evaluates an operand of && early when the other one holds a co_await.
+        const bool hasRequest = co_await readRequest();
+        if (!hasRequest)
+            break;
         m_isIdle = false;
         m_hasBegun = false;
         m_hasEnded = false;
@@ -132,7 +133,7 @@
         co_await m_handler(*m_request, responder);
         m_isIdle = true;
         const auto owner = m_owner.lock();
-        if (!m_hasEnded || !owner || owner->isStopping())
+        if (!m_keepAlive || !m_hasEnded || !owner || owner->isStopping())
             break;
     }
     beast::error_code ec;
@@ -174,7 +175,8 @@
         error.code = ErrorCode::PayloadTooLarge;
     if (ec == beast::error::timeout)
         error = makeError(ErrorCode::DeadlineExceeded, "the request did not arrive in time");
-    (void)co_await send(errorResponse(error, {}));
+    auto response = errorResponse(error, std::string_view());
+    (void)co_await send(std::move(response));
 }
 
 template<typename Message>
@@ -217,8 +219,8 @@
 asio::awaitable<bool> HttpSession::write(std::string piece)
 {
     m_stream.expires_after(m_limits.transferTimeout);
-    const auto [ec, n] = co_await asio::async_write(
-            m_stream, http::make_chunk(asio::buffer(piece)), Await);
+    const auto [ec, n] =
+            co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(piece)), Await);
     co_return !ec;
 }
 
@@ -269,7 +271,8 @@
 {
     try {
         co_await session->run();
-    } catch (const boost::system::system_error &) {
+    } catch (const std::exception &e) {
+        log::error("request handler failed", { { "cause", e.what() } });
         session->close();
     }
     self->m_sessions.erase(session);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -24,10 +24,7 @@
 class HttpResponder
 {
 public:
-    explicit HttpResponder(detail::HttpSession &session) noexcept
-        : m_session(session)
-    {
-    }
+    explicit HttpResponder(detail::HttpSession &session) noexcept : m_session(session) { }
 
     /// Sends a whole response.
     [[nodiscard]] boost::asio::awaitable<bool> send(HttpResponse response);
@@ -57,8 +54,8 @@
     Duration idleTimeout = std::chrono::seconds(60);
 };
 
-using HttpHandler
-        = std::function<boost::asio::awaitable<void>(const HttpRequest &, HttpResponder &)>;
+using HttpHandler =
+        std::function<boost::asio::awaitable<void>(const HttpRequest &, HttpResponder &)>;
 
 /// Accepts connections and hands their requests to one handler.
 class HttpServer
--- a/src/membership/drain.h
+++ b/src/membership/drain.h
@@ -36,10 +36,7 @@
         Duration deadline = std::chrono::minutes(10);
     };
 
-    explicit DrainController(Settings settings)
-        : m_settings(settings)
-    {
-    }
+    explicit DrainController(Settings settings) : m_settings(settings) { }
 
     /// Notes a request to stop; a second one forces the end.
     void requestStop(TimePoint now) noexcept;
--- a/src/membership/lease.cpp
+++ b/src/membership/lease.cpp
@@ -43,8 +43,8 @@
 
 void LeaseObserver::noteRead(RowVersion version, TimePoint now) noexcept
 {
-    const bool isUnbroken
-            = m_lastRead && now - *m_lastRead <= m_settings.observationGap && version == m_version;
+    const bool isUnbroken =
+            m_lastRead && now - *m_lastRead <= m_settings.observationGap && version == m_version;
     if (!isUnbroken)
         m_since = now;
     m_version = version;
--- a/src/membership/lease.h
+++ b/src/membership/lease.h
@@ -31,10 +31,7 @@
 class LeaseHolder
 {
 public:
-    explicit LeaseHolder(LeaseSettings settings)
-        : m_settings(settings)
-    {
-    }
+    explicit LeaseHolder(LeaseSettings settings) : m_settings(settings) { }
 
     /// \returns whether a renewal is due and none is under way
     [[nodiscard]] bool renewalDue(TimePoint now) const noexcept;
@@ -65,10 +62,7 @@
 class LeaseObserver
 {
 public:
-    explicit LeaseObserver(LeaseSettings settings)
-        : m_settings(settings)
-    {
-    }
+    explicit LeaseObserver(LeaseSettings settings) : m_settings(settings) { }
 
     /// Notes a read that succeeded at `now` and showed `version`.
     void noteRead(RowVersion version, TimePoint now) noexcept;
--- a/src/membership/roles.cpp
+++ b/src/membership/roles.cpp
@@ -11,11 +11,6 @@
 
 constexpr std::string_view SharePrefix = "share/";
 
-bool isBaseShare(const RoleId &role)
-{
-    return role.value().starts_with(SharePrefix);
-}
-
 /// What a role's place is chosen by: a base share goes where its organisation's home would go.
 struct Preference
 {
@@ -35,6 +30,11 @@
 
 } // namespace
 
+bool isBaseShare(const RoleId &role)
+{
+    return role.value().starts_with(SharePrefix);
+}
+
 RoleId homeRole(const OrganisationId &organisation)
 {
     return RoleId("org/" + organisation.value());
@@ -68,8 +68,7 @@
 }
 
 RoleTable::RoleTable(Member self, LeaseSettings settings)
-    : m_self(std::move(self))
-    , m_settings(settings)
+    : m_self(std::move(self)), m_settings(settings)
 {
 }
 
@@ -148,7 +147,8 @@
     const auto *row = find(role);
     if (row == nullptr)
         return RoleClaim { role, 1, 0, std::nullopt };
-    RoleClaim claim { role, row->epoch + 1, row->version, MemberRow { row->holder, 0 } };
+    RoleClaim claim { role, row->epoch + 1, row->version,
+                      MemberRow { row->holder, 0, std::nullopt } };
     const auto it = m_members.find(row->holder.incarnation);
     if (it == m_members.end())
         return claim;
@@ -189,6 +189,15 @@
     return row->epoch;
 }
 
+std::vector<EntryAddress> RoleTable::entries(TimePoint now) const
+{
+    std::vector<EntryAddress> entries;
+    for (const auto &[id, observed] : m_members)
+        if (observed.row.entry && !observed.observer.hasLapsed(now))
+            entries.push_back(*observed.row.entry);
+    return entries;
+}
+
 std::vector<MemberRow> RoleTable::lapsedMembers(TimePoint now) const
 {
     std::vector<MemberRow> lapsed;
--- a/src/membership/roles.h
+++ b/src/membership/roles.h
@@ -3,6 +3,7 @@
 #include "core/endpoint.h"
 #include "core/ids.h"
 #include "membership/lease.h"
+#include "routing/entryadvisor.h"
 
 #include <cstdint>
 #include <map>
@@ -35,6 +36,8 @@
 {
     Member member;
     RowVersion version = 0;
+    /// The entry daemon on the same VM.
+    std::optional<EntryAddress> entry;
 };
 
 /// What the former home of a rate passes on at a planned stop.
@@ -63,6 +66,9 @@
 /// \returns the role of an organisation's base share number `index`, counted from 0
 [[nodiscard]] RoleId baseShareRole(const OrganisationId &organisation, std::size_t index);
 
+/// \returns whether `role` is a base share, which has no time limit
+[[nodiscard]] bool isBaseShare(const RoleId &role);
+
 /// \returns the role that decides on loads of shard `shard`
 [[nodiscard]] RoleId placementRole(std::size_t shard);
 
@@ -124,6 +130,9 @@
     /// \returns the members whose lease has not lapsed, this daemon among them
     [[nodiscard]] std::vector<Member> liveMembers(TimePoint now) const;
 
+    /// \returns the entry daemons of the live members
+    [[nodiscard]] std::vector<EntryAddress> entries(TimePoint now) const;
+
     /// \returns the member rows that have lapsed and belong to nobody any more
     [[nodiscard]] std::vector<MemberRow> lapsedMembers(TimePoint now) const;
 
@@ -154,7 +163,6 @@
 };
 
 /// \returns the member that `role` should go to, or null when there is none
-[[nodiscard]] const Member *preferredMember(const RoleId &role,
-                                            const std::vector<Member> &members);
+[[nodiscard]] const Member *preferredMember(const RoleId &role, const std::vector<Member> &members);
 
 } // namespace bluebell
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -61,10 +61,7 @@
     std::map<SampleKey, DurationMetric> durations;
 };
 
-Metrics::Metrics()
-    : m_data(std::make_unique<Data>())
-{
-}
+Metrics::Metrics() : m_data(std::make_unique<Data>()) { }
 
 Metrics::~Metrics() = default;
 
@@ -107,7 +104,8 @@
         for (const auto &bin : bh::indexed(metric.histogram, bh::coverage::all)) {
             total += *bin;
             const auto upper = bin.bin().upper();
-            const auto bound = upper > LongestSeconds * 1.01 ? "+Inf" : fmt::format("{:.4g}", upper);
+            const auto bound =
+                    upper > LongestSeconds * 1.01 ? "+Inf" : fmt::format("{:.4g}", upper);
             text += fmt::format("{}_bucket{} {}\n", key.name, labelText(key.labels, bound), total);
         }
         text += fmt::format("{}_sum{} {}\n", key.name, labelText(key.labels), metric.sum);
--- a/src/orders/orderflow.cpp
+++ b/src/orders/orderflow.cpp
@@ -23,9 +23,7 @@
 } // namespace
 
 OrderFlow::OrderFlow(std::string requestDigest, ChangeId claim, TimePoint deadline)
-    : m_requestDigest(std::move(requestDigest))
-    , m_claim(std::move(claim))
-    , m_deadline(deadline)
+    : m_requestDigest(std::move(requestDigest)), m_claim(std::move(claim)), m_deadline(deadline)
 {
 }
 
@@ -61,7 +59,8 @@
         return Reply { *record.answer };
     if (record.state == OrderState::Claimed && holderMayRun) {
         constexpr Duration RetryAfter = std::chrono::seconds(1);
-        return Reply { Error { ErrorCode::StillRunning, "a call with this idempotency key is running",
+        return Reply { Error { ErrorCode::StillRunning,
+                               "a call with this idempotency key is running",
                                Execution::OutcomeUnknown, RetryAfter } };
     }
     return Reply { outcomeUnknown("a call with this idempotency key was sent, and its outcome "
--- a/src/orders/orderflow.h
+++ b/src/orders/orderflow.h
@@ -132,10 +132,7 @@
 {
 public:
     /// \param longestRun the longest time from a claim to its last write
-    explicit ClaimWatch(Duration longestRun)
-        : m_longestRun(longestRun)
-    {
-    }
+    explicit ClaimWatch(Duration longestRun) : m_longestRun(longestRun) { }
 
     /// \returns whether the holder of `claim` may still be at work
     [[nodiscard]] bool holderMayRun(const ChangeId &claim, TimePoint now);
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -408,12 +408,12 @@
 
 Error readError(wire::Error::Reader in)
 {
-    const auto code = std::min<std::uint8_t>(in.getCode(),
-                                             static_cast<std::uint8_t>(ErrorCode::Internal));
+    const auto code =
+            std::min<std::uint8_t>(in.getCode(), static_cast<std::uint8_t>(ErrorCode::Internal));
     const auto execution = std::min<std::uint8_t>(
             in.getExecution(), static_cast<std::uint8_t>(Execution::OutcomeUnknown));
-    return { static_cast<ErrorCode>(code), text(in.getMessage()),
-             static_cast<Execution>(execution), std::nullopt };
+    return { static_cast<ErrorCode>(code), text(in.getMessage()), static_cast<Execution>(execution),
+             std::nullopt };
 }
 
 } // namespace
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -16,8 +16,8 @@
 
 namespace bluebell {
 
-/// Asks for what is new in the configuration; sent by entries to their controller and by controllers
-/// to each other.
+/// Asks for what is new in the configuration; sent by entries to their controller and by
+/// controllers to each other.
 struct SyncQuestion
 {
     VmId vm;
@@ -137,7 +137,7 @@
 
 using PeerQuestion = std::variant<SyncQuestion, AcquireQuestion, WantQuestion, WithdrawQuestion,
                                   StatusQuestion, DrainQuestion>;
-using PeerAnswer = std::variant<SyncAnswer, AcquireAnswer, WantAnswer, WithdrawAnswer,
-                                StatusAnswer, DrainAnswer, Error>;
+using PeerAnswer = std::variant<SyncAnswer, AcquireAnswer, WantAnswer, WithdrawAnswer, StatusAnswer,
+                                DrainAnswer, Error>;
 
 } // namespace bluebell
--- a/src/peer/peernode.cpp
+++ b/src/peer/peernode.cpp
@@ -56,8 +56,7 @@
 {
 public:
     PeerLoop(asio::any_io_executor executor, PeerHandler handler)
-        : m_executor(std::move(executor))
-        , m_handler(std::move(handler))
+        : m_executor(std::move(executor)), m_handler(std::move(handler))
     {
     }
 
@@ -83,10 +82,7 @@
 class DaemonServer final : public wire::Daemon::Server
 {
 public:
-    explicit DaemonServer(PeerLoop &loop)
-        : m_loop(loop)
-    {
-    }
+    explicit DaemonServer(PeerLoop &loop) : m_loop(loop) { }
 
     kj::Promise<void> ask(AskContext context) override
     {
@@ -98,9 +94,8 @@
         auto pair = kj::newPromiseAndCrossThreadFulfiller<PeerAnswer>();
         auto fulfiller = std::make_shared<kj::Own<kj::CrossThreadPromiseFulfiller<PeerAnswer>>>(
                 kj::mv(pair.fulfiller));
-        m_loop.handle(std::move(question.value()), [fulfiller](PeerAnswer answer) {
-            (*fulfiller)->fulfill(kj::mv(answer));
-        });
+        m_loop.handle(std::move(question.value()),
+                      [fulfiller](PeerAnswer answer) { (*fulfiller)->fulfill(kj::mv(answer)); });
         return pair.promise.then([context](PeerAnswer answer) mutable {
             encode(answer, context.getResults().initAnswer());
         });
@@ -114,9 +109,8 @@
 struct PeerConnection
 {
     explicit PeerConnection(kj::Own<kj::AsyncIoStream> accepted)
-        : stream(kj::mv(accepted))
-        , client(*stream)
-        , daemon(client.bootstrap().castAs<wire::Daemon>())
+        : stream(kj::mv(accepted)), client(*stream),
+          daemon(client.bootstrap().castAs<wire::Daemon>())
     {
     }
 
@@ -129,9 +123,7 @@
 {
 public:
     explicit PeerThreadState(PeerLoop &loop)
-        : m_io(kj::setupAsyncIo())
-        , m_server(kj::heap<DaemonServer>(loop))
-        , m_tasks(*this)
+        : m_io(kj::setupAsyncIo()), m_server(kj::heap<DaemonServer>(loop)), m_tasks(*this)
     {
         auto stop = kj::newPromiseAndFulfiller<void>();
         m_stopPromise = kj::mv(stop.promise);
@@ -163,16 +155,15 @@
             return request.send().then(
                     [](auto &&response) { return decode(response.getAnswer()); });
         });
-        m_tasks.add(m_io.provider->getTimer()
-                            .timeoutAfter(timeout, kj::mv(exchange))
-                            .then(
-                                    [pending](PeerAnswer answer) {
-                                        pending->callback(std::move(answer));
-                                    },
-                                    [this, pending](kj::Exception &&e) {
-                                        drop(pending->endpoint);
-                                        pending->callback(transportError(pending->endpoint, e));
-                                    }));
+        m_tasks.add(
+                m_io.provider->getTimer()
+                        .timeoutAfter(timeout, kj::mv(exchange))
+                        .then([pending](
+                                      PeerAnswer answer) { pending->callback(std::move(answer)); },
+                              [this, pending](kj::Exception &&e) {
+                                  drop(pending->endpoint);
+                                  pending->callback(transportError(pending->endpoint, e));
+                              }));
     }
 
 private:
@@ -300,9 +291,10 @@
         };
         loop->ask(std::move(pending));
     };
+    // A named object: GCC 12 destroys aggregates inside a co_await expression twice.
+    detail::PendingQuestion pending { std::move(endpoint), std::move(question), timeout, {} };
     co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(PeerAnswer)>(
-            initiation, asio::use_awaitable,
-            detail::PendingQuestion { std::move(endpoint), std::move(question), timeout, {} });
+            initiation, asio::use_awaitable, std::move(pending));
 }
 
 } // namespace bluebell
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -1,5 +1,7 @@
 #include "placement/planner.h"
 
+#include "core/digest.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -13,12 +15,8 @@
 } // namespace
 
 LoadPlanner::LoadPlanner(std::string name, Epoch epoch, Settings settings, TimePoint now)
-    : m_name(std::move(name))
-    , m_epoch(epoch)
-    , m_settings(settings)
-    , m_startedAt(now)
-    , m_rules(std::make_shared<const RuleSet>())
-    , m_recentLoadsAt(now)
+    : m_name(std::move(name)), m_epoch(epoch), m_settings(settings), m_startedAt(now),
+      m_rules(std::make_shared<const RuleSet>()), m_recentLoadsAt(now)
 {
 }
 
@@ -121,7 +119,7 @@
     std::vector<TargetOrder> orders;
     for (const auto &[target, state] : m_targets) {
         for (const auto &[key, entry] : state.ledger) {
-            if (isConfirmed(target, key, entry) || isGone(target, key, entry))
+            if (!owns(key) || isConfirmed(target, key, entry) || isGone(target, key, entry))
                 continue;
             const auto sent = m_sent.find(entry.intent);
             if (sent != m_sent.end() && now - sent->second < m_settings.repeatEvery)
@@ -153,7 +151,7 @@
 {
     for (const auto &[target, state] : m_targets)
         for (const auto &[key, entry] : state.ledger)
-            if (isGone(target, key, entry) && isFree(touched, target, key))
+            if (owns(key) && isGone(target, key, entry) && isFree(touched, target, key))
                 addRemoval(target, key, changes, touched);
 }
 
@@ -163,8 +161,8 @@
         if (!state.report || !state.isLedgerKnown)
             continue;
         for (const auto &replica : state.report->replicas)
-            if (!state.ledger.contains(replica.key) && replica.state != ReplicaState::Unloading
-                && isFree(touched, target, replica.key))
+            if (owns(replica.key) && !state.ledger.contains(replica.key)
+                && replica.state != ReplicaState::Unloading && isFree(touched, target, replica.key))
                 addUnload(target, replica.key, changes, touched);
     }
 }
@@ -197,9 +195,9 @@
     const auto places = candidates(wanted.key, touched, now);
     const auto target = chooseTarget(places, wanted.key, *bytes, now);
     if (!target) {
-        const bool fitsSomewhere = std::any_of(
-                places.begin(), places.end(),
-                [&](const TargetId &it) { return freeBytes(it) >= *bytes; });
+        const bool fitsSomewhere =
+                std::any_of(places.begin(), places.end(),
+                            [&](const TargetId &it) { return freeBytes(it) >= *bytes; });
         if (!fitsSomewhere)
             planEviction(places, *bytes, changes, touched, now);
         return;
@@ -392,9 +390,19 @@
             && m_storeLoads.size() < perShard(store.loadsPerSecond);
 }
 
+std::size_t shardOf(const ModelId &model, std::size_t shards)
+{
+    return stableHash(model.value()) % std::max<std::size_t>(shards, 1);
+}
+
+bool LoadPlanner::owns(const ReplicaKey &key) const
+{
+    return shardOf(key.model, m_settings.shards) == m_settings.shard;
+}
+
 std::size_t LoadPlanner::perShard(std::uint32_t limit) const
 {
-    return std::max(limit / m_rules->policy.shards, 1U);
+    return std::max<std::size_t>(limit / m_settings.shards, 1);
 }
 
 bool LoadPlanner::isUsable(const TargetId &target, TimePoint now) const
@@ -525,14 +533,15 @@
     const auto &ledger = m_targets.at(target).ledger;
     const auto entry = ledger.find(key);
     const auto *replica = reported(target, key);
-    if (entry == ledger.end() || entry->second.action != IntentAction::Load || replica == nullptr)
+    if (!owns(key) || entry == ledger.end() || entry->second.action != IntentAction::Load
+        || replica == nullptr)
         return false;
     if (replica->state != ReplicaState::Resident || replica->running > 0)
         return false;
-    const bool carriesAdapters = key.adapter.isEmpty()
-            && std::any_of(ledger.begin(), ledger.end(), [&](const auto &it) {
-                   return it.first.model == key.model && !it.first.adapter.isEmpty();
-               });
+    const bool carriesAdapters =
+            key.adapter.isEmpty() && std::any_of(ledger.begin(), ledger.end(), [&](const auto &it) {
+                return it.first.model == key.model && !it.first.adapter.isEmpty();
+            });
     return !carriesAdapters;
 }
 
@@ -576,6 +585,17 @@
     return replica != nullptr && replica->state == ReplicaState::Unloading;
 }
 
+bool LoadPlanner::hasUnconfirmed() const
+{
+    for (const auto &[target, state] : m_targets)
+        for (const auto &[key, entry] : state.ledger) {
+            const bool isSettled = entry.action == IntentAction::Load && isResident(target, key);
+            if (owns(key) && !isSettled)
+                return true;
+        }
+    return false;
+}
+
 ReplicaStatus LoadPlanner::status(const ReplicaKey &key, TimePoint now) const
 {
     ReplicaStatus status;
@@ -587,8 +607,8 @@
         if (ledger == m_targets.end() || !isUsable(target, now))
             continue;
         const auto entry = ledger->second.ledger.find(key);
-        const bool isLoad = entry != ledger->second.ledger.end()
-                && entry->second.action == IntentAction::Load;
+        const bool isLoad =
+                entry != ledger->second.ledger.end() && entry->second.action == IntentAction::Load;
         if (!isLoad)
             continue;
         (isResident(target, key) ? status.resident : status.loading).insert(target);
--- a/src/placement/planner.h
+++ b/src/placement/planner.h
@@ -17,8 +17,8 @@
 
 namespace bluebell {
 
-/// A transaction on one target's ledger and one replica's places. It conditions on both rows, so that
-/// the decided count and the memory move together.
+/// A transaction on one target's ledger and one replica's places. It conditions on both rows, so
+/// that the decided count and the memory move together.
 struct LedgerChange
 {
     TargetId target;
@@ -29,8 +29,8 @@
     RowVersion placesVersion = 0;
 };
 
-/// An order to a target, recorded before it goes out. Sending it again is harmless: the target knows
-/// the intent.
+/// An order to a target, recorded before it goes out. Sending it again is harmless: the target
+/// knows the intent.
 struct TargetOrder
 {
     TargetId target;
@@ -61,11 +61,11 @@
 
 /// Decides on the loads of the models of one placement role.
 ///
-/// Decisions become orders in two steps: plan() proposes a ledger transaction; once it is committed,
-/// orders() returns the order, again and again until the target's report confirms it. A successor
-/// that reads the rows repeats the recorded orders. Memory of an order that is not confirmed is never
-/// given away on a timeout: only a report of that very intent, a refusal of it, a new incarnation of
-/// the target, or the target's removal from the rules frees it.
+/// Decisions become orders in two steps: plan() proposes a ledger transaction; once it is
+/// committed, orders() returns the order, again and again until the target's report confirms it. A
+/// successor that reads the rows repeats the recorded orders. Memory of an order that is not
+/// confirmed is never given away on a timeout: only a report of that very intent, a refusal of it,
+/// a new incarnation of the target, or the target's removal from the rules frees it.
 class LoadPlanner
 {
 public:
@@ -83,6 +83,9 @@
         Duration evictionFloor = std::chrono::seconds(5);
         /// A target that refused a load is not asked for the same again for this long.
         Duration refusalPause = std::chrono::seconds(5);
+        /// The shard whose models this planner decides on, out of `shards`.
+        std::size_t shard = 0;
+        std::size_t shards = 1;
     };
 
     /// \param name a prefix for intent ids that no other planner has
@@ -120,6 +123,8 @@
     [[nodiscard]] std::size_t decidedReplicas(const ReplicaKey &key) const;
     /// \returns targets whose ledger must be read again after a conflict
     [[nodiscard]] const std::set<TargetId> &staleTargets() const noexcept { return m_stale; }
+    /// \returns whether an order of this planner still waits for a report
+    [[nodiscard]] bool hasUnconfirmed() const;
     /// \returns load orders decided since the start
     [[nodiscard]] std::uint64_t loadsDecided() const noexcept { return m_loadsDecided; }
 
@@ -181,6 +186,7 @@
     [[nodiscard]] std::size_t loadsUnderWay(bool adapters) const;
     [[nodiscard]] bool storeHasRoom(const ReplicaKey &key, const TargetId &target,
                                     TimePoint now) const;
+    [[nodiscard]] bool owns(const ReplicaKey &key) const;
     /// \returns this shard's part of a limit of the weight store
     [[nodiscard]] std::size_t perShard(std::uint32_t limit) const;
     [[nodiscard]] bool isUsable(const TargetId &target, TimePoint now) const;
@@ -242,4 +248,7 @@
     std::vector<TimePoint> m_storeLoads;
 };
 
+/// \returns the shard out of `shards` that decides on `model`
+[[nodiscard]] std::size_t shardOf(const ModelId &model, std::size_t shards);
+
 } // namespace bluebell
--- a/src/platform/configstore.cpp
+++ b/src/platform/configstore.cpp
@@ -101,11 +101,12 @@
     }
     const std::string headKey(rows::ConfigHead);
     const auto logKey = rows::configLogKey(delta.version);
-    Transaction transaction { delta.change,
-                              { { logKey, 0 }, { headKey, head.value().version } },
-                              { { logKey, rows::encode(delta) },
-                                { headKey, rows::encode(rows::ConfigHeadRow { delta.version, snapshot },
-                                                        delta.change) } } };
+    Transaction transaction {
+        delta.change,
+        { { logKey, 0 }, { headKey, head.value().version } },
+        { { logKey, rows::encode(delta) },
+          { headKey, rows::encode(rows::ConfigHeadRow { delta.version, snapshot }, delta.change) } }
+    };
     auto outcome = co_await platform.commit(std::move(transaction), deadline);
     if (!outcome)
         co_return outcome.error();
--- a/src/platform/rows.cpp
+++ b/src/platform/rows.cpp
@@ -19,7 +19,8 @@
     try {
         return read(body);
     } catch (const json::exception &e) {
-        return makeError(ErrorCode::InvalidArgument, std::string("a row is malformed: ") + e.what());
+        return makeError(ErrorCode::InvalidArgument,
+                         std::string("a row is malformed: ") + e.what());
     }
 }
 
@@ -96,9 +97,13 @@
                   { "change", delta.change.value() } });
 }
 
-std::string encode(const Member &member, const ChangeId &change)
+std::string encode(const MemberRow &row, const ChangeId &change)
 {
-    auto it = toJson(member);
+    auto it = toJson(row.member);
+    if (row.entry)
+        it["entry"] = { { "host", row.entry->address.host },
+                        { "port", row.entry->address.port },
+                        { "leaving", row.entry->isLeaving } };
     it["change"] = change.value();
     return dump(it);
 }
@@ -173,9 +178,19 @@
     });
 }
 
-Result<Member> decodeMember(const std::string &value)
+Result<MemberRow> decodeMember(const std::string &value)
 {
-    return decodeWith<Member>(value, [](const json &it) { return toMember(it); });
+    return decodeWith<MemberRow>(value, [](const json &it) {
+        MemberRow row { toMember(it), 0, std::nullopt };
+        if (it.contains("entry")) {
+            const auto &entry = it.at("entry");
+            row.entry = EntryAddress { row.member.vm,
+                                       { entry.at("host").get<std::string>(),
+                                         entry.at("port").get<std::uint16_t>() },
+                                       entry.at("leaving").get<bool>() };
+        }
+        return row;
+    });
 }
 
 Result<RoleRow> decodeRole(const std::string &value)
--- a/src/platform/rows.h
+++ b/src/platform/rows.h
@@ -40,7 +40,7 @@
 
 [[nodiscard]] std::string encode(const ConfigHeadRow &head, const ChangeId &change);
 [[nodiscard]] std::string encode(const ConfigDelta &delta);
-[[nodiscard]] std::string encode(const Member &member, const ChangeId &change);
+[[nodiscard]] std::string encode(const MemberRow &row, const ChangeId &change);
 [[nodiscard]] std::string encode(const RoleRow &row, const ChangeId &change);
 [[nodiscard]] std::string encode(const Ledger &ledger, const ChangeId &change);
 [[nodiscard]] std::string encode(const ReplicaPlaces &places, const ChangeId &change);
@@ -51,7 +51,7 @@
 
 [[nodiscard]] Result<ConfigHeadRow> decodeHead(const std::string &value);
 [[nodiscard]] Result<ConfigDelta> decodeDelta(const std::string &value);
-[[nodiscard]] Result<Member> decodeMember(const std::string &value);
+[[nodiscard]] Result<MemberRow> decodeMember(const std::string &value);
 [[nodiscard]] Result<RoleRow> decodeRole(const std::string &value);
 [[nodiscard]] Result<Ledger> decodeLedger(const std::string &value);
 [[nodiscard]] Result<ReplicaPlaces> decodePlaces(const std::string &value);
--- a/src/platform/table.cpp
+++ b/src/platform/table.cpp
@@ -94,7 +94,8 @@
 
 asio::awaitable<Result<std::optional<Row>>> PlatformClient::get(std::string key)
 {
-    HttpCall call { m_endpoint, { "GET", "/v1/table/row?key=" + urlEncoded(key), {}, {} },
+    HttpCall call { m_endpoint,
+                    { "GET", "/v1/table/row?key=" + urlEncoded(key), {}, {} },
                     m_timeout };
     auto response = co_await exchange(std::move(call));
     if (!response)
@@ -107,15 +108,15 @@
     const auto body = parseBody(response.value());
     if (!body)
         co_return body.error();
-    co_return readJson<std::optional<Row>>(
-            body.value(), [](const json &it) { return std::optional(toRow(it)); });
+    co_return readJson<std::optional<Row>>(body.value(),
+                                           [](const json &it) { return std::optional(toRow(it)); });
 }
 
 asio::awaitable<Result<std::vector<Row>>> PlatformClient::range(std::string prefix,
                                                                 std::string after)
 {
-    const auto path
-            = "/v1/table/range?prefix=" + urlEncoded(prefix) + "&after=" + urlEncoded(after);
+    const auto path =
+            "/v1/table/range?prefix=" + urlEncoded(prefix) + "&after=" + urlEncoded(after);
     HttpCall call { m_endpoint, { "GET", path, {}, {} }, m_timeout };
     auto response = co_await exchange(std::move(call));
     if (!response)
@@ -161,8 +162,8 @@
     bool maybeCommitted = false;
     for (;;) {
         auto outcome = co_await commitOnce(it);
-        const bool isSettled = outcome
-                && (std::holds_alternative<Committed>(outcome.value()) || !maybeCommitted);
+        const bool isSettled =
+                outcome && (std::holds_alternative<Committed>(outcome.value()) || !maybeCommitted);
         if (isSettled)
             co_return outcome;
         maybeCommitted = maybeCommitted
@@ -188,7 +189,8 @@
 
 asio::awaitable<Result<void>> PlatformClient::putObject(std::string name, std::string value)
 {
-    HttpCall call { m_endpoint, { "PUT", "/v1/objects/" + urlEncoded(name), {}, std::move(value) },
+    HttpCall call { m_endpoint,
+                    { "PUT", "/v1/objects/" + urlEncoded(name), {}, std::move(value) },
                     m_timeout };
     auto response = co_await exchange(std::move(call));
     if (!response)
--- a/src/platform/table.h
+++ b/src/platform/table.h
@@ -79,8 +79,7 @@
 {
 public:
     explicit PlatformClient(Endpoint endpoint, Duration timeout = std::chrono::seconds(2))
-        : m_endpoint(std::move(endpoint))
-        , m_timeout(timeout)
+        : m_endpoint(std::move(endpoint)), m_timeout(timeout)
     {
     }
 
--- a/src/queue/requestqueue.cpp
+++ b/src/queue/requestqueue.cpp
@@ -108,8 +108,7 @@
 // RequestQueue
 
 RequestQueue::RequestQueue(QueueOrder order, QueueLimits limits)
-    : m_order(std::move(order))
-    , m_limits(limits)
+    : m_order(std::move(order)), m_limits(limits)
 {
 }
 
@@ -202,18 +201,19 @@
 {
     if (m_rate <= 0)
         return std::nullopt;
-    const auto ahead
-            = std::visit([&](const auto &order) { return order.tokensAhead(waiting); }, m_order);
+    const auto ahead =
+            std::visit([&](const auto &order) { return order.tokensAhead(waiting); }, m_order);
     const std::chrono::duration<double> wait(static_cast<double>(ahead) / m_rate);
     return std::chrono::duration_cast<Duration>(wait);
 }
 
-std::optional<TimePoint> RequestQueue::oldestArrival() const
+std::vector<Waiting> RequestQueue::waiting() const
 {
-    std::optional<TimePoint> oldest;
+    std::vector<Waiting> list;
+    list.reserve(m_waiting.size());
     for (const auto &[ticket, waiting] : m_waiting)
-        oldest = std::min(oldest.value_or(waiting.arrival), waiting.arrival);
-    return oldest;
+        list.push_back(waiting);
+    return list;
 }
 
 } // namespace bluebell
--- a/src/queue/requestqueue.h
+++ b/src/queue/requestqueue.h
@@ -132,8 +132,8 @@
 
     [[nodiscard]] std::size_t size() const noexcept { return m_waiting.size(); }
     [[nodiscard]] Tokens tokens() const noexcept { return m_tokens; }
-    /// \returns the arrival of the request that waits longest
-    [[nodiscard]] std::optional<TimePoint> oldestArrival() const;
+    /// \returns all waiting requests, in no particular order
+    [[nodiscard]] std::vector<Waiting> waiting() const;
 
 private:
     struct Usage
--- a/src/rate/grantholder.h
+++ b/src/rate/grantholder.h
@@ -23,10 +23,7 @@
 {
 public:
     /// \param name a prefix for grant ids that no other holder has
-    explicit GrantHolder(std::string name)
-        : m_name(std::move(name))
-    {
-    }
+    explicit GrantHolder(std::string name) : m_name(std::move(name)) { }
 
     // Events.
 
--- a/src/rate/ratehome.cpp
+++ b/src/rate/ratehome.cpp
@@ -13,11 +13,8 @@
 } // namespace
 
 RateHome::RateHome(RateLimit limit, Settings settings, TimePoint now)
-    : m_limit(limit)
-    , m_settings(settings)
-    , m_unknown(limit.burst)
-    , m_unknownUntil(now + settings.grantLapse)
-    , m_refilledAt(now)
+    : m_limit(limit), m_settings(settings), m_unknown(limit.burst),
+      m_unknownUntil(now + settings.grantLapse), m_refilledAt(now)
 {
 }
 
@@ -199,9 +196,8 @@
 std::optional<Duration> RateHome::waitFor(Tokens amount) const
 {
     const auto missing = amount - m_level;
-    const auto wait = std::chrono::nanoseconds(
-            static_cast<std::int64_t>((static_cast<Wide>(missing) * FractionsPerToken)
-                                      / std::max<Tokens>(m_limit.rate, 1)));
+    const auto wait = std::chrono::nanoseconds(static_cast<std::int64_t>(
+            (static_cast<Wide>(missing) * FractionsPerToken) / std::max<Tokens>(m_limit.rate, 1)));
     if (m_unknown > 0)
         return std::max(m_unknownUntil - m_refilledAt, Duration::zero()) + wait;
     return wait;
--- a/src/rate/ratehome.h
+++ b/src/rate/ratehome.h
@@ -72,10 +72,10 @@
 ///
 ///     level + sum over grants of (free + credit) <= burst
 ///
-/// holds at all times, where `free` is what the holder may still admit and `credit` what reservations
-/// may still give back. At that cap, refill takes the place of credit: the oldest refundable tokens
-/// are counted as used, and the level rises in their stead. `free` is never displaced, since the
-/// holder may still spend it.
+/// holds at all times, where `free` is what the holder may still admit and `credit` what
+/// reservations may still give back. At that cap, refill takes the place of credit: the oldest
+/// refundable tokens are counted as used, and the level rises in their stead. `free` is never
+/// displaced, since the holder may still spend it.
 ///
 /// A new home knows nothing of what the former one granted: it starts with level 0 and counts the
 /// whole burst as outstanding until the longest grant has lapsed.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -5,9 +5,7 @@
 namespace bluebell {
 
 Router::Router(RoutingPolicy policy, Settings settings, std::uint64_t seed)
-    : m_policy(policy)
-    , m_settings(settings)
-    , m_random(seed)
+    : m_policy(policy), m_settings(settings), m_random(seed)
 {
 }
 
@@ -80,9 +78,10 @@
         std::shuffle(free.begin(), free.end(), m_random);
         free.resize(2);
     }
-    const auto *best = *std::min_element(free.begin(), free.end(), [this](const auto *a, const auto *b) {
-        return loadOf(m_views.at(*a)) < loadOf(m_views.at(*b));
-    });
+    const auto *best =
+            *std::min_element(free.begin(), free.end(), [this](const auto *a, const auto *b) {
+                return loadOf(m_views.at(*a)) < loadOf(m_views.at(*b));
+            });
     if (!isFresh(m_views.at(*best), now))
         return NeedsReport { *best };
     return Chosen { *best };
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -38,7 +38,8 @@
 {
 };
 
-/// Picks the better of two random targets by reported load, corrected by this daemon's own requests.
+/// Picks the better of two random targets by reported load, corrected by this daemon's own
+/// requests.
 struct TwoChoices
 {
 };
@@ -47,8 +48,9 @@
 
 /// Decides which of the targets that can serve a request gets it.
 ///
-/// A target whose report is older than `reportLifetime` is not sent new work before it has been asked
-/// whether it is leaving, so that also a daemon that has just started never uses a leaving target.
+/// A target whose report is older than `reportLifetime` is not sent new work before it has been
+/// asked whether it is leaving, so that also a daemon that has just started never uses a leaving
+/// target.
 class Router
 {
 public:
--- a/src/rules/parser.cpp
+++ b/src/rules/parser.cpp
@@ -44,10 +44,7 @@
 class Faults
 {
 public:
-    explicit Faults(std::string_view file)
-        : m_file(file)
-    {
-    }
+    explicit Faults(std::string_view file) : m_file(file) { }
 
     void add(std::size_t line, std::size_t column, std::string message)
     {
@@ -84,9 +81,7 @@
 class AttributeReader
 {
 public:
-    AttributeReader(const RawLine &line, Faults &faults)
-        : m_line(line)
-        , m_faults(faults)
+    AttributeReader(const RawLine &line, Faults &faults) : m_line(line), m_faults(faults)
     {
         checkDuplicates();
     }
@@ -123,7 +118,8 @@
             return *value;
         fault(*word,
               quoted(word->text) + " is not a whole number of at least " + std::to_string(least)
-                      + (suffix.empty() ? std::string() : ", written like 100" + std::string(suffix)));
+                      + (suffix.empty() ? std::string()
+                                        : ", written like 100" + std::string(suffix)));
         return least;
     }
 
@@ -209,8 +205,8 @@
     }
 
 private:
-    static constexpr auto LargestNumber
-            = static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max() / 4);
+    static constexpr auto LargestNumber =
+            static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max() / 4);
 
     void checkDuplicates()
     {
@@ -220,10 +216,7 @@
                 fault(name, quoted(name.text) + " is given twice");
     }
 
-    [[nodiscard]] bool has(std::string_view name)
-    {
-        return find(name) != nullptr;
-    }
+    [[nodiscard]] bool has(std::string_view name) { return find(name) != nullptr; }
 
     [[nodiscard]] const Word *find(std::string_view name)
     {
@@ -368,9 +361,10 @@
     it.queue = reader.choiceOr<QueueKind>(
             "queue", it.queue,
             { { "fair", QueueKind::Fair }, { "first-come", QueueKind::FirstCome } });
-    it.placement = reader.choiceOr<PlacementKind>("placement", it.placement,
-                                                  { { "tier-aware", PlacementKind::TierAware },
-                                                    { "least-loaded", PlacementKind::LeastLoaded } });
+    it.placement =
+            reader.choiceOr<PlacementKind>("placement", it.placement,
+                                           { { "tier-aware", PlacementKind::TierAware },
+                                             { "least-loaded", PlacementKind::LeastLoaded } });
     it.idleFloor = reader.durationOr("idle", it.idleFloor);
     it.baseShare = static_cast<std::uint32_t>(reader.numberOr("base-share", 1, it.baseShare));
     it.baseParts = static_cast<std::uint32_t>(reader.numberOr("base-parts", 1, it.baseParts));
@@ -417,11 +411,7 @@
 class Collector
 {
 public:
-    Collector(RuleSet &rules, Faults &faults)
-        : m_rules(rules)
-        , m_faults(faults)
-    {
-    }
+    Collector(RuleSet &rules, Faults &faults) : m_rules(rules), m_faults(faults) { }
 
     void collect(const PlacedRule &placed)
     {
@@ -448,8 +438,8 @@
 
     void add(const GrantRule &rule)
     {
-        const auto name = rule.organisation.value() + ' ' + rule.model.value() + ' '
-                + rule.adapter.value();
+        const auto name =
+                rule.organisation.value() + ' ' + rule.model.value() + ' ' + rule.adapter.value();
         if (m_grants.insert(name).second)
             m_rules.grants.emplace(rule.organisation, rule);
         else
@@ -515,11 +505,7 @@
 class ReferenceChecker
 {
 public:
-    ReferenceChecker(const RuleSet &rules, Faults &faults)
-        : m_rules(rules)
-        , m_faults(faults)
-    {
-    }
+    ReferenceChecker(const RuleSet &rules, Faults &faults) : m_rules(rules), m_faults(faults) { }
 
     void check(const PlacedRule &placed)
     {
--- a/src/rules/parser.h
+++ b/src/rules/parser.h
@@ -34,8 +34,9 @@
 
 /// Either a value or every fault of the file.
 template<typename T>
-using RuleResult = BOOST_OUTCOME_V2_NAMESPACE::basic_result<
-        T, std::vector<RuleError>, BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
+using RuleResult =
+        BOOST_OUTCOME_V2_NAMESPACE::basic_result<T, std::vector<RuleError>,
+                                                 BOOST_OUTCOME_V2_NAMESPACE::policy::terminate>;
 
 /// A rule file that has been read and checked.
 struct ParsedRules
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -168,8 +168,7 @@
 }
 
 Settings::Settings(std::string program, std::string summary, std::vector<SettingSpec> specs)
-    : m_program(std::move(program))
-    , m_summary(std::move(summary))
+    : m_program(std::move(program)), m_summary(std::move(summary))
 {
     for (auto &spec : specs) {
         auto value = spec.defaultValue;
@@ -186,7 +185,10 @@
     options.add_options()("print-config", "print the settings in force and exit");
     for (const auto &[spec, value] : m_entries) {
         const auto help = spec.help + " [" + formatValue(spec.defaultValue) + "]";
-        options.add_options()(spec.name.c_str(), po::value<std::string>(), help.c_str());
+        auto *text = po::value<std::string>();
+        if (std::holds_alternative<bool>(spec.defaultValue))
+            text->implicit_value("true");
+        options.add_options()(spec.name.c_str(), text, help.c_str());
     }
     po::variables_map given;
     try {
@@ -222,8 +224,8 @@
         table = toml::parse_file(path);
     } catch (const toml::parse_error &e) {
         const auto &begin = e.source().begin;
-        faults.push_back(fmt::format("{}:{}:{}: {}", path, begin.line, begin.column,
-                                     e.description()));
+        faults.push_back(
+                fmt::format("{}:{}:{}: {}", path, begin.line, begin.column, e.description()));
         return;
     }
     std::vector<std::string_view> names;
@@ -237,9 +239,9 @@
             continue;
         }
         const auto nearest = detail::nearestWord(key.str(), names);
-        faults.push_back(place + ": there is no such setting"
-                         + (nearest.empty() ? std::string()
-                                            : fmt::format("; did you mean '{}'?", nearest)));
+        faults.push_back(
+                place + ": there is no such setting"
+                + (nearest.empty() ? std::string() : fmt::format("; did you mean '{}'?", nearest)));
     }
 }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -37,8 +37,8 @@
 
 /// Reads the settings of one program.
 ///
-/// Every program has `--config FILE`, `--check-config`, `--print-config`, `--help` and an option for
-/// each setting, which goes before the file.
+/// Every program has `--config FILE`, `--check-config`, `--print-config`, `--help` and an option
+/// for each setting, which goes before the file.
 class Settings
 {
 public:
--- a/src/streams/streamassembler.cpp
+++ b/src/streams/streamassembler.cpp
@@ -6,9 +6,7 @@
 namespace bluebell {
 
 StreamAssembler::StreamAssembler(RequestId request, Settings settings, TimePoint deadline)
-    : m_request(std::move(request))
-    , m_settings(settings)
-    , m_deadline(deadline)
+    : m_request(std::move(request)), m_settings(settings), m_deadline(deadline)
 {
 }
 
--- a/src/streams/streamassembler.h
+++ b/src/streams/streamassembler.h
@@ -123,11 +123,7 @@
         double largest = 10;
     };
 
-    explicit RetryBudget(Settings settings)
-        : m_settings(settings)
-        , m_balance(settings.largest)
-    {
-    }
+    explicit RetryBudget(Settings settings) : m_settings(settings), m_balance(settings.largest) { }
 
     void noteFirstAttempt() noexcept;
     /// \returns whether a retry may be made, and counts it
--- a/src/target/targetclient.cpp
+++ b/src/target/targetclient.cpp
@@ -22,16 +22,27 @@
     return it.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+/// Makes a call as a named object: GCC 12 destroys aggregates inside a co_await expression twice.
+HttpCall makeCall(Endpoint target, std::string method, std::string path, std::string body,
+                  Duration timeout)
+{
+    return { std::move(target),
+             { std::move(method), std::move(path), {}, std::move(body) },
+             timeout };
+}
+
 Error statusError(unsigned status, std::string_view execution)
 {
     const bool isNotRun = execution == NotRunValue;
-    return Error { ErrorCode::Unavailable, "the target answered with status " + std::to_string(status),
+    return Error { ErrorCode::Unavailable,
+                   "the target answered with status " + std::to_string(status),
                    isNotRun ? Execution::NotRun : Execution::OutcomeUnknown, std::nullopt };
 }
 
 Error malformed(std::string_view what)
 {
-    return Error { ErrorCode::Unavailable, "the target sent something malformed: " + std::string(what),
+    return Error { ErrorCode::Unavailable,
+                   "the target sent something malformed: " + std::string(what),
                    Execution::OutcomeUnknown, std::nullopt };
 }
 
@@ -112,7 +123,8 @@
         if (!piece)
             co_return piece.error();
         if (!piece.value())
-            co_return Error { ErrorCode::Truncated, "the target closed the stream without an end marker",
+            co_return Error { ErrorCode::Truncated,
+                              "the target closed the stream without an end marker",
                               Execution::OutcomeUnknown, std::nullopt };
         m_buffer += *piece.value();
     }
@@ -129,8 +141,8 @@
                         { "max_tokens", call.mostTokens },
                         { "offset", call.offset },
                         { "priority", call.priority } };
-    auto stream = co_await openStream(
-            { std::move(target), { "POST", "/v1/generate", {}, dump(body) }, timeout });
+    auto request = makeCall(std::move(target), "POST", "/v1/generate", dump(body), timeout);
+    auto stream = co_await openStream(std::move(request));
     if (!stream)
         co_return stream.error();
     if (stream.value().status() != 200)
@@ -141,14 +153,14 @@
 asio::awaitable<void> cancelGeneration(Endpoint target, RequestId request)
 {
     const json body = { { "request_id", request.value() } };
-    (void)co_await exchange(
-            { std::move(target), { "POST", "/v1/cancel", {}, dump(body) }, CancelTimeout });
+    auto call = makeCall(std::move(target), "POST", "/v1/cancel", dump(body), CancelTimeout);
+    (void)co_await exchange(std::move(call));
 }
 
 asio::awaitable<Result<TargetReport>> fetchReport(Endpoint target, Duration timeout)
 {
-    auto response
-            = co_await exchange({ std::move(target), { "GET", "/v1/report", {}, {} }, timeout });
+    auto call = makeCall(std::move(target), "GET", "/v1/report", {}, timeout);
+    auto response = co_await exchange(std::move(call));
     if (!response)
         co_return response.error();
     const auto body = json::parse(response.value().body, nullptr, false);
@@ -170,8 +182,8 @@
                         { "bytes", entry.bytes },
                         { "epoch", entry.epoch },
                         { "incarnation", entry.incarnation.value() } };
-    auto response = co_await exchange(
-            { std::move(target), { "POST", "/v1/orders", {}, dump(body) }, timeout });
+    auto call = makeCall(std::move(target), "POST", "/v1/orders", dump(body), timeout);
+    auto response = co_await exchange(std::move(call));
     if (!response)
         co_return response.error();
     if (response.value().status == 409)
@@ -184,7 +196,8 @@
 asio::awaitable<Result<HttpResponse>> callService(Endpoint target, HttpRequest request,
                                                   Duration timeout)
 {
-    auto response = co_await exchange({ std::move(target), std::move(request), timeout });
+    HttpCall call { std::move(target), std::move(request), timeout };
+    auto response = co_await exchange(std::move(call));
     if (!response)
         co_return response.error();
     if (response.value().header(ExecutionHeader) == NotRunValue)
--- a/src/target/targetclient.h
+++ b/src/target/targetclient.h
@@ -35,10 +35,7 @@
 class GenerateStream
 {
 public:
-    explicit GenerateStream(HttpStream stream)
-        : m_stream(std::move(stream))
-    {
-    }
+    explicit GenerateStream(HttpStream stream) : m_stream(std::move(stream)) { }
 
     /// Reads the next event.
     ///
--- /dev/null
+++ b/tests/rateworld.cpp
@@ -0,0 +1,364 @@
+#include "tests/rateworld.h"
+
+#include <algorithm>
+
+namespace bluebell::tests {
+namespace {
+
+constexpr Duration Step = std::chrono::milliseconds(5);
+constexpr Duration OneWay = std::chrono::milliseconds(1);
+constexpr Duration TakeoverTime = std::chrono::seconds(9);
+constexpr Duration GossipEvery = std::chrono::seconds(1);
+constexpr Duration ReportEvery = std::chrono::milliseconds(500);
+
+/// One bucket with exact knowledge.
+class Bucket
+{
+public:
+    explicit Bucket(RateLimit limit)
+        : m_limit(limit)
+        , m_level(static_cast<double>(limit.burst))
+    {
+    }
+
+    bool take(Tokens tokens, TimePoint now)
+    {
+        advance(now);
+        if (m_level < static_cast<double>(tokens))
+            return false;
+        m_level -= static_cast<double>(tokens);
+        return true;
+    }
+
+    void giveBack(Tokens tokens, TimePoint now)
+    {
+        advance(now);
+        m_level = std::min(m_level + static_cast<double>(tokens),
+                           static_cast<double>(m_limit.burst));
+    }
+
+    void drain(Tokens tokens) { m_level -= static_cast<double>(tokens); }
+
+private:
+    void advance(TimePoint now)
+    {
+        m_level = std::min(m_level + toSeconds(now - m_at) * static_cast<double>(m_limit.rate),
+                           static_cast<double>(m_limit.burst));
+        m_at = now;
+    }
+
+    RateLimit m_limit;
+    double m_level;
+    TimePoint m_at;
+};
+
+struct Request
+{
+    std::size_t daemon = 0;
+    Tokens reserved = 0;
+    Tokens used = 0;
+    Duration runs {};
+    bool idealAdmits = false;
+};
+
+class World
+{
+public:
+    World(const RateMechanism &mechanism, const RateScenario &scenario)
+        : m_mechanism(mechanism)
+        , m_scenario(scenario)
+        , m_limit(scenario.limit)
+        , m_random(scenario.seed)
+        , m_ideal(scenario.limit)
+        , m_now(std::chrono::seconds(1000))
+    {
+        for (std::size_t n = 0; n < scenario.daemons; ++n) {
+            m_holders.push_back(std::make_unique<GrantHolder>("h" + std::to_string(n)));
+            const auto count = static_cast<Tokens>(scenario.daemons);
+            m_split.emplace_back(RateLimit { m_limit.rate / count, m_limit.burst / count });
+            m_local.emplace_back(m_limit);
+        }
+        m_unsent.resize(scenario.daemons);
+        if (const auto *grants = std::get_if<HomeGrants>(&mechanism))
+            m_home = std::make_unique<RateHome>(m_limit, grants->home,
+                                                RateHandover { m_limit.burst, 0 }, m_now);
+    }
+
+    RateOutcome run()
+    {
+        const auto end = m_now + m_scenario.length;
+        auto nextReport = m_now;
+        auto nextGossip = m_now;
+        while (m_now < end) {
+            deliverDue();
+            arrive();
+            strike();
+            if (m_now >= nextReport) {
+                nextReport += ReportEvery;
+                report();
+            }
+            if (m_now >= nextGossip) {
+                nextGossip += GossipEvery;
+                gossip();
+            }
+            m_now += Step;
+        }
+        m_outcome.overAdmitted = largestExcess(m_admissions, m_scenario.limit);
+        return m_outcome;
+    }
+
+private:
+    double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+
+    void later(Duration d, std::function<void()> work) { m_due.emplace(m_now + d, std::move(work)); }
+
+    void deliverDue()
+    {
+        while (!m_due.empty() && m_due.begin()->first <= m_now) {
+            auto work = std::move(m_due.begin()->second);
+            m_due.erase(m_due.begin());
+            work();
+        }
+    }
+
+    Duration messageTime()
+    {
+        if (m_scenario.faults.delaysMessages && uniform() < 0.05)
+            return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(8 * uniform()));
+        return OneWay;
+    }
+
+    bool isLost() { return m_scenario.faults.losesMessages && uniform() < 0.05; }
+
+    void arrive()
+    {
+        constexpr double MeanUsed = 300;
+        const auto perStep = m_scenario.load * static_cast<double>(m_scenario.limit.rate)
+                * toSeconds(Step) / MeanUsed;
+        const auto count = std::poisson_distribution<int>(perStep)(m_random);
+        for (int n = 0; n < count; ++n) {
+            Request it;
+            const auto favourite = m_scenario.moves ? static_cast<std::size_t>(
+                                           toSeconds(m_now.time_since_epoch()) / 10)
+                            % m_scenario.daemons
+                                                    : 0;
+            it.daemon = uniform() < m_scenario.skew
+                    ? favourite
+                    : static_cast<std::size_t>(uniform() * static_cast<double>(m_scenario.daemons));
+            const auto prompt = 100 + static_cast<Tokens>(100 * uniform());
+            it.reserved = prompt + 300;
+            it.used = prompt + static_cast<Tokens>(300 * uniform());
+            it.runs = std::chrono::milliseconds(200 + static_cast<int>(4000 * uniform()));
+            serve(it);
+        }
+    }
+
+    void serve(Request it)
+    {
+        ++m_outcome.offered;
+        it.idealAdmits = m_ideal.take(it.reserved, m_now);
+        if (it.idealAdmits)
+            later(it.runs, [this, it] { m_ideal.giveBack(it.reserved - it.used, m_now); });
+        if (std::holds_alternative<HomeGrants>(m_mechanism)) {
+            serveByGrant(it);
+            return;
+        }
+        auto &bucket = std::holds_alternative<EvenSplit>(m_mechanism) ? m_split[it.daemon]
+                                                                      : m_local[it.daemon];
+        if (!bucket.take(it.reserved, m_now)) {
+            refuse(it);
+            return;
+        }
+        m_unsent[it.daemon] += it.used;
+        admit(it);
+        later(it.runs, [this, &bucket, it] { bucket.giveBack(it.reserved - it.used, m_now); });
+    }
+
+    void admit(const Request &it)
+    {
+        ++m_outcome.admitted;
+        m_admissions.push_back({ m_now, it.used });
+    }
+
+    void refuse(const Request &it)
+    {
+        if (it.idealAdmits)
+            ++m_outcome.wrongfullyRefused;
+    }
+
+    bool admitByGrant(const Request &it)
+    {
+        const auto reservation = m_holders[it.daemon]->admit(it.reserved, m_now);
+        if (!reservation)
+            return false;
+        admit(it);
+        auto *holder = m_holders[it.daemon].get();
+        later(it.runs, [this, holder, reservation, it] {
+            for (const auto &alive : m_holders)
+                if (alive.get() == holder)
+                    holder->settle(*reservation, it.used);
+        });
+        return true;
+    }
+
+    void serveByGrant(const Request &it)
+    {
+        if (admitByGrant(it))
+            return;
+        auto *holder = m_holders[it.daemon].get();
+        const auto question = holder->question(it.reserved, m_now);
+        const auto reports = holder->takeReports(m_now);
+        const int copies = m_scenario.faults.repeatsQuestions && uniform() < 0.2 ? 2 : 1;
+        bool isAnswered = false;
+        for (int n = 0; n < copies; ++n) {
+            ++m_outcome.messages;
+            if (isLost())
+                continue;
+            isAnswered = true;
+            later(messageTime() + n * OneWay,
+                  [this, holder, question, reports, it] { ask(holder, question, reports, it); });
+        }
+        if (!isAnswered) {
+            holder->reportsLost(reports);
+            refuse(it);
+        }
+    }
+
+    void ask(GrantHolder *holder, const GrantQuestion &question,
+             const std::vector<GrantReport> &reports, const Request &it)
+    {
+        if (!m_home || m_now < m_homePausedUntil) {
+            refuse(it);
+            return;
+        }
+        for (const auto &report : reports)
+            m_home->noteReport(report, m_now);
+        const auto answer = m_home->ask(question, m_now);
+        ++m_outcome.messages;
+        if (isLost()) {
+            refuse(it);
+            return;
+        }
+        later(messageTime(), [this, holder, question, answer, it] {
+            const bool isAlive = std::any_of(m_holders.begin(), m_holders.end(),
+                                             [&](const auto &alive) { return alive.get() == holder; });
+            if (!isAlive)
+                return;
+            if (const auto *granted = std::get_if<Granted>(&answer)) {
+                holder->answered(*granted);
+                if (!admitByGrant(it))
+                    refuse(it);
+                return;
+            }
+            holder->refused(question.id);
+            refuse(it);
+        });
+    }
+
+    void report()
+    {
+        for (const auto &holder : m_holders) {
+            const auto reports = holder->takeReports(m_now);
+            if (reports.empty())
+                continue;
+            ++m_outcome.messages;
+            if (isLost() || !m_home) {
+                holder->reportsLost(reports);
+                continue;
+            }
+            later(messageTime(), [this, reports] {
+                if (m_home)
+                    for (const auto &it : reports)
+                        m_home->noteReport(it, m_now);
+            });
+        }
+    }
+
+    void gossip()
+    {
+        if (!std::holds_alternative<LocalCount>(m_mechanism))
+            return;
+        m_outcome.messages += m_holders.size() * (m_holders.size() - 1);
+        for (std::size_t from = 0; from < m_local.size(); ++from) {
+            for (std::size_t to = 0; to < m_local.size(); ++to)
+                if (from != to)
+                    m_local[to].drain(m_unsent[from]);
+            m_unsent[from] = 0;
+        }
+    }
+
+    void replaceHome()
+    {
+        m_home.reset();
+        later(TakeoverTime, [this] {
+            m_home = std::make_unique<RateHome>(
+                    m_limit, std::get<HomeGrants>(m_mechanism).home, m_now);
+        });
+    }
+
+    void strike()
+    {
+        const auto &faults = m_scenario.faults;
+        const auto happens = [this](double perSecond) { return uniform() < perSecond * toSeconds(Step); };
+        if (!std::holds_alternative<HomeGrants>(m_mechanism))
+            return;
+        if (faults.homeDies && m_home && happens(0.05))
+            replaceHome();
+        if (faults.homePauses && m_home && happens(0.05))
+            m_homePausedUntil = m_now + std::chrono::seconds(5);
+        if (faults.holdersDie && happens(0.2)) {
+            const auto n = static_cast<std::size_t>(uniform() * static_cast<double>(m_holders.size()));
+            m_holders[n] = std::make_unique<GrantHolder>("h" + std::to_string(n) + "-"
+                                                         + std::to_string(++m_restarts));
+        }
+        if (faults.lowersLimit && m_home && happens(0.2)) {
+            // The scenario's limit is the largest, so the bound of the check stays valid.
+            m_limit = uniform() < 0.5 ? m_scenario.limit
+                                      : RateLimit { m_scenario.limit.rate / 2,
+                                                    m_scenario.limit.burst / 2 };
+            m_home->setLimit(m_limit, m_now);
+        }
+    }
+
+    RateMechanism m_mechanism;
+    RateScenario m_scenario;
+    RateLimit m_limit;
+    std::mt19937_64 m_random;
+    Bucket m_ideal;
+    TimePoint m_now;
+    TimePoint m_homePausedUntil;
+    std::unique_ptr<RateHome> m_home;
+    std::vector<std::unique_ptr<GrantHolder>> m_holders;
+    std::vector<Bucket> m_split;
+    std::vector<Bucket> m_local;
+    std::vector<Tokens> m_unsent;
+    std::multimap<TimePoint, std::function<void()>> m_due;
+    std::vector<Admission> m_admissions;
+    RateOutcome m_outcome;
+    int m_restarts = 0;
+};
+
+} // namespace
+
+Tokens largestExcess(const std::vector<Admission> &admissions, RateLimit limit)
+{
+    Tokens largest = 0;
+    for (std::size_t first = 0; first < admissions.size(); ++first) {
+        Tokens sum = 0;
+        for (std::size_t n = first; n < admissions.size(); ++n) {
+            sum += admissions[n].used;
+            const auto window = toSeconds(admissions[n].at - admissions[first].at);
+            const auto bound = static_cast<double>(limit.burst)
+                    + window * static_cast<double>(limit.rate);
+            largest = std::max(largest, static_cast<Tokens>(static_cast<double>(sum) - bound));
+        }
+    }
+    return largest;
+}
+
+RateOutcome runRateWorld(const RateMechanism &mechanism, const RateScenario &scenario)
+{
+    return World(mechanism, scenario).run();
+}
+
+} // namespace bluebell::tests
