Stop a quiet rate home from making up for refill lost at the cap

Cause: RateHome let grants lapse before it computed the refill, so a home that was not asked while a grant was out refilled for that whole time at once. Up to rate x lapse time could be admitted above burst + rate x window. Ruled out: the brute-force test over generated histories missed it, because its home is asked every few milliseconds; the bound itself and the holder are right. Change: refill is computed up to each lapse in turn. Before: level 700 at 7 s with a grant of the whole burst out (test RateHome.QuietHomeDoesNotRefillWhileAGrantIsOut); after: 100, the exact value. Conclusion: lazily advanced state needs tests with long silences.

--- a/src/rate/ratehome.cpp
+++ b/src/rate/ratehome.cpp
@@ -108,16 +108,36 @@
 
 void RateHome::advance(TimePoint now)
 {
-    expire(now);
+    // Refill up to each lapse first: at the cap it is lost, and must not be made up for afterwards.
+    for (const auto deadline : lapsesUntil(now)) {
+        refill(deadline);
+        expire(deadline);
+    }
     refill(now);
 }
 
+std::vector<TimePoint> RateHome::lapsesUntil(TimePoint now) const
+{
+    std::vector<TimePoint> lapses;
+    const auto add = [&](TimePoint it) {
+        if (it <= now)
+            lapses.push_back(it);
+    };
+    if (m_unknown > 0)
+        add(m_unknownUntil);
+    for (const auto &[sequence, grant] : m_grants) {
+        if (grant.free > 0 && !grant.known.isClosed)
+            add(grant.madeAt + m_settings.grantLapse);
+        add(grant.madeAt + m_settings.reservationLapse);
+    }
+    std::sort(lapses.begin(), lapses.end());
+    return lapses;
+}
+
 void RateHome::expire(TimePoint now)
 {
-    if (m_unknown > 0 && now >= m_unknownUntil) {
+    if (now >= m_unknownUntil)
         m_unknown = 0;
-        m_refilledAt = std::max(m_refilledAt, m_unknownUntil);
-    }
     for (auto it = m_grants.begin(); it != m_grants.end();) {
         auto &grant = it->second;
         const auto age = now - grant.madeAt;
--- a/src/rate/ratehome.h
+++ b/src/rate/ratehome.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <variant>
+#include <vector>
 
 /// \file
 /// The home of an organisation's rate: hands out grants so that the bound holds over all VMs.
@@ -136,6 +137,8 @@
     using GrantMap = std::map<Sequence, Grant>;
 
     void advance(TimePoint now);
+    /// \returns the times up to `now` at which outstanding tokens lapse, in order
+    [[nodiscard]] std::vector<TimePoint> lapsesUntil(TimePoint now) const;
     void expire(TimePoint now);
     void refill(TimePoint now);
     /// Moves up to `amount` tokens from the oldest credit into the level.
--- a/tests/tst_rate.cpp
+++ b/tests/tst_rate.cpp
@@ -70,6 +70,15 @@
     EXPECT_EQ(home.level(at(7)), 100);
 }
 
+/// Regression: a home that nobody asked for a while made up for the refill that its cap had stopped.
+TEST(RateHome, QuietHomeDoesNotRefillWhileAGrantIsOut)
+{
+    auto home = fullHome();
+    (void)home.ask(question("a", 1000), at(0));
+    // All of it may be admitted as late as at 3, so at 7 no more than 100 may follow.
+    EXPECT_EQ(home.level(at(7)), 100);
+}
+
 TEST(RateHome, RefundAfterRefillDoesNotBreakTheBound)
 {
     auto home = fullHome();
