--- a/programs/standin/engineserver.cpp
+++ b/programs/standin/engineserver.cpp
@@ -117,6 +117,7 @@
     ++m_run;
     m_incarnation = randomHex(8);
     m_sequence = 0;
+    m_highestEpoch = 0;
     m_replicas.clear();
     m_knownIntents.clear();
     m_refused.clear();
@@ -179,10 +180,14 @@
     const auto it = json::parse(body, nullptr, false);
     if (it.is_discarded())
         return errorText(400, "not JSON");
-    const Order order { IntentId(it.at("intent").get<std::string>()), it.at("action") == "load",
+    const Order order { IntentId(it.at("intent").get<std::string>()),
+                        it.at("action") == "load",
                         parseReplicaKey(it.at("replica").get<std::string>()),
-                        it.at("bytes").get<Bytes>(), it.at("epoch").get<Epoch>() };
-    if (m_settings.checksFencing && order.epoch < m_highestEpoch) {
+                        it.at("bytes").get<Bytes>(),
+                        it.at("epoch").get<Epoch>(),
+                        it.at("incarnation").get<std::string>() };
+    const bool isStale = order.epoch < m_highestEpoch || order.incarnation != m_incarnation;
+    if (m_settings.checksFencing && isStale) {
         ++m_audit.staleOrders;
         return errorText(409, "old fencing number");
     }
--- a/programs/standin/engineserver.h
+++ b/programs/standin/engineserver.h
@@ -87,6 +87,7 @@
         ReplicaKey key;
         Bytes bytes = 0;
         Epoch epoch = 0;
+        std::string incarnation;
     };
 
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
--- a/tests/rateworld.cpp
+++ b/tests/rateworld.cpp
@@ -15,11 +15,7 @@
 class Bucket
 {
 public:
-    explicit Bucket(RateLimit limit)
-        : m_limit(limit)
-        , m_level(static_cast<double>(limit.burst))
-    {
-    }
+    explicit Bucket(RateLimit limit) : m_limit(limit), m_level(static_cast<double>(limit.burst)) { }
 
     bool take(Tokens tokens, TimePoint now)
     {
@@ -33,8 +29,8 @@
     void giveBack(Tokens tokens, TimePoint now)
     {
         advance(now);
-        m_level = std::min(m_level + static_cast<double>(tokens),
-                           static_cast<double>(m_limit.burst));
+        m_level =
+                std::min(m_level + static_cast<double>(tokens), static_cast<double>(m_limit.burst));
     }
 
     void drain(Tokens tokens) { m_level -= static_cast<double>(tokens); }
@@ -65,12 +61,8 @@
 {
 public:
     World(const RateMechanism &mechanism, const RateScenario &scenario)
-        : m_mechanism(mechanism)
-        , m_scenario(scenario)
-        , m_limit(scenario.limit)
-        , m_random(scenario.seed)
-        , m_ideal(scenario.limit)
-        , m_now(std::chrono::seconds(1000))
+        : m_mechanism(mechanism), m_scenario(scenario), m_limit(scenario.limit),
+          m_random(scenario.seed), m_ideal(scenario.limit), m_now(std::chrono::seconds(1000))
     {
         for (std::size_t n = 0; n < scenario.daemons; ++n) {
             m_holders.push_back(std::make_unique<GrantHolder>("h" + std::to_string(n)));
@@ -110,7 +102,10 @@
 private:
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
-    void later(Duration d, std::function<void()> work) { m_due.emplace(m_now + d, std::move(work)); }
+    void later(Duration d, std::function<void()> work)
+    {
+        m_due.emplace(m_now + d, std::move(work));
+    }
 
     void deliverDue()
     {
@@ -124,7 +119,8 @@
     Duration messageTime()
     {
         if (m_scenario.faults.delaysMessages && uniform() < 0.05)
-            return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(8 * uniform()));
+            return std::chrono::duration_cast<Duration>(
+                    std::chrono::duration<double>(8 * uniform()));
         return OneWay;
     }
 
@@ -138,10 +134,10 @@
         const auto count = std::poisson_distribution<int>(perStep)(m_random);
         for (int n = 0; n < count; ++n) {
             Request it;
-            const auto favourite = m_scenario.moves ? static_cast<std::size_t>(
-                                           toSeconds(m_now.time_since_epoch()) / 10)
+            const auto favourite = m_scenario.moves
+                    ? static_cast<std::size_t>(toSeconds(m_now.time_since_epoch()) / 10)
                             % m_scenario.daemons
-                                                    : 0;
+                    : 0;
             it.daemon = uniform() < m_scenario.skew
                     ? favourite
                     : static_cast<std::size_t>(uniform() * static_cast<double>(m_scenario.daemons));
@@ -240,8 +236,9 @@
             return;
         }
         later(messageTime(), [this, holder, question, answer, it] {
-            const bool isAlive = std::any_of(m_holders.begin(), m_holders.end(),
-                                             [&](const auto &alive) { return alive.get() == holder; });
+            const bool isAlive =
+                    std::any_of(m_holders.begin(), m_holders.end(),
+                                [&](const auto &alive) { return alive.get() == holder; });
             if (!isAlive)
                 return;
             if (const auto *granted = std::get_if<Granted>(&answer)) {
@@ -291,15 +288,17 @@
     {
         m_home.reset();
         later(TakeoverTime, [this] {
-            m_home = std::make_unique<RateHome>(
-                    m_limit, std::get<HomeGrants>(m_mechanism).home, m_now);
+            m_home = std::make_unique<RateHome>(m_limit, std::get<HomeGrants>(m_mechanism).home,
+                                                m_now);
         });
     }
 
     void strike()
     {
         const auto &faults = m_scenario.faults;
-        const auto happens = [this](double perSecond) { return uniform() < perSecond * toSeconds(Step); };
+        const auto happens = [this](double perSecond) {
+            return uniform() < perSecond * toSeconds(Step);
+        };
         if (!std::holds_alternative<HomeGrants>(m_mechanism))
             return;
         if (faults.homeDies && m_home && happens(0.05))
@@ -307,15 +306,16 @@
         if (faults.homePauses && m_home && happens(0.05))
             m_homePausedUntil = m_now + std::chrono::seconds(5);
         if (faults.holdersDie && happens(0.2)) {
-            const auto n = static_cast<std::size_t>(uniform() * static_cast<double>(m_holders.size()));
+            const auto n =
+                    static_cast<std::size_t>(uniform() * static_cast<double>(m_holders.size()));
             m_holders[n] = std::make_unique<GrantHolder>("h" + std::to_string(n) + "-"
                                                          + std::to_string(++m_restarts));
         }
         if (faults.lowersLimit && m_home && happens(0.2)) {
             // The scenario's limit is the largest, so the bound of the check stays valid.
-            m_limit = uniform() < 0.5 ? m_scenario.limit
-                                      : RateLimit { m_scenario.limit.rate / 2,
-                                                    m_scenario.limit.burst / 2 };
+            m_limit = uniform() < 0.5
+                    ? m_scenario.limit
+                    : RateLimit { m_scenario.limit.rate / 2, m_scenario.limit.burst / 2 };
             m_home->setLimit(m_limit, m_now);
         }
     }
@@ -348,8 +348,8 @@
         for (std::size_t n = first; n < admissions.size(); ++n) {
             sum += admissions[n].used;
             const auto window = toSeconds(admissions[n].at - admissions[first].at);
-            const auto bound = static_cast<double>(limit.burst)
-                    + window * static_cast<double>(limit.rate);
+            const auto bound =
+                    static_cast<double>(limit.burst) + window * static_cast<double>(limit.rate);
             largest = std::max(largest, static_cast<Tokens>(static_cast<double>(sum) - bound));
         }
     }
--- a/tests/tst_configreplica.cpp
+++ b/tests/tst_configreplica.cpp
@@ -47,8 +47,7 @@
 {
     auto replica = replicaAt(2);
     EXPECT_EQ(replica.apply({ delta(4, {}) }).error().code, ErrorCode::Conflict);
-    EXPECT_EQ(replica.apply({ delta(3, { "nonsense" }) }).error().code,
-              ErrorCode::InvalidArgument);
+    EXPECT_EQ(replica.apply({ delta(3, { "nonsense" }) }).error().code, ErrorCode::InvalidArgument);
     EXPECT_EQ(replica.version(), 2U);
 }
 
@@ -107,7 +106,9 @@
 TEST(ConfigReplica, EveryServingDaemonMeetsAMajorityWithdrawal)
 {
     constexpr unsigned Members = 5;
-    const auto name = [](unsigned n) { return VmId("vm-" + std::to_string(n)); };
+    const auto name = [](unsigned n) {
+        return VmId("vm-" + std::to_string(n));
+    };
     std::set<VmId> members;
     for (unsigned n = 0; n < Members; ++n)
         members.insert(name(n));
--- a/tests/tst_rate.cpp
+++ b/tests/tst_rate.cpp
@@ -70,7 +70,8 @@
     EXPECT_EQ(home.level(at(7)), 100);
 }
 
-/// Regression: a home that nobody asked for a while made up for the refill that its cap had stopped.
+/// Regression: a home that nobody asked for a while made up for the refill that its cap had
+/// stopped.
 TEST(RateHome, QuietHomeDoesNotRefillWhileAGrantIsOut)
 {
     auto home = fullHome();
--- a/tests/tst_rules.cpp
+++ b/tests/tst_rules.cpp
@@ -61,9 +61,9 @@
                 HasSubstr("no target has enough memory for 'huge'"));
     EXPECT_THAT(faultsOf(Valid + "key 12ab organisation=shop # a\n"),
                 HasSubstr("64 lower-case hexadecimal digits"));
-    EXPECT_THAT(faultsOf(Valid
-                         + "target two address=127.0.0.1:9001 datacentre=x kind=service # a\n"),
-                HasSubstr("belongs to another target already"));
+    EXPECT_THAT(
+            faultsOf(Valid + "target two address=127.0.0.1:9001 datacentre=x kind=service # a\n"),
+            HasSubstr("belongs to another target already"));
     EXPECT_THAT(faultsOf("class x weight=1 timeout=99999999999999999999s # a\n"),
                 HasSubstr("is not a time such as"));
 }
