Let lease observations survive the time between two reads

Cause: the controller set the longest gap of an observation to the renewal interval. With renewals each second every observation began anew, since reads are a second apart too, and no role of a dead holder was ever taken over. Ruled out: the claim itself (unit tests) and the table's conditions. Change: the gap keeps its default of 3 s, three times the read interval. Before: ProcessLoads.ControllerKilledDuringALoadIsSucceeded and HolderPausedPastItsLeaseIsFenced failed (no takeover within 20 s and 40 s); after: both pass. Conclusion: the gap belongs to the reader, not to the lease.

--- a/programs/controller/main.cpp
+++ b/programs/controller/main.cpp
@@ -51,7 +51,6 @@
     it.lease.duration = settings.duration("lease-duration");
     it.lease.margin = settings.duration("lease-margin");
     it.lease.renewEvery = settings.duration("lease-renewal");
-    it.lease.observationGap = it.lease.renewEvery;
     it.config.freshnessBound = settings.duration("freshness-bound");
     it.rate.grantValidity = settings.duration("grant-validity");
     it.rate.grantLapse = settings.duration("grant-lapse");
