Tell what is resident also while the lease cannot be renewed

Cause: in an outage of the table service the placement role's lease runs out, and its holder stopped answering which targets hold a model. Entries that had not asked before refused every request. Ruled out: answering from entries' own memory, which a new entry lacks; serving decisions without a lease, which is unsafe and impossible without the table. Change: questions are answered by the last known holder; plans, commits and orders still need the lease. Before: ProcessConfig.WithdrawnKeyStopsOpenStreamsAlsoDuringAnOutage failed (a second entry got no answer 6 s into an outage); after: it passes.

--- a/programs/controller/placementservice.cpp
+++ b/programs/controller/placementservice.cpp
@@ -73,11 +73,14 @@
 asio::awaitable<void> PlacementService::refreshShards()
 {
     const auto now = BootClock::now();
+    // A shard whose lease has run out decides nothing, but still tells what is resident: targets
+    // check for themselves, and nobody else can know while the table service is out.
     for (std::size_t n = 0; n < m_rules->policy.shards; ++n) {
         const auto role = placementRole(n);
-        const auto *row = m_roles.held(role, now);
+        const auto *row = m_roles.table().find(role);
         const auto it = m_shards.find(n);
-        if (row == nullptr) {
+        const bool isOwn = row != nullptr && row->holder.incarnation == m_roles.self().incarnation;
+        if (!isOwn) {
             m_shards.erase(n);
             continue;
         }
@@ -221,7 +224,7 @@
     const auto it = m_shards.find(shardOf(model, m_rules->policy.shards));
     if (it == m_shards.end() || !it->second->isReady)
         return nullptr;
-    return m_roles.held(it->second->role, BootClock::now()) == nullptr ? nullptr : it->second;
+    return it->second;
 }
 
 WantAnswer PlacementService::makeAnswer(const Shard &shard, const ReplicaKey &key,
