Tell a slow sender why its request was refused

Cause: the stream's own timeout closes the socket, so that the error response could not be sent. Ruled out: a longer timeout, which only moves the fault. Change: a timer of its own cancels the read and leaves the socket open. Before: ProcessPath.BadInputIsRefusedWithPlaceAndCause got an empty reply; after: deadline_exceeded with the cause.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -30,6 +31,13 @@
 
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
 
+/// Shared by the read of a request and the timer that bounds it.
+struct ReadWatch
+{
+    bool hasEnded = false;
+    bool isLate = false;
+};
+
 HttpRequest toRequest(http::request<http::string_body> &&message)
 {
     HttpRequest request;
@@ -153,8 +161,22 @@
         m_buffer.commit(n);
     }
     m_isIdle = false;
-    m_stream.expires_after(m_limits.transferTimeout);
-    const auto [ec, n] = co_await http::async_read(m_stream, m_buffer, parser, Await);
+    // The stream's own timeout would close the socket, and the caller would not hear why.
+    m_stream.expires_never();
+    asio::steady_timer timer(m_stream.get_executor());
+    timer.expires_after(m_limits.transferTimeout);
+    auto watch = std::make_shared<ReadWatch>();
+    timer.async_wait([self = shared_from_this(), watch](beast::error_code waited) {
+        if (waited || watch->hasEnded)
+            return;
+        watch->isLate = true;
+        self->m_stream.cancel();
+    });
+    auto [ec, n] = co_await http::async_read(m_stream, m_buffer, parser, Await);
+    watch->hasEnded = true;
+    timer.cancel();
+    if (watch->isLate)
+        ec = beast::error::timeout;
     if (ec) {
         co_await reject(ec);
         co_return false;
