--- a/tests/rateworld.cpp
+++ b/tests/rateworld.cpp
@@ -129,7 +129,10 @@
     void arrive()
     {
         constexpr double MeanUsed = 300;
-        const auto perStep = m_scenario.load * static_cast<double>(m_scenario.limit.rate)
+        constexpr int BurstPeriod = 8;
+        const auto second = static_cast<int>(toSeconds(m_now.time_since_epoch()));
+        const double shape = !m_scenario.bursts ? 1 : second % BurstPeriod == 0 ? BurstPeriod : 0;
+        const auto perStep = shape * m_scenario.load * static_cast<double>(m_scenario.limit.rate)
                 * toSeconds(Step) / MeanUsed;
         const auto count = std::poisson_distribution<int>(perStep)(m_random);
         for (int n = 0; n < count; ++n) {
@@ -143,7 +146,9 @@
                     : static_cast<std::size_t>(uniform() * static_cast<double>(m_scenario.daemons));
             const auto prompt = 100 + static_cast<Tokens>(100 * uniform());
             it.reserved = prompt + 300;
-            it.used = prompt + static_cast<Tokens>(300 * uniform());
+            it.used = uniform() < m_scenario.fullUse
+                    ? it.reserved
+                    : prompt + static_cast<Tokens>(300 * uniform());
             it.runs = std::chrono::milliseconds(200 + static_cast<int>(4000 * uniform()));
             serve(it);
         }
--- a/tests/rateworld.h
+++ b/tests/rateworld.h
@@ -55,6 +55,10 @@
     double skew = 0.125;
     /// Whether that daemon changes every ten seconds.
     bool moves = false;
+    /// Whether the load comes in bursts of one second in eight.
+    bool bursts = false;
+    /// Share of the requests that use all they reserve; the others use between none and all.
+    double fullUse = 0;
     RateFaults faults;
     std::uint64_t seed = 1;
 };
--- a/tests/tst_placement.cpp
+++ b/tests/tst_placement.cpp
@@ -208,6 +208,37 @@
     EXPECT_TRUE(commitAll(it, 0).empty());
 }
 
+TEST(Placement, LeavingTargetFinishesWhatRuns)
+{
+    auto it = planner();
+    want(it, Model, 0);
+    const auto intent = commitAll(it, 0).front().ledger.at(Model).intent;
+    auto busy = report(2, { resident(Model, intent) });
+    busy.isLeaving = true;
+    busy.replicas[0].running = 1;
+    it.noteReport(Target, busy, at(1));
+    EXPECT_TRUE(commitAll(it, 1).empty());
+    busy.replicas[0].running = 0;
+    ++busy.sequence;
+    it.noteReport(Target, busy, at(2));
+    EXPECT_EQ(commitAll(it, 2).size(), 1U);
+}
+
+TEST(Placement, ReplicasOfOtherShardsHoldTheirMemory)
+{
+    std::size_t shards = 2;
+    while (shardOf(ModelId("n"), shards) == shardOf(Model.model, shards))
+        ++shards;
+    const auto shard = shardOf(ModelId("n"), shards);
+    LoadPlanner it("p", 1, { .shard = shard, .shards = shards }, at(0));
+    it.noteRules(rules());
+    it.noteLedger(Target, {}, 0);
+    it.noteReport(Target, report(1, { resident(Model, IntentId("x")) }), at(0));
+    want(it, { ModelId("n"), AdapterId() }, 0);
+    EXPECT_TRUE(commitAll(it, 0).empty());
+    EXPECT_TRUE(it.orders(at(0)).empty());
+}
+
 TEST(Placement, ConflictStopsDecisionsUntilTheRowsAreRead)
 {
     auto it = planner();
--- a/tests/tst_rate.cpp
+++ b/tests/tst_rate.cpp
@@ -189,6 +189,8 @@
         scenario.skew = seed % 2 == 0 ? 0.125 : 0.8;
         scenario.moves = seed % 3 == 0;
         scenario.daemons = seed % 4 == 0 ? 2 : 8;
+        scenario.bursts = seed % 5 != 0;
+        scenario.fullUse = seed % 2 == 0 ? 0.9 : 0.5;
         const auto outcome = runRateWorld(HomeGrants {}, scenario);
         EXPECT_EQ(outcome.overAdmitted, 0) << "seed " << seed;
         EXPECT_GT(outcome.admitted, 0U) << "seed " << seed;
