Add the experiment tool with baselines in the same run

Cause: no figures spoke for the policies. bluebell-experiment runs rates, placement and queues with virtual time against their baselines. Ruled out: measuring on processes, where the machine's noise hides the policy.

--- /dev/null
+++ b/bench/experiment.cpp
@@ -0,0 +1,247 @@
+#include "queue/requestqueue.h"
+#include "tests/placementworld.h"
+#include "tests/rateworld.h"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <deque>
+#include <random>
+#include <string>
+
+/// \file
+/// Runs policies and their baselines on the same generated load, with virtual time.
+///
+/// usage: bluebell-experiment rate|placement|queue [FIRST_SEED [SEEDS]]
+
+namespace {
+
+using namespace bluebell;
+using namespace bluebell::tests;
+
+struct Seeds
+{
+    std::uint64_t first = 1;
+    std::uint64_t count = 10;
+};
+
+double quantile(std::vector<double> values, double q)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    const auto index = static_cast<std::size_t>(q * static_cast<double>(values.size() - 1));
+    return values[index];
+}
+
+// Rates
+
+void runRate(std::string_view name, const RateMechanism &mechanism, RateScenario scenario,
+             const Seeds &seeds)
+{
+    RateOutcome sum;
+    for (std::uint64_t n = 0; n < seeds.count; ++n) {
+        scenario.seed = seeds.first + n;
+        const auto it = runRateWorld(mechanism, scenario);
+        sum.offered += it.offered;
+        sum.admitted += it.admitted;
+        sum.wrongfullyRefused += it.wrongfullyRefused;
+        sum.messages += it.messages;
+        sum.overAdmitted = std::max(sum.overAdmitted, it.overAdmitted);
+    }
+    fmt::print("  {:<26} offered {:>7} admitted {:>7} wrongly refused {:>6} ({:>5.2f}%) "
+               "over-admitted {:>6} messages {:>7}\n",
+               name, sum.offered, sum.admitted, sum.wrongfullyRefused,
+               100.0 * static_cast<double>(sum.wrongfullyRefused) / static_cast<double>(sum.offered),
+               sum.overAdmitted, sum.messages);
+}
+
+void runRates(const Seeds &seeds)
+{
+    HomeGrants pausing;
+    pausing.home.displacesCredit = false;
+    const auto all = [&](const RateScenario &scenario) {
+        runRate("home grants", HomeGrants {}, scenario, seeds);
+        runRate("home, refill pauses at cap", pausing, scenario, seeds);
+        runRate("even split", EvenSplit {}, scenario, seeds);
+        runRate("local counting, gossip 1 s", LocalCount {}, scenario, seeds);
+    };
+    RateScenario scenario;
+    scenario.load = 0.9;
+    fmt::print("even traffic, 0.9 of the rate\n");
+    all(scenario);
+    scenario.skew = 0.8;
+    fmt::print("four fifths at one daemon, 0.9 of the rate\n");
+    all(scenario);
+    scenario.moves = true;
+    fmt::print("four fifths at one daemon that changes every 10 s, 0.9 of the rate\n");
+    all(scenario);
+    scenario.load = 4;
+    fmt::print("the same at 4 times the rate\n");
+    all(scenario);
+    scenario.load = 0.9;
+    scenario.faults = { true, true, true, true, true, true, false };
+    fmt::print("the same at 0.9 with all faults (home grants only)\n");
+    runRate("home grants", HomeGrants {}, scenario, seeds);
+}
+
+// Placement
+
+void printPlacement(std::string_view name, const std::vector<PlacementOutcome> &outcomes)
+{
+    std::vector<double> cold;
+    PlacementOutcome sum;
+    for (const auto &it : outcomes) {
+        for (const auto &wait : it.coldStarts)
+            cold.push_back(toSeconds(wait));
+        sum.requests += it.requests;
+        sum.served += it.served;
+        sum.loads += it.loads;
+        sum.overcommitted += it.overcommitted;
+        sum.tooManyReplicas += it.tooManyReplicas;
+        sum.idleSeconds += it.idleSeconds;
+    }
+    fmt::print("  {:<24} served {:>5} of {:>5}, loads {:>5}, cold p50 {:>5.1f} s p95 {:>5.1f} s "
+               "p99 {:>5.1f} s, idle {:>7.0f} replica-s, overcommitted {:>5}, too many {:>5}\n",
+               name, sum.served, sum.requests, sum.loads, quantile(cold, 0.5), quantile(cold, 0.95),
+               quantile(cold, 0.99), sum.idleSeconds, sum.overcommitted, sum.tooManyReplicas);
+}
+
+void runPlacements(const Seeds &seeds)
+{
+    for (const double rate : { 0.5, 1.0, 2.0 }) {
+        PlacementScenario scenario;
+        scenario.targets = 9;
+        scenario.models = 50;
+        scenario.requests = rate;
+        scenario.length = std::chrono::seconds(300);
+        std::vector<PlacementOutcome> planned;
+        std::vector<PlacementOutcome> leastLoaded;
+        std::vector<PlacementOutcome> uncoordinated;
+        for (std::uint64_t n = 0; n < seeds.count; ++n) {
+            scenario.seed = seeds.first + n;
+            scenario.placement = PlacementKind::TierAware;
+            planned.push_back(runPlacementWorld(scenario));
+            uncoordinated.push_back(runUncoordinatedLoads(scenario));
+            scenario.placement = PlacementKind::LeastLoaded;
+            leastLoaded.push_back(runPlacementWorld(scenario));
+        }
+        fmt::print("9 targets, 50 models, {} requests/s in bursts, load 2 s\n", rate);
+        printPlacement("planned, tier-aware", planned);
+        printPlacement("planned, least loaded", leastLoaded);
+        printPlacement("each daemon for itself", uncoordinated);
+    }
+}
+
+// Queue
+
+struct QueueLoad
+{
+    /// Requests a second of each small organisation; capacity is 10 a second in all.
+    double small = 1.5;
+    double large = 3;
+    double largeFactor = 1;
+};
+
+struct QueueOutcome
+{
+    std::vector<double> worstWaits;
+    std::uint64_t worstRefused = 0;
+    std::uint64_t worstOffered = 0;
+};
+
+/// One target with ten places a second; five organisations, the first is large.
+QueueOutcome runQueue(QueueKind kind, const QueueLoad &load, std::uint64_t seed)
+{
+    constexpr int Organisations = 5;
+    constexpr auto Step = std::chrono::milliseconds(100);
+    constexpr auto Length = std::chrono::seconds(300);
+    constexpr auto Timeout = std::chrono::seconds(10);
+    RequestQueue queue(makeQueueOrder(kind), QueueLimits {});
+    std::mt19937_64 random(seed);
+    std::vector<std::vector<double>> waits(Organisations);
+    std::vector<std::uint64_t> refused(Organisations);
+    std::vector<std::uint64_t> offered(Organisations);
+    TicketId ticket = 0;
+    const TimePoint begin(std::chrono::seconds(1000));
+    const auto indexOf = [](const Waiting &it) {
+        return static_cast<std::size_t>(std::stoi(it.organisation.value()));
+    };
+    for (auto now = begin; now < begin + Length; now += Step) {
+        for (std::size_t n = 0; n < Organisations; ++n) {
+            const auto rate = n == 0 ? load.large * load.largeFactor : load.small;
+            const auto count = std::poisson_distribution<int>(rate * 0.1)(random);
+            for (int k = 0; k < count; ++k) {
+                ++offered[n];
+                const auto pushed = queue.push({ ++ticket, OrganisationId(std::to_string(n)), 1, 100,
+                                                 100, now, now + Timeout },
+                                               now);
+                refused[n] += pushed ? 0 : 1;
+            }
+        }
+        for (const auto &it : queue.expire(now))
+            ++refused[indexOf(it)];
+        if (const auto next = queue.pop(now)) {
+            waits[indexOf(*next)].push_back(toSeconds(now - next->arrival));
+            queue.noteServed(next->tokens, now);
+        }
+    }
+    QueueOutcome outcome;
+    double worst = -1;
+    for (std::size_t n = 1; n < Organisations; ++n) {
+        const auto p99 = quantile(waits[n], 0.99);
+        if (p99 <= worst)
+            continue;
+        worst = p99;
+        outcome = { waits[n], refused[n], offered[n] };
+    }
+    return outcome;
+}
+
+void runQueues(const Seeds &seeds)
+{
+    const auto run = [&](std::string_view name, QueueKind kind, double factor) {
+        std::vector<double> p99;
+        std::uint64_t refused = 0;
+        std::uint64_t offered = 0;
+        for (std::uint64_t n = 0; n < seeds.count; ++n) {
+            const auto it = runQueue(kind, { 1.5, 3, factor }, seeds.first + n);
+            p99.push_back(quantile(it.worstWaits, 0.99));
+            refused += it.worstRefused;
+            offered += it.worstOffered;
+        }
+        fmt::print("  {:<28} worst small organisation: p99 wait {:>5.2f} s (median of seeds), "
+                   "refused {:>5} of {:>6}\n",
+                   name, quantile(p99, 0.5), refused, offered);
+    };
+    fmt::print("five organisations, nine tenths of the capacity\n");
+    run("fair", QueueKind::Fair, 1);
+    run("first come", QueueKind::FirstCome, 1);
+    fmt::print("the large one at ten times its rate\n");
+    run("fair", QueueKind::Fair, 10);
+    run("first come", QueueKind::FirstCome, 10);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::string_view what = argc > 1 ? argv[1] : "";
+    Seeds seeds;
+    if (argc > 2)
+        seeds.first = std::strtoull(argv[2], nullptr, 10);
+    if (argc > 3)
+        seeds.count = std::strtoull(argv[3], nullptr, 10);
+    if (what == "rate")
+        runRates(seeds);
+    else if (what == "placement")
+        runPlacements(seeds);
+    else if (what == "queue")
+        runQueues(seeds);
+    else {
+        fmt::print(stderr, "usage: bluebell-experiment rate|placement|queue [FIRST_SEED [SEEDS]]\n");
+        return 2;
+    }
+    return 0;
+}
