Report tokens as used while a request runs

Cause: a reservation stayed refundable as a whole until its request ended, so refill displaced tokens that were given back later and were then lost. Ruled out: crediting late refunds in full, which breaks the bound (the test RefundAfterRefillDoesNotBreakTheBound fails with it). Change: holders report the prompt at once and the answer as it streams.

--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -53,7 +53,8 @@
     fmt::print("  {:<26} offered {:>7} admitted {:>7} wrongly refused {:>6} ({:>5.2f}%) "
                "over-admitted {:>6} messages {:>7}\n",
                name, sum.offered, sum.admitted, sum.wrongfullyRefused,
-               100.0 * static_cast<double>(sum.wrongfullyRefused) / static_cast<double>(sum.offered),
+               100.0 * static_cast<double>(sum.wrongfullyRefused)
+                       / static_cast<double>(sum.offered),
                sum.overAdmitted, sum.messages);
 }
 
@@ -174,8 +175,8 @@
             const auto count = std::poisson_distribution<int>(rate * 0.1)(random);
             for (int k = 0; k < count; ++k) {
                 ++offered[n];
-                const auto pushed = queue.push({ ++ticket, OrganisationId(std::to_string(n)), 1, 100,
-                                                 100, now, now + Timeout },
+                const auto pushed = queue.push({ ++ticket, OrganisationId(std::to_string(n)), 1,
+                                                 100, 100, now, now + Timeout },
                                                now);
                 refused[n] += pushed ? 0 : 1;
             }
@@ -240,7 +241,8 @@
     else if (what == "queue")
         runQueues(seeds);
     else {
-        fmt::print(stderr, "usage: bluebell-experiment rate|placement|queue [FIRST_SEED [SEEDS]]\n");
+        fmt::print(stderr,
+                   "usage: bluebell-experiment rate|placement|queue [FIRST_SEED [SEEDS]]\n");
         return 2;
     }
     return 0;
--- a/programs/entry/chathandler.cpp
+++ b/programs/entry/chathandler.cpp
@@ -13,6 +13,8 @@
 namespace bluebell::entry {
 namespace {
 
+/// Tokens between two notes of progress to the rate's home.
+constexpr Tokens TokensPerProgress = 16;
 constexpr Duration StalePause = std::chrono::milliseconds(50);
 constexpr Duration StartTimeout = std::chrono::seconds(5);
 /// An answer that has begun may go on this much longer than the deadline of its start.
@@ -206,6 +208,9 @@
     else
         m_metrics.observe("bluebell_token_gap_seconds", labels, now - it.lastToken);
     it.lastToken = now;
+    const auto delivered = static_cast<Tokens>(it.assembler.offset());
+    if (delivered % TokensPerProgress == 1)
+        m_gate.progress(it.context, it.context.chat->promptTokens + delivered);
     it.text += token.text;
     if (!it.context.chat->streams)
         co_return;
--- a/programs/entry/rategate.cpp
+++ b/programs/entry/rategate.cpp
@@ -128,6 +128,14 @@
     co_return Attempt {};
 }
 
+void RateGate::progress(const RequestContext &context, Tokens used)
+{
+    if (!context.reservation)
+        return;
+    const SourceKey key { context.organisation, context.reservation->source };
+    source(key).holder.progress(context.reservation->id, used);
+}
+
 void RateGate::settle(RequestContext &context, Tokens used)
 {
     if (!context.reservation)
--- a/programs/entry/rategate.h
+++ b/programs/entry/rategate.h
@@ -30,6 +30,9 @@
     /// \returns RateLimited with the time after which a retry can succeed, or Unavailable
     boost::asio::awaitable<Result<void>> admit(RequestContext &context);
 
+    /// Notes that a request has used `used` tokens so far, so that they are refilled in time.
+    void progress(const RequestContext &context, Tokens used);
+
     /// Settles the reservation of a request, if it has one, with the tokens really used.
     void settle(RequestContext &context, Tokens used);
 
--- a/src/rate/grantholder.cpp
+++ b/src/rate/grantholder.cpp
@@ -25,7 +25,7 @@
             m_windowTokens = 0;
         }
         m_windowTokens += tokens;
-        m_reservations.emplace(m_nextReservation, Reservation { id, tokens });
+        m_reservations.emplace(m_nextReservation, Reservation { id, tokens, 0 });
         return m_nextReservation++;
     }
     return std::nullopt;
@@ -64,15 +64,28 @@
     m_grants.erase(id);
 }
 
+void GrantHolder::progress(ReservationId reservation, Tokens used)
+{
+    const auto it = m_reservations.find(reservation);
+    if (it == m_reservations.end())
+        return;
+    const auto total = std::clamp(used, it->second.consumed, it->second.tokens);
+    const auto grant = m_grants.find(it->second.grant);
+    if (grant != m_grants.end() && total > it->second.consumed) {
+        grant->second.report.consumed += total - it->second.consumed;
+        grant->second.isChanged = true;
+    }
+    it->second.consumed = total;
+}
+
 void GrantHolder::settle(ReservationId reservation, Tokens used)
 {
+    progress(reservation, used);
     const auto it = m_reservations.find(reservation);
     if (it == m_reservations.end())
         return;
-    const auto consumed = std::clamp<Tokens>(used, 0, it->second.tokens);
     if (const auto grant = m_grants.find(it->second.grant); grant != m_grants.end()) {
-        grant->second.report.consumed += consumed;
-        grant->second.report.refunded += it->second.tokens - consumed;
+        grant->second.report.refunded += it->second.tokens - it->second.consumed;
         grant->second.isChanged = true;
     }
     m_reservations.erase(it);
--- a/src/rate/grantholder.h
+++ b/src/rate/grantholder.h
@@ -39,6 +39,9 @@
     void answered(const Granted &granted);
     void refused(const GrantId &id);
 
+    /// Notes that a reservation has used `used` tokens so far, which it cannot give back any more.
+    void progress(ReservationId reservation, Tokens used);
+
     /// Settles a reservation with the tokens that were really used.
     void settle(ReservationId reservation, Tokens used);
 
@@ -69,6 +72,8 @@
     {
         GrantId grant;
         Tokens tokens = 0;
+        /// Tokens already reported as consumed.
+        Tokens consumed = 0;
     };
 
     [[nodiscard]] Tokens wanted(TimePoint now);
--- a/tests/rateworld.cpp
+++ b/tests/rateworld.cpp
@@ -51,6 +51,7 @@
 struct Request
 {
     std::size_t daemon = 0;
+    Tokens prompt = 0;
     Tokens reserved = 0;
     Tokens used = 0;
     Duration runs {};
@@ -145,6 +146,7 @@
                     ? favourite
                     : static_cast<std::size_t>(uniform() * static_cast<double>(m_scenario.daemons));
             const auto prompt = 100 + static_cast<Tokens>(100 * uniform());
+            it.prompt = prompt;
             it.reserved = prompt + 300;
             it.used = uniform() < m_scenario.fullUse
                     ? it.reserved
@@ -194,6 +196,7 @@
             return false;
         admit(it);
         auto *holder = m_holders[it.daemon].get();
+        m_running.push_back({ holder, *reservation, it, m_now });
         later(it.runs, [this, holder, reservation, it] {
             for (const auto &alive : m_holders)
                 if (alive.get() == holder)
@@ -257,8 +260,26 @@
         });
     }
 
+    /// Tells holders how far the running requests are: the prompt at once, the answer evenly.
+    void noteProgress()
+    {
+        std::erase_if(m_running, [this](const Running &it) {
+            return m_now - it.startedAt >= it.request.runs;
+        });
+        for (const auto &it : m_running) {
+            const auto answer = static_cast<double>(it.request.used - it.request.prompt);
+            const auto share = toSeconds(m_now - it.startedAt) / toSeconds(it.request.runs);
+            for (const auto &alive : m_holders)
+                if (alive.get() == it.holder)
+                    alive->progress(it.reservation,
+                                    it.request.prompt + static_cast<Tokens>(answer * share));
+        }
+    }
+
     void report()
     {
+        if (m_scenario.reportsProgress)
+            noteProgress();
         for (const auto &holder : m_holders) {
             const auto reports = holder->takeReports(m_now);
             if (reports.empty())
@@ -334,6 +355,14 @@
     TimePoint m_homePausedUntil;
     std::unique_ptr<RateHome> m_home;
     std::vector<std::unique_ptr<GrantHolder>> m_holders;
+    struct Running
+    {
+        GrantHolder *holder = nullptr;
+        ReservationId reservation = 0;
+        Request request;
+        TimePoint startedAt;
+    };
+    std::vector<Running> m_running;
     std::vector<Bucket> m_split;
     std::vector<Bucket> m_local;
     std::vector<Tokens> m_unsent;
--- a/tests/rateworld.h
+++ b/tests/rateworld.h
@@ -59,6 +59,8 @@
     bool bursts = false;
     /// Share of the requests that use all they reserve; the others use between none and all.
     double fullUse = 0;
+    /// Whether holders report tokens as used while a request runs.
+    bool reportsProgress = true;
     RateFaults faults;
     std::uint64_t seed = 1;
 };
--- a/tests/tst_rate.cpp
+++ b/tests/tst_rate.cpp
@@ -149,6 +149,21 @@
     EXPECT_EQ(holder.takeReports(at(2)).size(), 1U);
 }
 
+TEST(GrantHolder, ProgressIsReportedAsConsumedAndNeverGivenBack)
+{
+    GrantHolder holder("h");
+    const auto asked = holder.question(100, at(0));
+    holder.answered({ asked.id, 100, seconds(3) });
+    const auto reservation = holder.admit(100, at(1));
+    holder.progress(*reservation, 40);
+    holder.progress(*reservation, 30);
+    EXPECT_EQ(holder.takeReports(at(1)).at(0).consumed, 40);
+    holder.settle(*reservation, 60);
+    const auto report = holder.takeReports(at(1)).at(0);
+    EXPECT_EQ(report.consumed, 60);
+    EXPECT_EQ(report.refunded, 40);
+}
+
 TEST(RateShares, AddUpToTheWholeRate)
 {
     RuleSet rules;
