Hand out spare tokens only while the level is high

Cause: a grant took half of the level above what was asked for; at a low level the other daemons were refused while one held tokens it did not need. Handing out no surplus at all was not run.

--- a/src/rate/ratehome.cpp
+++ b/src/rate/ratehome.cpp
@@ -42,7 +42,9 @@
         return RateRefused { waitFor(question.least) };
     const auto wanted = std::max(question.least, question.wanted);
     const auto extra = std::min(wanted, m_level) - question.least;
-    const auto amount = question.least + extra / 2;
+    // More than was asked for is handed out only while the level is high, where nobody misses it.
+    const bool isPlenty = m_level > m_limit.burst / 2;
+    const auto amount = question.least + (isPlenty ? extra / 2 : 0);
     m_level -= amount;
     const Granted granted { question.id, amount, m_settings.grantValidity };
     Grant grant { granted, { question.id, 0, 0, 0, false }, amount, 0, 0, now };
