Start a rate home blind when its lease was lost and regained

Cause: RateHomes made a home anew from its role row whenever it had dropped it. After an outage longer than the lease the row is the same: the first holder of all began again with a full bucket, and a successor at the level that was handed over, although its own grants were out. Ruled out: the decision RateHome, which has a blind start for this; the row, whose epoch rightly did not change. Change: the row's word counts for the first start under an epoch; later ones are blind. RateHomes asks a function for held roles, so that a test can play them.

--- a/programs/controller/daemon.cpp
+++ b/programs/controller/daemon.cpp
@@ -35,7 +35,8 @@
     const Member self { m_settings.vm, IncarnationId(randomHex(IdBytes)), address };
     m_roles.emplace(platform, self, m_settings.lease, [this] { return wantedRoles(); });
     m_config.emplace(platform, *m_roles, m_peers, m_settings.seeds, m_settings.config);
-    m_rates.emplace(*m_roles, m_settings.rate);
+    m_rates.emplace([this](const RoleId &role, TimePoint now) { return m_roles->held(role, now); },
+                    m_settings.rate);
     m_placement.emplace(m_context.get_executor(), platform, *m_roles, m_settings.placement);
     asio::co_spawn(m_context, m_roles->run(), asio::detached);
     asio::co_spawn(m_context, m_config->run(), asio::detached);
--- a/programs/controller/ratehomes.cpp
+++ b/programs/controller/ratehomes.cpp
@@ -35,10 +35,26 @@
     return shareOf(*m_rules, organisation, source);
 }
 
+RateHome RateHomes::start(const RoleRow &row, RateLimit limit, TimePoint now)
+{
+    const auto started = m_started.find(row.role);
+    const bool isAgain = started != m_started.end() && started->second == row.epoch;
+    m_started[row.role] = row.epoch;
+    // What the row says of grants held when the epoch began; it is void once they were made here.
+    if (isAgain)
+        return { limit, m_settings, now };
+    // The first holder of all has no predecessor whose grants could be out.
+    if (row.epoch == 1)
+        return { limit, m_settings, RateHandover { limit.burst, 0 }, now };
+    if (row.handover)
+        return { limit, m_settings, *row.handover, now };
+    return { limit, m_settings, now };
+}
+
 RateHomes::Home *RateHomes::find(const AcquireQuestion &question, TimePoint now)
 {
     const auto role = roleOf(question.organisation, question.source);
-    const auto *row = m_roles.held(role, now);
+    const auto *row = m_held(role, now);
     const auto limit = limitOf(question.organisation, question.source);
     if (row == nullptr || !limit || m_closed.contains(role)) {
         m_homes.erase(role);
@@ -46,12 +62,7 @@
     }
     if (const auto it = m_homes.find(role); it != m_homes.end() && it->second.epoch == row->epoch)
         return &it->second;
-    // The first holder of all has no predecessor whose grants could be out.
-    const auto known =
-            row->epoch == 1 ? std::optional(RateHandover { limit->burst, 0 }) : row->handover;
-    auto home =
-            known ? RateHome(*limit, m_settings, *known, now) : RateHome(*limit, m_settings, now);
-    Home entry { std::move(home), row->epoch, question.organisation, question.source };
+    Home entry { start(*row, *limit, now), row->epoch, question.organisation, question.source };
     return &m_homes.insert_or_assign(role, std::move(entry)).first->second;
 }
 
--- a/programs/controller/ratehomes.h
+++ b/programs/controller/ratehomes.h
@@ -1,12 +1,16 @@
 #pragma once
 
-#include "controller/rolekeeper.h"
 #include "peer/messages.h"
 #include "rate/ratehome.h"
 #include "rules/ruleset.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
 
 /// \file
 /// The homes and base shares of rates that this daemon holds.
@@ -16,8 +20,11 @@
 class RateHomes
 {
 public:
-    RateHomes(const RoleKeeper &roles, RateHome::Settings settings)
-        : m_roles(roles), m_settings(settings)
+    /// \returns the row of a role if this daemon may act in it, else null
+    using HeldRole = std::function<const RoleRow *(const RoleId &, TimePoint)>;
+
+    RateHomes(HeldRole held, RateHome::Settings settings)
+        : m_held(std::move(held)), m_settings(settings)
     {
     }
 
@@ -45,10 +52,15 @@
                                                    std::uint8_t source) const;
     [[nodiscard]] Home *find(const AcquireQuestion &question, TimePoint now);
 
-    const RoleKeeper &m_roles;
+    /// Starts a home under the epoch of `row`.
+    [[nodiscard]] RateHome start(const RoleRow &row, RateLimit limit, TimePoint now);
+
+    HeldRole m_held;
     RateHome::Settings m_settings;
     std::shared_ptr<const RuleSet> m_rules = std::make_shared<const RuleSet>();
     std::map<RoleId, Home> m_homes;
+    /// The last epoch under which a home was started here.
+    std::map<RoleId, Epoch> m_started;
     std::set<RoleId> m_closed;
 };
 
