Ask peers for contacts only when they are needed

Ruled out: dropping them, which would end service in an outage of the table. Change: they are asked for once a version was not confirmed for half the bound; while the table confirms it one peer is asked in four rounds; idle targets are polled each 2 s instead of each second.

--- a/programs/controller/configsync.cpp
+++ b/programs/controller/configsync.cpp
@@ -15,7 +15,10 @@
 constexpr Duration PollEvery = std::chrono::milliseconds(800);
 constexpr Duration PollJitter = std::chrono::milliseconds(400);
 constexpr Duration PeerTimeout = std::chrono::milliseconds(700);
+/// Peers asked in a round while the table service does not confirm the version.
 constexpr std::size_t PeersPerRound = 2;
+/// While it does, one peer is asked in so many rounds.
+constexpr std::size_t QuietRounds = 4;
 constexpr std::size_t IdBytes = 8;
 
 } // namespace
@@ -67,10 +70,14 @@
 
 asio::awaitable<void> ConfigSync::askPeers()
 {
+    const bool isQuiet = !m_replica.needsContacts(BootClock::now());
+    if (isQuiet && ++m_round % QuietRounds != 0)
+        co_return;
+    const auto most = isQuiet ? 1 : PeersPerRound;
     auto peers = peerAddresses();
     std::shuffle(peers.begin(), peers.end(), m_random);
-    if (peers.size() > PeersPerRound)
-        peers.resize(PeersPerRound);
+    if (peers.size() > most)
+        peers.resize(most);
     for (const auto &peer : peers)
         co_await askPeer(peer);
 }
@@ -82,6 +89,7 @@
     question.version = m_replica.version();
     question.withdrawnChecksum = m_replica.withdrawnChecksum();
     const auto sentAt = BootClock::now();
+    question.wantsContacts = m_replica.needsContacts(sentAt);
     auto answer =
             expectAnswer<SyncAnswer>(co_await m_peers.ask(std::move(peer), question, PeerTimeout));
     if (answer)
@@ -117,10 +125,12 @@
     const auto &withdrawn = m_replica.withdrawn();
     if (question.withdrawnChecksum != m_replica.withdrawnChecksum())
         answer.withdrawn.assign(withdrawn.begin(), withdrawn.end());
-    const auto &members = m_replica.members();
-    answer.members.assign(members.begin(), members.end());
-    for (const auto &[vm, heardAt] : m_replica.contacts())
-        answer.contacts.push_back({ vm, now - heardAt });
+    if (question.wantsContacts) {
+        const auto &members = m_replica.members();
+        answer.members.assign(members.begin(), members.end());
+        for (const auto &[vm, heardAt] : m_replica.contacts())
+            answer.contacts.push_back({ vm, now - heardAt });
+    }
     if (question.wantsDirectory) {
         answer.entries = m_roles.table().entries(now);
         for (const auto &[role, row] : m_roles.table().roles())
--- a/programs/controller/configsync.h
+++ b/programs/controller/configsync.h
@@ -47,6 +47,7 @@
     std::vector<Endpoint> m_seeds;
     ConfigReplica m_replica;
     std::mt19937_64 m_random;
+    std::size_t m_round = 0;
     bool m_isStopping = false;
 };
 
--- a/programs/controller/placementservice.cpp
+++ b/programs/controller/placementservice.cpp
@@ -20,7 +20,7 @@
 constexpr Duration Tick = std::chrono::milliseconds(20);
 /// Time between two rounds while nothing waits.
 constexpr Duration QuietWorkEvery = std::chrono::milliseconds(250);
-constexpr Duration PollEvery = std::chrono::seconds(1);
+constexpr Duration PollEvery = std::chrono::seconds(2);
 /// Poll interval of a target while an order to it is not confirmed.
 constexpr Duration BusyPollEvery = std::chrono::milliseconds(50);
 constexpr Duration ReportTimeout = std::chrono::milliseconds(800);
--- a/programs/entry/configview.cpp
+++ b/programs/entry/configview.cpp
@@ -42,6 +42,7 @@
     if (controller == m_controllers.front())
         question.entry = m_self;
     const auto sentAt = BootClock::now();
+    question.wantsContacts = m_replica.needsContacts(sentAt);
     auto answer = expectAnswer<SyncAnswer>(
             co_await m_peers.ask(std::move(controller), std::move(question), AskTimeout));
     if (!answer)
--- a/src/config/configreplica.cpp
+++ b/src/config/configreplica.cpp
@@ -151,6 +151,12 @@
     return hearsMajority(now) ? ServingState::PeersAgree : ServingState::Stale;
 }
 
+bool ConfigReplica::needsContacts(TimePoint now) const
+{
+    const auto confirmed = age(now);
+    return !confirmed || *confirmed > m_settings.freshnessBound / 2;
+}
+
 Result<OrganisationId> ConfigReplica::authenticate(const KeyDigest &digest, TimePoint now) const
 {
     if (const auto it = state(now); it == ServingState::NoConfig || it == ServingState::Stale)
--- a/src/config/configreplica.h
+++ b/src/config/configreplica.h
@@ -102,6 +102,9 @@
 
     [[nodiscard]] ServingState state(TimePoint now) const;
 
+    /// \returns whether members and their contacts are needed to go on serving
+    [[nodiscard]] bool needsContacts(TimePoint now) const;
+
     /// \returns the organisation of a key, or why the key is not accepted
     [[nodiscard]] Result<OrganisationId> authenticate(const KeyDigest &digest, TimePoint now) const;
 
--- a/src/peer/codec.cpp
+++ b/src/peer/codec.cpp
@@ -141,6 +141,7 @@
         sync.setVersion(it.version);
         sync.setWithdrawnChecksum(it.withdrawnChecksum);
         sync.setWantsDirectory(it.wantsDirectory);
+        sync.setWantsContacts(it.wantsContacts);
         if (it.entry)
             write(*it.entry, sync.initEntry());
     }
@@ -305,6 +306,7 @@
     it.version = in.getVersion();
     it.withdrawnChecksum = in.getWithdrawnChecksum();
     it.wantsDirectory = in.getWantsDirectory();
+    it.wantsContacts = in.getWantsContacts();
     if (in.hasEntry())
         it.entry = read(in.getEntry());
     return it;
--- a/src/peer/messages.h
+++ b/src/peer/messages.h
@@ -26,6 +26,9 @@
     std::uint64_t withdrawnChecksum = 0;
     /// Whether the answer should carry entries and roles.
     bool wantsDirectory = false;
+    /// Whether the answer should carry members and contacts; they are needed while the asker cannot
+    /// confirm its version otherwise.
+    bool wantsContacts = false;
     /// The asking entry, so that its controller can publish its address.
     std::optional<EntryAddress> entry;
 };
--- a/tests/tst_configreplica.cpp
+++ b/tests/tst_configreplica.cpp
@@ -87,6 +87,16 @@
     EXPECT_EQ(replica.authenticate(Key, at(60)).error().code, ErrorCode::Unavailable);
 }
 
+TEST(ConfigReplica, ContactsAreAskedForBeforeTheyAreNeeded)
+{
+    auto replica = replicaAt(2);
+    EXPECT_TRUE(replica.needsContacts(at(0)));
+    replica.noteHead(2, at(0));
+    EXPECT_FALSE(replica.needsContacts(at(2)));
+    EXPECT_TRUE(replica.needsContacts(at(3)));
+    EXPECT_EQ(replica.state(at(3)), ServingState::Fresh);
+}
+
 TEST(ConfigReplica, StoreOutageIsServedThroughOnlyWithAMajority)
 {
     auto replica = replicaAt(2);
