--- a/programs/controller/main.cpp
+++ b/programs/controller/main.cpp
@@ -1,12 +1,5 @@
 #include "controller/daemon.h"
-#include "core/log.h"
-#include "settings/settings.h"
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <fmt/core.h>
-
-#include <fstream>
+#include "settings/daemonmain.h"
 
 /// \file
 /// bluebell-controller: decides about state on every entry VM.
@@ -63,46 +56,11 @@
     return it;
 }
 
-int fail(const Error &error)
-{
-    fmt::print(stderr, "bluebell-controller: {}\n", error.message);
-    return 2;
-}
-
 } // namespace
 
 int main(int argc, char **argv)
 {
-    log::setProgram("bluebell-controller");
     Settings settings("bluebell-controller", "decides about state on an entry VM", specs());
-    const auto mode = settings.load(argc, argv);
-    if (!mode)
-        return fail(mode.error());
-    auto daemon = daemonSettings(settings);
-    if (!daemon)
-        return fail(daemon.error());
-    if (mode.value() == StartMode::Finished)
-        return 0;
-    log::setLevel(log::levelFromString(settings.text("log-level")));
-
-    boost::asio::io_context context;
-    controller::Daemon it(context, std::move(daemon.value()));
-    const auto address = it.start();
-    if (!address)
-        return fail(address.error());
-    log::info("listening", { { "address", toString(address.value()) } });
-    if (const auto &path = settings.text("write-address"); !path.empty())
-        std::ofstream(path) << toString(address.value()) << '\n';
-    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
-    std::function<void()> waitForSignal = [&] {
-        signals.async_wait([&](const auto &ec, int) {
-            if (ec)
-                return;
-            it.requestStop();
-            waitForSignal();
-        });
-    };
-    waitForSignal();
-    context.run();
-    return it.stoppedGracefully() ? 0 : 1;
+    return runDaemon<controller::Daemon>("bluebell-controller", settings, argc, argv,
+                                         daemonSettings);
 }
--- a/src/platform/table.cpp
+++ b/src/platform/table.cpp
@@ -49,6 +49,19 @@
     return body;
 }
 
+/// \returns the JSON of a response with status 200
+///
+/// \param execution stands in the error of any other status
+Result<json> successBody(const Result<HttpResponse> &response, Execution execution)
+{
+    if (!response)
+        return response.error();
+    const auto status = response.value().status;
+    if (status != 200)
+        return unexpected("status " + std::to_string(status), execution);
+    return parseBody(response.value());
+}
+
 /// Runs `read` on JSON from outside; a missing or ill-typed field becomes an error.
 template<typename T, typename Read>
 Result<T> readJson(const json &body, Read read)
@@ -97,15 +110,10 @@
     HttpCall call { m_endpoint,
                     { "GET", "/v1/table/row?key=" + urlEncoded(key), {}, {} },
                     m_timeout };
-    auto response = co_await exchange(std::move(call));
-    if (!response)
-        co_return response.error();
-    if (response.value().status == 404)
+    const auto response = co_await exchange(std::move(call));
+    if (response && response.value().status == 404)
         co_return std::optional<Row>();
-    if (response.value().status != 200)
-        co_return unexpected("status " + std::to_string(response.value().status),
-                             Execution::NotRun);
-    const auto body = parseBody(response.value());
+    const auto body = successBody(response, Execution::NotRun);
     if (!body)
         co_return body.error();
     co_return readJson<std::optional<Row>>(body.value(),
@@ -118,13 +126,8 @@
     const auto path =
             "/v1/table/range?prefix=" + urlEncoded(prefix) + "&after=" + urlEncoded(after);
     HttpCall call { m_endpoint, { "GET", path, {}, {} }, m_timeout };
-    auto response = co_await exchange(std::move(call));
-    if (!response)
-        co_return response.error();
-    if (response.value().status != 200)
-        co_return unexpected("status " + std::to_string(response.value().status),
-                             Execution::NotRun);
-    const auto body = parseBody(response.value());
+    const auto response = co_await exchange(std::move(call));
+    const auto body = successBody(response, Execution::NotRun);
     if (!body)
         co_return body.error();
     co_return readJson<std::vector<Row>>(body.value(), [](const json &it) {
@@ -138,15 +141,10 @@
 asio::awaitable<Result<CommitOutcome>> PlatformClient::commitOnce(Transaction it)
 {
     HttpCall call { m_endpoint, { "POST", "/v1/table/commit", {}, toJson(it).dump() }, m_timeout };
-    auto response = co_await exchange(std::move(call));
-    if (!response)
-        co_return response.error();
-    if (response.value().status == 409)
+    const auto response = co_await exchange(std::move(call));
+    if (response && response.value().status == 409)
         co_return CommitOutcome(Conflicted {});
-    if (response.value().status != 200)
-        co_return unexpected("status " + std::to_string(response.value().status),
-                             Execution::OutcomeUnknown);
-    const auto body = parseBody(response.value());
+    const auto body = successBody(response, Execution::OutcomeUnknown);
     if (!body)
         co_return body.error();
     co_return readJson<CommitOutcome>(body.value(), [](const json &answer) {
@@ -218,10 +216,8 @@
 asio::awaitable<Result<std::vector<ListedVm>>> PlatformClient::listVms()
 {
     HttpCall call { m_endpoint, { "GET", "/v1/vms", {}, {} }, m_timeout };
-    auto response = co_await exchange(std::move(call));
-    if (!response)
-        co_return response.error();
-    const auto body = parseBody(response.value());
+    const auto response = co_await exchange(std::move(call));
+    const auto body = successBody(response, Execution::NotRun);
     if (!body)
         co_return body.error();
     co_return readJson<std::vector<ListedVm>>(body.value(), [](const json &it) {
--- /dev/null
+++ b/src/settings/daemonmain.cpp
@@ -0,0 +1,40 @@
+#include "settings/daemonmain.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <fmt/core.h>
+
+#include <csignal>
+#include <fstream>
+
+namespace bluebell {
+
+int failToStart(std::string_view program, const Error &error)
+{
+    constexpr int WrongSettings = 2;
+    fmt::print(stderr, "{}: {}\n", program, error.message);
+    return WrongSettings;
+}
+
+void announceAddress(const Settings &settings, const Endpoint &address)
+{
+    log::info("listening", { { "address", toString(address) } });
+    if (const auto &path = settings.text("write-address"); !path.empty())
+        std::ofstream(path) << toString(address) << '\n';
+}
+
+void runUntilStopped(boost::asio::io_context &context, const std::function<void()> &requestStop)
+{
+    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+    std::function<void()> waitForSignal = [&] {
+        signals.async_wait([&](const auto &ec, int) {
+            if (ec)
+                return;
+            requestStop();
+            waitForSignal();
+        });
+    };
+    waitForSignal();
+    context.run();
+}
+
+} // namespace bluebell
--- a/tests/placementworld.cpp
+++ b/tests/placementworld.cpp
@@ -1,5 +1,7 @@
 #include "tests/placementworld.h"
 
+#include "tests/virtualtime.h"
+
 #include <algorithm>
 #include <deque>
 #include <string>
@@ -157,11 +159,11 @@
     return text;
 }
 
-class World
+class World : private VirtualTime
 {
 public:
     explicit World(const PlacementScenario &scenario)
-        : m_scenario(scenario), m_random(scenario.seed), m_now(std::chrono::seconds(1000))
+        : VirtualTime(scenario.seed), m_scenario(scenario)
     {
         m_rules =
                 std::make_shared<const RuleSet>(parseRules("w", ruleText(scenario)).value().rules);
@@ -199,22 +201,6 @@
     }
 
 private:
-    double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
-
-    void later(Duration d, std::function<void()> work)
-    {
-        m_due.emplace(m_now + d, std::move(work));
-    }
-
-    void deliverDue()
-    {
-        while (!m_due.empty() && m_due.begin()->first <= m_now) {
-            auto work = std::move(m_due.begin()->second);
-            m_due.erase(m_due.begin());
-            work();
-        }
-    }
-
     void startPlanner()
     {
         ++m_epoch;
@@ -360,7 +346,7 @@
     {
         const auto &faults = m_scenario.faults;
         const auto happens = [this](double perSecond) {
-            return uniform() < perSecond * toSeconds(Step);
+            return VirtualTime::happens(perSecond, Step);
         };
         if (faults.takeovers && happens(0.1))
             startPlanner();
@@ -437,8 +423,6 @@
     }
 
     PlacementScenario m_scenario;
-    std::mt19937_64 m_random;
-    TimePoint m_now;
     std::shared_ptr<const RuleSet> m_rules;
     std::map<TargetId, FakeTarget> m_targets;
     std::vector<std::unique_ptr<LoadPlanner>> m_planners;
@@ -450,7 +434,6 @@
     RowVersion m_version = 0;
     std::deque<Request> m_waiting;
     std::set<std::pair<std::size_t, ReplicaKey>> m_asked;
-    std::multimap<TimePoint, std::function<void()>> m_due;
     PlacementOutcome m_outcome;
 };
 
--- a/tests/rateworld.cpp
+++ b/tests/rateworld.cpp
@@ -1,5 +1,7 @@
 #include "tests/rateworld.h"
 
+#include "tests/virtualtime.h"
+
 #include <algorithm>
 
 namespace bluebell::tests {
@@ -58,12 +60,12 @@
     bool idealAdmits = false;
 };
 
-class World
+class World : private VirtualTime
 {
 public:
     World(const RateMechanism &mechanism, const RateScenario &scenario)
-        : m_mechanism(mechanism), m_scenario(scenario), m_limit(scenario.limit),
-          m_random(scenario.seed), m_ideal(scenario.limit), m_now(std::chrono::seconds(1000))
+        : VirtualTime(scenario.seed), m_mechanism(mechanism), m_scenario(scenario),
+          m_limit(scenario.limit), m_ideal(scenario.limit)
     {
         for (std::size_t n = 0; n < scenario.daemons; ++n) {
             m_holders.push_back(std::make_unique<GrantHolder>("h" + std::to_string(n)));
@@ -101,22 +103,6 @@
     }
 
 private:
-    double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
-
-    void later(Duration d, std::function<void()> work)
-    {
-        m_due.emplace(m_now + d, std::move(work));
-    }
-
-    void deliverDue()
-    {
-        while (!m_due.empty() && m_due.begin()->first <= m_now) {
-            auto work = std::move(m_due.begin()->second);
-            m_due.erase(m_due.begin());
-            work();
-        }
-    }
-
     Duration messageTime()
     {
         if (m_scenario.faults.delaysMessages && uniform() < 0.05)
@@ -323,7 +309,7 @@
     {
         const auto &faults = m_scenario.faults;
         const auto happens = [this](double perSecond) {
-            return uniform() < perSecond * toSeconds(Step);
+            return VirtualTime::happens(perSecond, Step);
         };
         if (!std::holds_alternative<HomeGrants>(m_mechanism))
             return;
@@ -349,9 +335,7 @@
     RateMechanism m_mechanism;
     RateScenario m_scenario;
     RateLimit m_limit;
-    std::mt19937_64 m_random;
     Bucket m_ideal;
-    TimePoint m_now;
     TimePoint m_homePausedUntil;
     std::unique_ptr<RateHome> m_home;
     std::vector<std::unique_ptr<GrantHolder>> m_holders;
@@ -366,7 +350,6 @@
     std::vector<Bucket> m_split;
     std::vector<Bucket> m_local;
     std::vector<Tokens> m_unsent;
-    std::multimap<TimePoint, std::function<void()>> m_due;
     std::vector<Admission> m_admissions;
     RateOutcome m_outcome;
     int m_restarts = 0;
--- /dev/null
+++ b/tests/virtualtime.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <utility>
+
+/// \file
+/// Virtual time, delayed work and seeded chance for generated histories.
+
+namespace bluebell::tests {
+
+class VirtualTime
+{
+public:
+    explicit VirtualTime(std::uint64_t seed) : m_random(seed) { }
+
+protected:
+    /// \returns a number from 0 up to 1
+    double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+
+    /// \returns whether something that happens `perSecond` times a second happens within `step`
+    bool happens(double perSecond, Duration step)
+    {
+        return uniform() < perSecond * toSeconds(step);
+    }
+
+    /// Runs `work` after `d`.
+    void later(Duration d, std::function<void()> work)
+    {
+        m_due.emplace(m_now + d, std::move(work));
+    }
+
+    void deliverDue()
+    {
+        while (!m_due.empty() && m_due.begin()->first <= m_now) {
+            auto work = std::move(m_due.begin()->second);
+            m_due.erase(m_due.begin());
+            work();
+        }
+    }
+
+    std::mt19937_64 m_random;
+    TimePoint m_now { std::chrono::seconds(1000) };
+
+private:
+    std::multimap<TimePoint, std::function<void()>> m_due;
+};
+
+} // namespace bluebell::tests
