Tell cold starts, wrongful refusals and the worst organisation in the load report

Cause: bluebell-load told only first token and gaps. It now keeps one exact bucket for each key and the first request of each model. Also: the experiment runs a large organisation.

--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -78,6 +78,11 @@
     scenario.moves = true;
     fmt::print("four fifths at one daemon that changes every 10 s, 0.9 of the rate\n");
     all(scenario);
+    auto large = scenario;
+    large.limit = { 200'000, 800'000 };
+    large.length = std::chrono::seconds(10);
+    fmt::print("a hundred times the rate and burst, over 10 s\n");
+    all(large);
     scenario.load = 4;
     fmt::print("the same at 4 times the rate\n");
     all(scenario);
--- a/programs/load/load.cpp
+++ b/programs/load/load.cpp
@@ -14,6 +14,8 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
+#include <utility>
 
 namespace asio = boost::asio;
 namespace bh = boost::histogram;
@@ -52,14 +54,65 @@
     return { quantile(durations, 0.5), quantile(durations, 0.95), quantile(durations, 0.99) };
 }
 
+/// One exact bucket, as an organisation could ask for at the best.
+class Bucket
+{
+public:
+    Bucket(double rate, double burst, TimePoint now)
+        : m_rate(rate), m_burst(burst), m_level(burst), m_at(now)
+    {
+    }
+
+    bool take(double tokens, TimePoint now)
+    {
+        advance(now);
+        const bool suffices = m_level >= tokens;
+        m_level -= suffices ? tokens : 0;
+        return suffices;
+    }
+
+private:
+    void advance(TimePoint now)
+    {
+        m_level = std::min(m_level + toSeconds(now - m_at) * m_rate, m_burst);
+        m_at = now;
+    }
+
+    double m_rate;
+    double m_burst;
+    double m_level;
+    TimePoint m_at;
+};
+
+/// What one key's organisation met.
+struct KeyProgress
+{
+    Bucket bucket;
+    Durations firstToken = makeDurations();
+    std::uint64_t refused = 0;
+};
+
 struct Progress
 {
     Report report;
     Durations firstToken = makeDurations();
     Durations tokenGap = makeDurations();
+    Durations coldStart = makeDurations();
+    std::vector<KeyProgress> keys;
+    std::set<std::string> models;
     std::uint64_t open = 0;
 };
 
+/// One request under way.
+struct Sending
+{
+    HttpCall call;
+    std::size_t key = 0;
+    bool isFirstOfModel = false;
+    /// The exact bucket would have admitted it.
+    bool isWithinRate = false;
+};
+
 HttpRequest makeRequest(const Options &options, const std::string &key, const std::string &model)
 {
     const nlohmann::json message = { { "role", "user" }, { "content", "Which one fits?" } };
@@ -82,13 +135,33 @@
     return n;
 }
 
-asio::awaitable<void> sendOne(HttpCall call, Progress &progress)
+void noteFirstToken(const Sending &sending, Duration d, Progress &progress)
+{
+    progress.firstToken(toSeconds(d));
+    progress.keys[sending.key].firstToken(toSeconds(d));
+    if (sending.isFirstOfModel)
+        progress.coldStart(toSeconds(d));
+}
+
+void noteRefusal(const Sending &sending, unsigned status, Progress &progress)
+{
+    constexpr unsigned RateLimited = 429;
+    ++progress.report.refused;
+    ++progress.keys[sending.key].refused;
+    if (status == RateLimited && sending.isWithinRate)
+        ++progress.report.wrongfullyRefused;
+}
+
+asio::awaitable<void> sendOne(Sending sending, Progress &progress)
 {
     ++progress.open;
     const auto begin = BootClock::now();
-    auto stream = co_await openStream(std::move(call));
+    auto stream = co_await openStream(std::move(sending.call));
     if (!stream || stream.value().status() != 200) {
-        ++(stream ? progress.report.refused : progress.report.broken);
+        if (stream)
+            noteRefusal(sending, stream.value().status(), progress);
+        else
+            ++progress.report.broken;
         --progress.open;
         co_return;
     }
@@ -102,7 +175,10 @@
         const auto now = BootClock::now();
         const auto tokens = countTokens(*piece.value());
         if (tokens > 0) {
-            (hasToken ? progress.tokenGap : progress.firstToken)(toSeconds(now - last));
+            if (hasToken)
+                progress.tokenGap(toSeconds(now - last));
+            else
+                noteFirstToken(sending, now - begin, progress);
             hasToken = true;
             last = now;
         }
@@ -123,12 +199,44 @@
     return fmt::format("{}{:02}", options.model, n);
 }
 
+/// Chooses key, entry and model of the next request.
+Sending nextSending(const Options &options, Progress &progress, std::mt19937_64 &random)
+{
+    const auto n = progress.report.sent++;
+    const auto model = pickModel(options, random);
+    Sending it;
+    it.key = n % options.keys.size();
+    it.isFirstOfModel = progress.models.insert(model).second;
+    it.isWithinRate = options.grantedRate > 0
+            && progress.keys[it.key].bucket.take(static_cast<double>(options.tokens),
+                                                 BootClock::now());
+    it.call = { options.entries[n % options.entries.size()],
+                makeRequest(options, options.keys[it.key], model), AnswerTimeout };
+    return it;
+}
+
+void noteWorst(Progress &progress)
+{
+    for (std::size_t n = 0; n < progress.keys.size(); ++n) {
+        const auto it = quantiles(progress.keys[n].firstToken);
+        if (n > 0 && it.p99 <= progress.report.worstFirstToken.p99)
+            continue;
+        progress.report.worstKey = n;
+        progress.report.worstFirstToken = it;
+        progress.report.worstRefused = progress.keys[n].refused;
+    }
+}
+
 } // namespace
 
 asio::awaitable<Report> run(Options options)
 {
     auto executor = co_await asio::this_coro::executor;
     Progress progress;
+    for (std::size_t n = 0; n < options.keys.size(); ++n)
+        progress.keys.push_back(
+                { Bucket(static_cast<double>(options.grantedRate),
+                         static_cast<double>(options.grantedBurst), BootClock::now()) });
     std::mt19937_64 random(options.seed);
     const auto begin = BootClock::now();
     const auto interval = std::chrono::duration_cast<Duration>(std::chrono::seconds(1))
@@ -136,18 +244,16 @@
     for (auto due = begin; due < begin + options.length; due += interval) {
         if (const auto now = BootClock::now(); now < due)
             co_await sleepFor(due - now);
-        const auto n = progress.report.sent++;
-        HttpCall call { options.entries[n % options.entries.size()],
-                        makeRequest(options, options.keys[n % options.keys.size()],
-                                    pickModel(options, random)),
-                        AnswerTimeout };
-        asio::co_spawn(executor, sendOne(std::move(call), progress), asio::detached);
+        asio::co_spawn(executor, sendOne(nextSending(options, progress, random), progress),
+                       asio::detached);
     }
     while (progress.open > 0)
         co_await sleepFor(std::chrono::milliseconds(20));
     progress.report.seconds = toSeconds(BootClock::now() - begin);
     progress.report.firstToken = quantiles(progress.firstToken);
     progress.report.tokenGap = quantiles(progress.tokenGap);
+    progress.report.coldStart = quantiles(progress.coldStart);
+    noteWorst(progress);
     co_return progress.report;
 }
 
@@ -160,7 +266,10 @@
     return fmt::format("sent {}, whole {}, refused {}, broken {}, {:.0f} tokens/s\n", report.sent,
                        report.whole, report.refused, report.broken,
                        static_cast<double>(report.tokens) / report.seconds)
-            + line("first token", report.firstToken) + line("token gap", report.tokenGap);
+            + line("first token", report.firstToken) + line("token gap", report.tokenGap)
+            + line("cold start", report.coldStart) + line("worst key", report.worstFirstToken)
+            + fmt::format("worst key is number {}, refused {}; wrongful refusals {}\n",
+                          report.worstKey + 1, report.worstRefused, report.wrongfullyRefused);
 }
 
 std::string toJson(const Report &report)
@@ -176,7 +285,12 @@
         { "tokens", report.tokens },
         { "seconds", report.seconds },
         { "first_token", json(report.firstToken) },
-        { "token_gap", json(report.tokenGap) }
+        { "token_gap", json(report.tokenGap) },
+        { "cold_start", json(report.coldStart) },
+        { "worst_key", report.worstKey + 1 },
+        { "worst_first_token", json(report.worstFirstToken) },
+        { "worst_refused", report.worstRefused },
+        { "wrongfully_refused", report.wrongfullyRefused }
     }.dump();
 }
 
--- a/programs/load/load.h
+++ b/programs/load/load.h
@@ -26,6 +26,10 @@
     std::int64_t tokens = 32;
     Duration length = std::chrono::seconds(10);
     std::uint64_t seed = 1;
+    /// The rate and burst that each key's organisation is granted, to tell wrongful refusals; 0 for
+    /// none.
+    std::int64_t grantedRate = 0;
+    std::int64_t grantedBurst = 0;
 };
 
 struct Quantiles
@@ -45,6 +49,14 @@
     double seconds = 0;
     Quantiles firstToken;
     Quantiles tokenGap;
+    /// First tokens of the first request for each model.
+    Quantiles coldStart;
+    /// Refused for the rate although one exact bucket would have admitted the request.
+    std::uint64_t wrongfullyRefused = 0;
+    /// The organisation with the longest p99 to the first token, as a number into the keys.
+    std::size_t worstKey = 0;
+    Quantiles worstFirstToken;
+    std::uint64_t worstRefused = 0;
 };
 
 /// Sends requests at fixed times, whatever becomes of the earlier ones.
--- a/programs/load/main.cpp
+++ b/programs/load/main.cpp
@@ -28,6 +28,10 @@
         { "tokens", std::int64_t { 32 }, "tokens of an answer", 1, 8192 },
         { "length", Duration(std::chrono::seconds(10)), "how long to send", second, 3600 * second },
         { "seed", std::int64_t { 1 }, "seed of the choice of models" },
+        { "granted-rate", std::int64_t { 0 },
+          "tokens a second that each key's organisation may use" },
+        { "granted-burst", std::int64_t { 0 },
+          "its burst; with these, wrongful refusals are told" },
         { "json", false, "print JSON" },
     };
 }
@@ -72,6 +76,8 @@
     options.requestsPerSecond = settings.number("rate");
     options.tokens = settings.number("tokens");
     options.length = settings.duration("length");
+    options.grantedRate = settings.number("granted-rate");
+    options.grantedBurst = settings.number("granted-burst");
     options.seed = static_cast<std::uint64_t>(settings.number("seed"));
     boost::asio::io_context context;
     load::Report report;
