--- a/tests/site.cpp
+++ b/tests/site.cpp
@@ -130,11 +130,13 @@
                     path(controllerFile), "--lease-duration", "3s", "--lease-margin", "300ms",
                     "--lease-renewal", "1s", "--log-level", "info" });
     const auto controller = readAddress(controllerFile);
+    const auto controllers = controller + (m_peers.empty() ? "" : "," + m_peers);
     m_peers += (m_peers.empty() ? "" : ",") + controller;
-    m_entryPids[n] = start("bluebell-entry",
-                           { "--vm", vm, "--listen", "127.0.0.1:0", "--platform", m_platform,
-                             "--controllers", controller, "--hold-time", "1s", "--transfer-timeout",
-                             "3s", "--write-address", path(entryFile), "--body-bytes", "65536" });
+    m_entryPids[n] =
+            start("bluebell-entry",
+                  { "--vm", vm, "--listen", "127.0.0.1:0", "--platform", m_platform,
+                    "--controllers", controllers, "--hold-time", "1s", "--transfer-timeout", "3s",
+                    "--write-address", path(entryFile), "--body-bytes", "65536" });
     (void)readAddress(entryFile);
     control("platform", R"({"live_vms":[")" + vm + R"("]})");
 }
--- a/tests/tst_process_faults.cpp
+++ b/tests/tst_process_faults.cpp
@@ -97,6 +97,42 @@
             [&] { return site.ctl({ "get" }).output.find("\nkey ") == std::string::npos; }));
 }
 
+TEST(ProcessConfig, WithdrawnKeyStopsAQueuedRequest)
+{
+    Site site({ 1, "5ms", "30s" });
+    site.applyRules();
+    CallResult queued;
+    std::thread caller([&] { queued = site.ask(1, "cartridge-40", 2, seconds(60)); });
+    std::this_thread::sleep_for(seconds(1));
+    EXPECT_EQ(site.ctl({ "key", "withdraw", site.key() }).exitCode, 0);
+    caller.join();
+    EXPECT_EQ(queued.status, 401U);
+    EXPECT_TRUE(queued.contains("key_withdrawn")) << queued.body;
+    EXPECT_TRUE(queued.contains("not_run")) << queued.body;
+}
+
+/// While a daemon cannot confirm its configuration an open stream waits; it is not cut.
+TEST(ProcessConfig, OpenStreamOutlivesACutOffAndArrivesWhole)
+{
+    Site site({ 3, "100ms" });
+    site.applyRules();
+    ASSERT_TRUE(site.ask(1, "cartridge-01", 2).contains(Done));
+    CallResult open;
+    std::thread caller([&] { open = site.ask(1, "cartridge-01", 100, seconds(60)); });
+    std::this_thread::sleep_for(seconds(1));
+    site.control("platform", R"({"outage":true})");
+    site.signalController(2, SIGSTOP);
+    site.signalController(3, SIGSTOP);
+    EXPECT_TRUE(Site::eventually([&] { return !site.isReady(1); }));
+    std::this_thread::sleep_for(seconds(1));
+    site.control("platform", R"({"outage":false})");
+    site.signalController(2, SIGCONT);
+    site.signalController(3, SIGCONT);
+    caller.join();
+    EXPECT_TRUE(open.contains(Done)) << open.body;
+    EXPECT_TRUE(open.isWhole);
+}
+
 TEST(ProcessConfig, DaemonStartedInAnOutageTakesTheConfigurationFromPeers)
 {
     Site site;
@@ -271,6 +307,22 @@
     EXPECT_EQ(nlohmann::json::parse(site.control(leaving, "{}")).at("generations"), before);
 }
 
+TEST(ProcessStops, EntryAndControllerOfOneVmStopTogether)
+{
+    Site site({ 3, "100ms" });
+    site.applyRules();
+    ASSERT_TRUE(site.ask(3, "cartridge-01", 2).contains(Done));
+    CallResult open;
+    std::thread caller([&] { open = site.ask(3, "cartridge-01", 80, seconds(60)); });
+    std::this_thread::sleep_for(seconds(1));
+    site.signalController(3, SIGTERM);
+    site.signalEntry(3, SIGTERM);
+    caller.join();
+    EXPECT_TRUE(open.contains(Done)) << open.body;
+    EXPECT_EQ(site.waitEntry(3), 0);
+    EXPECT_EQ(site.waitController(3), 0);
+}
+
 /// Every VM is replaced in turn while callers go on; they use the entries that are named to them.
 TEST(ProcessStops, RollingReplacementUnderLoadCutsAndRefusesNothing)
 {
