--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -589,14 +589,11 @@
 {
     std::set<TargetId> targets;
     for (const auto &[target, state] : m_targets) {
-        const bool isAwaited =
-                std::any_of(state.ledger.begin(), state.ledger.end(), [&](const auto &it) {
-                    const bool isSettled =
-                            it.second.action == IntentAction::Load && isResident(target, it.first);
-                    return owns(it.first) && !isSettled;
-                });
-        if (isAwaited)
-            targets.insert(target);
+        for (const auto &[key, entry] : state.ledger) {
+            const bool isSettled = entry.action == IntentAction::Load && isResident(target, key);
+            if (owns(key) && !isSettled)
+                targets.insert(target);
+        }
     }
     return targets;
 }
