Drop tokens that come back while a lowered limit is exceeded

Cause: after a limit was lowered, unspent tokens of closed grants and displaced credit went into the level although level and outstanding were still above the new burst; they were granted again, so the lowered limit held later than it could. Found by the assertion in RateHome::ask in the sanitised build (RateBound.HoldsOverEveryWindow/7, all faults; the optimised build has none). Ruled out: weakening the assertion; it states the invariant that the proof needs. Change: the level is trimmed after each report and refill, as setLimit did.

--- a/src/rate/ratehome.cpp
+++ b/src/rate/ratehome.cpp
@@ -77,6 +77,7 @@
         m_level += grant.free;
         grant.free = 0;
     }
+    trimLevel();
     const auto &known = grant.known;
     if (known.isClosed && known.admitted == known.consumed + known.refunded)
         erase(it);
@@ -86,8 +87,7 @@
 {
     advance(now);
     m_limit = limit;
-    const auto excess = std::max<Tokens>(exposure() - m_limit.burst, 0);
-    m_level -= std::min(excess, m_level);
+    trimLevel();
     auto rest = std::max<Tokens>(exposure() - m_limit.burst, 0);
     for (auto &[sequence, grant] : m_grants) {
         const auto n = std::min(rest, grant.credit);
@@ -97,6 +97,12 @@
     }
 }
 
+void RateHome::trimLevel()
+{
+    const auto excess = std::max<Tokens>(exposure() - m_limit.burst, 0);
+    m_level -= std::min(excess, m_level);
+}
+
 Tokens RateHome::level(TimePoint now)
 {
     advance(now);
@@ -160,6 +166,7 @@
     m_level += added;
     if (m_settings.displacesCredit)
         displace(gained - added);
+    trimLevel();
     if (m_level >= m_limit.burst)
         m_fraction = 0;
 }
--- a/src/rate/ratehome.h
+++ b/src/rate/ratehome.h
@@ -145,6 +145,8 @@
     void displace(Tokens amount);
     static void settleConsumed(Grant &grant, Tokens amount);
     void settleRefunded(Grant &grant, Tokens amount);
+    /// Takes from the level what is above the burst together with what is out.
+    void trimLevel();
     GrantMap::iterator erase(GrantMap::iterator it);
     [[nodiscard]] Tokens outstanding() const;
     [[nodiscard]] std::optional<Duration> waitFor(Tokens amount) const;
--- a/tests/tst_rate.cpp
+++ b/tests/tst_rate.cpp
@@ -117,6 +117,17 @@
     EXPECT_LE(home.exposure(), 200);
 }
 
+/// Regression: tokens that came back after the limit was lowered were granted again.
+TEST(RateHome, TokensReturnedAfterTheLimitWasLoweredAreNotGrantedAgain)
+{
+    auto home = fullHome();
+    (void)home.ask(question("a", 700), at(0));
+    home.setLimit({ 10, 200 }, at(0));
+    home.noteReport({ GrantId("a"), 0, 0, 0, true }, at(0));
+    EXPECT_EQ(home.level(at(0)), 200);
+    EXPECT_EQ(home.exposure(), 200);
+}
+
 TEST(RateHome, LargerThanTheBurstIsRefusedForGood)
 {
     auto home = fullHome();
