--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -144,6 +144,9 @@
 
 private:
     asio::awaitable<bool> pull(ConfigReplica &replica);
+    /// Reads a rule file and the configuration in force; Success when both are there.
+    asio::awaitable<ExitCode> readBoth(std::string path, std::optional<RuleFile> &file,
+                                       ConfigReplica &replica);
     asio::awaitable<bool> pullFromPeers(ConfigReplica &replica);
     asio::awaitable<ExitCode> publish(const RuleFile &file, const ConfigReplica &replica);
     asio::awaitable<ExitCode> awaitInForce(ConfigVersion version);
@@ -221,26 +224,34 @@
     co_return ExitCode::Success;
 }
 
-asio::awaitable<ExitCode> Tool::diff(std::string path)
+asio::awaitable<ExitCode> Tool::readBoth(std::string path, std::optional<RuleFile> &file,
+                                         ConfigReplica &replica)
 {
-    const auto file = readRules(path, m_options);
+    file = readRules(path, m_options);
     if (!file)
         co_return ExitCode::Invalid;
+    const bool isPulled = co_await pull(replica);
+    co_return isPulled ? ExitCode::Success : ExitCode::Unavailable;
+}
+
+asio::awaitable<ExitCode> Tool::diff(std::string path)
+{
+    std::optional<RuleFile> file;
     ConfigReplica replica;
-    if (!co_await pull(replica))
-        co_return ExitCode::Unavailable;
+    const auto code = co_await readBoth(std::move(path), file, replica);
+    if (code != ExitCode::Success)
+        co_return code;
     printDelta(diffLines(replica.lines(), toLineSet(file->parsed.lines)));
     co_return ExitCode::Success;
 }
 
 asio::awaitable<ExitCode> Tool::apply(std::string path)
 {
-    const auto file = readRules(path, m_options);
-    if (!file)
-        co_return ExitCode::Invalid;
+    std::optional<RuleFile> file;
     ConfigReplica replica;
-    if (!co_await pull(replica))
-        co_return ExitCode::Unavailable;
+    const auto code = co_await readBoth(std::move(path), file, replica);
+    if (code != ExitCode::Success)
+        co_return code;
     if (replica.version() != file->base) {
         printConflict(replica, file->base);
         co_return ExitCode::Conflict;
@@ -261,12 +272,12 @@
     const auto outcome = co_await publishConfig(m_platform, replica.lines(), file.base,
                                                 std::move(delta), BootClock::now() + CommitTime);
     if (!outcome) {
-        printError(fmt::format("it is {} whether change {} took effect: {}; 'bluebell-ctl diff' "
-                               "shows it once the table service answers",
-                               outcome.error().execution == Execution::NotRun
-                                       ? "certain that it did not, not in doubt,"
-                                       : "not known",
-                               change, outcome.error().message));
+        const bool isNotRun = outcome.error().execution == Execution::NotRun;
+        printError(fmt::format("change {} {}: {}", change,
+                               isNotRun ? "did not take effect"
+                                        : "may have taken effect; 'bluebell-ctl diff' shows it "
+                                          "once the table service answers",
+                               outcome.error().message));
         co_return ExitCode::Unavailable;
     }
     if (std::holds_alternative<Superseded>(outcome.value())) {
