--- /dev/null
+++ b/programs/gateway/conductor.cpp
@@ -0,0 +1,238 @@
+#include "gateway/conductor.h"
+
+#include "core/log.h"
+#include "platform/engineclient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace bluebell::gateway {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+const std::string RoleTable = "bluebell-roles";
+const std::string RoleKey = "orders";
+
+constexpr Duration LeaseTick = milliseconds(50);
+constexpr Duration StoreTimeout = milliseconds(450);
+/// The longest time between two plans.
+constexpr Duration PlanTick = milliseconds(25);
+constexpr Duration OrderTimeout = milliseconds(400);
+constexpr Duration ReportTimeout = milliseconds(300);
+
+std::string encode(const LeaderRecord &record)
+{
+    return json {
+        { "vm", record.vm.value() },
+        { "incarnation", record.incarnation.value() },
+        { "epoch", record.epoch },
+        { "turn_left_ms", toMilliseconds(record.turnLeft).count() },
+        { "released", record.isReleased }
+    }.dump();
+}
+
+std::optional<LeaderRecord> decodeRecord(const std::string &value)
+{
+    const auto object = json::parse(value, nullptr, false);
+    if (!object.is_object())
+        return std::nullopt;
+    try {
+        LeaderRecord it;
+        it.vm = VmId(object.at("vm").get<std::string>());
+        it.incarnation = IncarnationId(object.at("incarnation").get<std::string>());
+        it.epoch = object.at("epoch").get<Epoch>();
+        it.turnLeft = milliseconds(object.at("turn_left_ms").get<std::int64_t>());
+        it.isReleased = object.at("released").get<bool>();
+        return it;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::string_view nameOf(OrderOutcome outcome)
+{
+    switch (outcome) {
+    case OrderOutcome::Accepted:
+        return "accepted";
+    case OrderOutcome::Done:
+        return "done";
+    case OrderOutcome::Conflict:
+        return "conflict";
+    case OrderOutcome::Refused:
+        return "refused";
+    case OrderOutcome::NotSent:
+        return "not sent";
+    case OrderOutcome::Unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace
+
+Conductor::Conductor(asio::io_context &context, SiteState &state)
+    : m_context(context), m_state(state), m_store(state.settings.store)
+{
+}
+
+void Conductor::start()
+{
+    asio::co_spawn(m_context, keepLease(), asio::detached);
+    asio::co_spawn(m_context, planOrders(), asio::detached);
+}
+
+void Conductor::noteConfig()
+{
+    m_state.planner.setServices(m_state.index->config().services);
+}
+
+asio::awaitable<void> Conductor::keepLease()
+{
+    for (;;) {
+        switch (m_state.leadership.next(BootClock::now())) {
+        case LeadershipStep::Wait:
+            co_await sleepFor(LeaseTick);
+            break;
+        case LeadershipStep::Read:
+            co_await readRole();
+            break;
+        case LeadershipStep::Write:
+            co_await writeRole();
+            break;
+        }
+        noteHolding(m_state.leadership.isHolder(BootClock::now()));
+    }
+}
+
+asio::awaitable<void> Conductor::readRole()
+{
+    auto &leadership = m_state.leadership;
+    leadership.readSent(BootClock::now());
+    const auto rows = co_await m_store.read(RoleTable, StoreTimeout);
+    if (!rows) {
+        leadership.readFailed();
+        co_return;
+    }
+    std::optional<LeaderRecord> record;
+    RowVersion version = 0;
+    for (const auto &it : rows.value().rows) {
+        if (it.key != RoleKey)
+            continue;
+        record = decodeRecord(it.value);
+        version = it.version;
+    }
+    leadership.readSucceeded(record, version, BootClock::now());
+}
+
+asio::awaitable<void> Conductor::writeRole()
+{
+    auto &leadership = m_state.leadership;
+    const auto now = BootClock::now();
+    platform::ConditionalWrite write { RoleTable, RoleKey, encode(leadership.record(now)),
+                                       leadership.version() };
+    leadership.writeSent(now);
+    const auto outcome = co_await m_store.write(std::move(write), StoreTimeout);
+    const auto *written = outcome ? std::get_if<platform::Written>(&outcome.value()) : nullptr;
+    if (written)
+        leadership.writeSucceeded(written->version);
+    else
+        leadership.writeFailed();
+}
+
+void Conductor::noteHolding(bool isHolder)
+{
+    if (isHolder == m_wasHolder)
+        return;
+    m_wasHolder = isHolder;
+    log::info(isHolder ? "role gained" : "role lost",
+              { { "role", "orders" }, { "epoch", std::to_string(m_state.leadership.epoch()) } });
+    if (isHolder) {
+        // What another holder did meanwhile is told by the targets' reports.
+        m_state.planner = SwapPlanner();
+        if (m_state.index)
+            noteConfig();
+    }
+    m_state.announce();
+}
+
+asio::awaitable<void> Conductor::release()
+{
+    m_state.leadership.noteReleasing();
+    constexpr int MostTries = 3;
+    for (int n = 0; n < MostTries; ++n) {
+        if (m_state.leadership.next(BootClock::now()) != LeadershipStep::Write)
+            co_return;
+        co_await writeRole();
+    }
+}
+
+asio::awaitable<void> Conductor::planOrders()
+{
+    for (;;) {
+        co_await m_state.changed.wait(PlanTick);
+        const auto now = BootClock::now();
+        if (m_state.index && m_state.leadership.isHolder(now))
+            runPlan(now);
+    }
+}
+
+void Conductor::runPlan(TimePoint now)
+{
+    auto &planner = m_state.planner;
+    planner.noteTargets(m_state.registry.targets(), now);
+    planner.noteDemand(m_state.settings.vm, m_state.demand.demand(now), m_state.inFlight(), now);
+    for (const auto &it : planner.reportsDue(now))
+        asio::co_spawn(m_context, fetchReport(it), asio::detached);
+    if (!m_state.leadership.mayOrder(now))
+        return;
+    const auto orders = planner.plan(now);
+    for (const auto &it : orders)
+        asio::co_spawn(m_context, sendOrder(it), asio::detached);
+    if (!orders.empty())
+        m_state.statusDue.notify();
+}
+
+asio::awaitable<void> Conductor::sendOrder(PlacementOrder order)
+{
+    const auto *target = m_state.registry.find(order.target);
+    const auto now = BootClock::now();
+    auto outcome = OrderOutcome::NotSent;
+    if (target && m_state.leadership.mayOrder(now)) {
+        m_state.leadership.noteOrder(now);
+        outcome = co_await platform::sendOrder(*target, order, m_state.settings.vm,
+                                               m_state.leadership.epoch(), OrderTimeout);
+    }
+    log::info("order",
+              { { "target", order.target.value() },
+                { "action", order.action == IntentAction::Load ? "load" : "unload" },
+                { "replica", toString(order.key) },
+                { "sequence", std::to_string(order.expectedSequence) },
+                { "outcome", std::string(nameOf(outcome)) } });
+    m_state.planner.noteOutcome(order, outcome, BootClock::now());
+    m_state.announce();
+}
+
+asio::awaitable<void> Conductor::fetchReport(TargetId id)
+{
+    const auto *target = m_state.registry.find(id);
+    if (!target)
+        co_return;
+    const auto report = co_await platform::fetchReport(*target, ReportTimeout);
+    if (report) {
+        m_state.planner.noteReport(id, report.value().born, report.value().state, BootClock::now());
+        m_state.announce();
+    } else {
+        m_state.planner.noteReportFailed(id);
+        log::warning("report missing",
+                     { { "target", id.value() }, { "cause", report.error().message } });
+    }
+}
+
+} // namespace bluebell::gateway
--- /dev/null
+++ b/programs/gateway/daemon.cpp
@@ -0,0 +1,189 @@
+#include "gateway/daemon.h"
+
+#include "core/log.h"
+#include "platform/requests.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace bluebell::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Between two statuses while nothing has changed.
+constexpr Duration StatusEvery = milliseconds(200);
+/// Changes within this time go out together.
+constexpr Duration StatusGather = milliseconds(4);
+/// How long callers may keep an answer about addresses.
+constexpr Duration HoldTime = milliseconds(2000);
+/// Some callers keep an answer this many times as long.
+constexpr int HoldFactor = 3;
+/// Before the forced end of a stop.
+constexpr Duration StopMargin = milliseconds(400);
+constexpr Duration StopTick = milliseconds(50);
+/// Time to read a request beyond the bound on its head.
+constexpr Duration BodyTime = std::chrono::seconds(10);
+
+HttpLimits systemLimits()
+{
+    HttpLimits it;
+    it.bodyBytes = 64U << 10U;
+    return it;
+}
+
+HttpLimits callerLimits(const CallerLimits &limits)
+{
+    HttpLimits it;
+    it.headerBytes = limits.headerBytes;
+    it.bodyBytes = limits.bodyBytes;
+    it.transferTimeout = limits.headerTimeout + BodyTime;
+    it.idleTimeout = limits.idleTimeout;
+    return it;
+}
+
+} // namespace
+
+Daemon::Daemon(asio::io_context &context, GatewaySettings settings)
+    : m_context(context), m_state(context.get_executor(), std::move(settings)),
+      m_watch(context, m_state, [this] { noteConfig(); }), m_conductor(context, m_state),
+      m_relay(m_state),
+      m_link(context.get_executor(),
+             [this](DaemonStatus status) { m_state.noteStatus(status, BootClock::now()); }),
+      m_callers(context, HttpLimits(),
+                [this](const HttpRequest &request, HttpResponder &responder) {
+                    return m_relay.handle(request, responder);
+                }),
+      m_readiness(context, systemLimits(),
+                  [this](const HttpRequest &request, HttpResponder &responder) {
+                      return answerSystem(request, responder);
+                  }),
+      m_directory(context, systemLimits(),
+                  [this](const HttpRequest &request, HttpResponder &responder) {
+                      return answerSystem(request, responder);
+                  }),
+      m_control(context, systemLimits(),
+                [this](const HttpRequest &request, HttpResponder &responder) {
+                    return answerControl(request, responder);
+                })
+{
+}
+
+Result<Endpoint> Daemon::start()
+{
+    BOOST_OUTCOME_TRY(const auto callers, m_callers.listen(m_state.settings.callers));
+    BOOST_OUTCOME_TRYV(m_readiness.listen(m_state.settings.readiness));
+    BOOST_OUTCOME_TRYV(m_directory.listen(m_state.settings.directory));
+    BOOST_OUTCOME_TRYV(m_control.listen(m_state.settings.control));
+    BOOST_OUTCOME_TRYV(m_link.open(m_state.settings.peers));
+    m_watch.start();
+    m_conductor.start();
+    asio::co_spawn(m_context, sendStatuses(), asio::detached);
+    log::info("started",
+              { { "vm", m_state.settings.vm.value() },
+                { "incarnation", m_state.incarnation.value() },
+                { "callers", toString(callers) } });
+    return callers;
+}
+
+void Daemon::noteConfig()
+{
+    const auto &config = m_state.index->config();
+    m_callers.setLimits(callerLimits(config.limits));
+    const auto now = BootClock::now();
+    std::erase_if(m_state.rates, [&](const auto &it) {
+        const auto *organisation = m_state.index->findOrganisation(it.first);
+        return !organisation || !organisation->limit;
+    });
+    for (const auto &it : config.organisations)
+        if (it.limit)
+            m_state.rateOf(it, now).setLimit(*it.limit, now);
+    m_conductor.noteConfig();
+    m_relay.noteConfig();
+}
+
+asio::awaitable<void> Daemon::answerSystem(const HttpRequest &request, HttpResponder &responder)
+{
+    HttpResponse response;
+    const auto now = BootClock::now();
+    switch (platform::decodeSystemCall(request)) {
+    case platform::SystemCall::Readiness:
+        response.status = m_state.isReady() ? 200 : 503;
+        break;
+    case platform::SystemCall::Directions: {
+        const auto addresses = m_state.fleet.callerAddresses(m_state.isReady(), now);
+        response = platform::encodeDirections(addresses,
+                                              std::min(HoldTime, m_state.settings.longestHold));
+        break;
+    }
+    case platform::SystemCall::Other:
+        response = errorResponse(makeError(ErrorCode::NotFound, "no such call"), {});
+        break;
+    }
+    (void)co_await responder.send(std::move(response));
+}
+
+asio::awaitable<void> Daemon::answerControl(const HttpRequest &request, HttpResponder &responder)
+{
+    HttpResponse response;
+    if (request.path == "/peer/config" && m_state.index)
+        response.body = m_state.configText;
+    else if (request.path == "/peer/targets")
+        response.body = m_watch.entriesForPeers();
+    else if (request.path == "/metrics") {
+        response.contentType = "text/plain; version=0.0.4";
+        response.body = m_state.metrics.exposition();
+    } else
+        response = errorResponse(makeError(ErrorCode::NotFound, "no such call"), {});
+    (void)co_await responder.send(std::move(response));
+}
+
+asio::awaitable<void> Daemon::sendStatuses()
+{
+    for (;;) {
+        const auto now = BootClock::now();
+        m_link.send(m_state.fleet.peers(), m_state.status(now));
+        co_await sleepFor(StatusGather);
+        co_await m_state.statusDue.wait(StatusEvery);
+        co_await sleepFor(StatusGather);
+    }
+}
+
+void Daemon::requestStop()
+{
+    if (m_state.stopRequestedAt) {
+        log::warning("stop forced", { { "requests", std::to_string(m_relay.requestCount()) } });
+        m_context.stop();
+        return;
+    }
+    m_state.stopRequestedAt = BootClock::now();
+    log::info("stop requested", { { "requests", std::to_string(m_relay.requestCount()) } });
+    m_state.announce();
+    m_callers.announceClosing();
+    asio::co_spawn(m_context, stop(), asio::detached);
+}
+
+asio::awaitable<void> Daemon::stop()
+{
+    const auto asked = *m_state.stopRequestedAt;
+    const auto end = asked + m_state.settings.stopTime - StopMargin;
+    // Callers come back to the address as long as they may hold an answer that names it.
+    const auto acceptUntil = std::min(asked + HoldFactor * HoldTime, end - milliseconds(800));
+    while (BootClock::now() < acceptUntil)
+        co_await sleepFor(StopTick);
+    m_callers.stopAccepting();
+    while (m_callers.connectionCount() > 0 && BootClock::now() < end)
+        co_await sleepFor(StopTick);
+    co_await m_conductor.release();
+    co_await m_watch.leave();
+    m_stoppedGracefully = m_relay.requestCount() == 0;
+    log::info("stopped", { { "requests", std::to_string(m_relay.requestCount()) } });
+    m_context.stop();
+}
+
+} // namespace bluebell::gateway
--- /dev/null
+++ b/programs/gateway/relay.cpp
@@ -0,0 +1,407 @@
+#include "gateway/relay.h"
+
+#include "core/digest.h"
+#include "core/log.h"
+#include "platform/requests.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace bluebell::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration ConnectTimeout = milliseconds(200);
+/// The caller's own time left ends a little before it gives up.
+constexpr Duration AnswerMargin = milliseconds(20);
+/// Between two attempts when every usable target has refused.
+constexpr Duration PauseAfterRefusal = milliseconds(30);
+/// The longest time between two looks for a target.
+constexpr Duration LookEvery = milliseconds(250);
+/// The longest silence of a stream that may be resumed at another target.
+constexpr Duration ShortestSilence = milliseconds(800);
+/// Sends of one request, whatever becomes of them.
+constexpr std::uint32_t MostSends = 8;
+/// Time before the forced end of a stop at which the last answers are given.
+constexpr Duration StopMargin = milliseconds(600);
+constexpr unsigned StatusServerError = 500;
+
+Error notRun(ErrorCode code, std::string message, Duration retryAfter)
+{
+    return Error { code, std::move(message), Execution::NotRun, retryAfter };
+}
+
+Error mayHaveRun(ErrorCode code, std::string message)
+{
+    return Error { code, std::move(message), Execution::OutcomeUnknown, std::nullopt };
+}
+
+} // namespace
+
+Result<void> Relay::identify(RequestContext &it) const
+{
+    it.index = m_state.index;
+    if (!it.index)
+        return notRun(ErrorCode::Unavailable, "no configuration is known yet", milliseconds(300));
+    it.route = it.index->findRoute(it.caller.host, it.caller.path);
+    if (!it.route)
+        return makeError(ErrorCode::NotFound, "no route for this host and path");
+    it.priority = it.route->priority;
+    if (it.index->hasOrganisations() && !it.route->isOpen) {
+        const auto *organisation = it.index->findOrganisation(it.caller.key);
+        if (it.caller.key.empty() || !organisation)
+            return makeError(ErrorCode::Unauthenticated, "the key is not known");
+        it.organisation = organisation->name;
+        it.priority = organisation->priority.value_or(it.priority);
+    }
+    const auto *name = chooseService(*it.route, stableHash(it.caller.attempt.value()));
+    it.service = name ? it.index->findService(*name) : nullptr;
+    if (!it.service)
+        return notRun(ErrorCode::Unavailable, "the route has no service", std::chrono::seconds(1));
+    if (it.service->engine && it.caller.replica
+        && !it.service->engine->models.contains(it.caller.replica->model))
+        return makeError(ErrorCode::NotFound, "the service does not serve this model");
+    it.deadline = it.receivedAt + it.route->timeout;
+    if (it.caller.timeLeft)
+        it.deadline = std::min(it.deadline, it.receivedAt + *it.caller.timeLeft - AnswerMargin);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> Relay::reserveRate(RequestContext &it)
+{
+    if (it.organisation.isEmpty())
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    const auto *organisation = it.index->findOrganisation(it.organisation);
+    if (!organisation || !organisation->limit)
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    const auto now = BootClock::now();
+    const auto tokens =
+            organisation->countsTokens ? it.caller.tokens.value_or(organisation->plainTokens) : 1;
+    auto &rate = m_state.rateOf(*organisation, now);
+    rate.setFleet(m_state.fleet.size(), m_state.fleet.heardCount(now), now);
+    if (const auto wait = rate.admit(tokens, now))
+        return notRun(ErrorCode::RateLimited, "the organisation's rate is used up", *wait);
+    it.reserved = tokens;
+    if (rate.isScarce(now))
+        m_state.statusDue.notify();
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+TargetNeed Relay::needOf(const RequestContext &it) const
+{
+    TargetNeed need;
+    need.service = it.service->name;
+    if (it.service->engine)
+        need.key = it.caller.replica;
+    need.excluded = it.met;
+    return need;
+}
+
+asio::awaitable<Result<TargetId>> Relay::awaitTarget(RequestContext &it)
+{
+    std::optional<WaitId> wait;
+    auto result = Result<TargetId>(
+            notRun(ErrorCode::Unavailable, "no target can serve the request", milliseconds(500)));
+    for (;;) {
+        const auto now = BootClock::now();
+        if (it.cancel->isCancelled()) {
+            result = notRun(ErrorCode::KeyWithdrawn, "the caller has gone", milliseconds(0));
+            break;
+        }
+        auto need = needOf(it);
+        const auto residents =
+                need.key ? m_state.residents(now) : std::map<TargetId, std::set<ReplicaKey>>();
+        const auto &targets = m_state.registry.targets();
+        if (auto chosen = m_state.selector.choose(need, targets, residents, now)) {
+            result = std::move(*chosen);
+            break;
+        }
+        if (now >= it.deadline)
+            break;
+        if (need.key && !wait) {
+            wait = m_state.demand.startWait(it.service->name, *need.key, urgencyOf(it.priority),
+                                            now);
+            m_state.announce();
+        }
+        const auto pause = it.met.empty() ? LookEvery : PauseAfterRefusal;
+        it.met.clear();
+        co_await m_state.changed.wait(std::min<Duration>(pause, it.deadline - now));
+    }
+    if (wait)
+        m_state.demand.endWait(*wait);
+    co_return result;
+}
+
+Duration Relay::answerTimeout(const RequestContext &it, TimePoint now) const
+{
+    const auto left = std::max<Duration>(it.deadline - now, milliseconds(1));
+    if (!it.route->mayRepeat() || it.runs + 1 >= it.route->mostTargets)
+        return left;
+    const auto patience = std::max<Duration>(2 * it.route->latencyGoal, milliseconds(250));
+    return std::min(left, patience);
+}
+
+asio::awaitable<Relay::AttemptResult> Relay::attempt(RequestContext &it, TargetId id,
+                                                     HttpResponder &responder)
+{
+    const auto *target = m_state.registry.find(id);
+    if (!target)
+        co_return AttemptResult { AttemptOutcome::NotRun,
+                                  notRun(ErrorCode::Unavailable, "the target has left", {}) };
+    const auto now = BootClock::now();
+    ForwardDetails details;
+    details.target = id;
+    details.timeLeft = it.deadline - now;
+    details.organisation = it.organisation;
+    details.priority = it.priority;
+    details.lastEvent = it.events.lastId().value_or(it.caller.lastEvent);
+    HttpCall call;
+    call.endpoint = target->address;
+    call.request = platform::encodeForward(*it.http, details);
+    call.timeout = answerTimeout(it, now);
+    call.connectTimeout = ConnectTimeout;
+    call.cancel = it.cancel;
+    const auto key = it.service->engine ? it.caller.replica : std::nullopt;
+    m_state.selector.noteStarted(id, key);
+    it.lastTarget = id;
+    ++it.sends;
+    auto stream = co_await openStream(std::move(call));
+    AttemptResult result;
+    if (stream) {
+        auto relayed = relayAnswer(it, id, std::move(stream.value()), responder);
+        result = co_await std::move(relayed);
+    } else {
+        const bool isNotRun = stream.error().execution == Execution::NotRun;
+        if (!it.cancel->isCancelled())
+            m_state.selector.noteSignal(id, TargetSignal::Broken, BootClock::now());
+        it.runs += isNotRun ? 0 : 1;
+        result = { isNotRun ? AttemptOutcome::NotRun : AttemptOutcome::Failed, stream.error() };
+    }
+    m_state.selector.noteEnded(id, key);
+    co_return result;
+}
+
+asio::awaitable<Relay::AttemptResult> Relay::relayAnswer(RequestContext &it, const TargetId &target,
+                                                         HttpStream stream,
+                                                         HttpResponder &responder)
+{
+    const auto now = BootClock::now();
+    const auto head = platform::decodeAnswer(stream.head(), it.caller.attempt);
+    if (head.isNotRun) {
+        if (head.isMisdirected && it.caller.replica)
+            m_state.selector.noteAbsent(target, *it.caller.replica, now);
+        else
+            m_state.selector.noteSignal(target, TargetSignal::Full, now);
+        co_return AttemptResult { AttemptOutcome::NotRun,
+                                  notRun(ErrorCode::Overloaded, "the target refused the request",
+                                         milliseconds(200)) };
+    }
+    ++it.runs;
+    const bool isForeign = !head.isOwn || head.isEncoded || (head.isSuccess() && !head.isSigned);
+    if (isForeign) {
+        m_state.selector.noteSignal(target, TargetSignal::Broken, now);
+        co_return AttemptResult { AttemptOutcome::Failed,
+                                  mayHaveRun(ErrorCode::Unavailable,
+                                             "the answer is not the target's own") };
+    }
+    const bool isStream = it.route->kind == RequestKind::Streaming && head.isSuccess();
+    if (!isStream) {
+        auto whole = relayWhole(it, target, std::move(stream), responder);
+        co_return co_await std::move(whole);
+    }
+    if (!it.hasBegun) {
+        it.hasBegun = true;
+        const bool isSent = co_await responder.begin(platform::encodeAnswer(stream.head()));
+        if (!isSent)
+            co_return AttemptResult { AttemptOutcome::Lost, {} };
+    }
+    auto events = relayEvents(it, std::move(stream), responder);
+    auto result = co_await std::move(events);
+    if (result.outcome == AttemptOutcome::Answered)
+        m_state.selector.noteSignal(target, TargetSignal::Answered, BootClock::now());
+    else if (result.outcome == AttemptOutcome::Failed && !it.cancel->isCancelled())
+        m_state.selector.noteSignal(target, TargetSignal::Broken, BootClock::now());
+    co_return result;
+}
+
+asio::awaitable<Relay::AttemptResult> Relay::relayWhole(RequestContext &it, const TargetId &target,
+                                                        HttpStream stream, HttpResponder &responder)
+{
+    auto answer = platform::encodeAnswer(stream.head());
+    for (;;) {
+        const auto left = std::max<Duration>(it.deadline - BootClock::now(), milliseconds(1));
+        auto piece = co_await stream.read(left);
+        if (!piece) {
+            if (!it.cancel->isCancelled())
+                m_state.selector.noteSignal(target, TargetSignal::Broken, BootClock::now());
+            co_return AttemptResult { AttemptOutcome::Failed, piece.error() };
+        }
+        if (!piece.value())
+            break;
+        answer.body += *piece.value();
+    }
+    const bool isError = answer.status >= StatusServerError;
+    m_state.selector.noteSignal(target, isError ? TargetSignal::Failed : TargetSignal::Answered,
+                                BootClock::now());
+    // A whole error is worth another target only if the request may run again.
+    if (isError && !it.hasBegun && mayTryAgain(it, AttemptOutcome::Failed)) {
+        auto again = mayHaveRun(ErrorCode::Unavailable, "the target failed");
+        co_return AttemptResult { AttemptOutcome::Failed, std::move(again) };
+    }
+    if (it.hasBegun)
+        co_return AttemptResult { AttemptOutcome::Lost,
+                                  mayHaveRun(ErrorCode::Truncated, "the stream did not go on") };
+    it.hasBegun = true;
+    const bool isSent = co_await responder.send(std::move(answer));
+    co_return AttemptResult { isSent ? AttemptOutcome::Answered : AttemptOutcome::Lost, {} };
+}
+
+asio::awaitable<Relay::AttemptResult> Relay::relayEvents(RequestContext &it, HttpStream stream,
+                                                         HttpResponder &responder)
+{
+    it.events.dropRest();
+    for (;;) {
+        const auto now = BootClock::now();
+        auto timeout = std::max<Duration>(it.deadline - now, milliseconds(1));
+        if (it.route->isResumable && it.runs < it.route->mostTargets)
+            timeout = std::min(timeout, std::max(ShortestSilence, 4 * it.route->pauseGoal));
+        auto piece = co_await stream.read(timeout);
+        if (!piece)
+            co_return AttemptResult { AttemptOutcome::Failed, piece.error() };
+        if (!piece.value())
+            break;
+        auto events = it.events.add(*piece.value());
+        if (events.empty())
+            continue;
+        const bool isSent = co_await responder.write(std::move(events));
+        if (!isSent)
+            co_return AttemptResult { AttemptOutcome::Lost, {} };
+    }
+    if (it.events.hasRest())
+        co_return AttemptResult { AttemptOutcome::Failed,
+                                  mayHaveRun(ErrorCode::Truncated,
+                                             "the stream ended inside an event") };
+    const bool isEnded = co_await responder.end();
+    co_return AttemptResult { isEnded ? AttemptOutcome::Answered : AttemptOutcome::Lost, {} };
+}
+
+bool Relay::mayTryAgain(RequestContext &it, AttemptOutcome outcome)
+{
+    const auto now = BootClock::now();
+    if (it.cancel->isCancelled() || now >= it.deadline || it.sends >= MostSends)
+        return false;
+    if (outcome == AttemptOutcome::Failed) {
+        const bool isAllowed = it.route->mayRepeat() && it.runs < it.route->mostTargets;
+        if (!isAllowed)
+            return false;
+    }
+    return m_state.retryBudgetOf(it.service->name).takeRetry();
+}
+
+asio::awaitable<Result<void>> Relay::serve(RequestContext &it, HttpResponder &responder)
+{
+    m_state.retryBudgetOf(it.service->name).noteFirstAttempt();
+    if (it.service->engine && it.caller.replica)
+        m_state.demand.noteArrival(it.service->name, *it.caller.replica, it.receivedAt);
+    for (;;) {
+        auto target = co_await awaitTarget(it);
+        if (!target) {
+            auto error = target.error();
+            if (it.runs > 0)
+                error.execution = Execution::OutcomeUnknown;
+            co_return error;
+        }
+        const auto id = target.value();
+        auto result = co_await attempt(it, id, responder);
+        if (result.outcome == AttemptOutcome::Answered)
+            co_return BOOST_OUTCOME_V2_NAMESPACE::success();
+        if (result.outcome == AttemptOutcome::Lost)
+            co_return result.error;
+        it.met.insert(id);
+        if (!mayTryAgain(it, result.outcome)) {
+            if (it.runs > 0)
+                result.error.execution = Execution::OutcomeUnknown;
+            co_return result.error;
+        }
+    }
+}
+
+asio::awaitable<void> Relay::handle(const HttpRequest &request, HttpResponder &responder)
+{
+    RequestContext it;
+    it.http = &request;
+    it.receivedAt = BootClock::now();
+    it.cancel = std::make_shared<CancelSource>();
+    auto result = Result<void>(BOOST_OUTCOME_V2_NAMESPACE::success());
+    auto decoded = platform::decodeRequest(request);
+    if (decoded) {
+        it.caller = std::move(decoded.value());
+        result = identify(it);
+    } else {
+        result = decoded.error();
+    }
+    if (result)
+        result = reserveRate(it);
+    if (result) {
+        const auto id = m_nextActive++;
+        m_active.emplace(id, &it);
+        if (m_state.stopRequestedAt)
+            it.deadline = std::min(
+                    it.deadline, *m_state.stopRequestedAt + m_state.settings.stopTime - StopMargin);
+        responder.cancelWhenGone(it.cancel);
+        const auto watch = it.cancel->add([this] { m_state.changed.notify(); });
+        auto served = serve(it, responder);
+        result = co_await std::move(served);
+        it.cancel->remove(watch);
+        m_active.erase(id);
+    }
+    record(it, result);
+    if (result || it.hasBegun)
+        co_return;
+    if (it.isKeyWithdrawn && it.runs == 0)
+        result = makeError(ErrorCode::Unauthenticated, "the key was withdrawn");
+    const bool isSent =
+            co_await responder.send(platform::encodeError(result.error(), it.caller.attempt));
+    if (!isSent)
+        log::info("refusal not delivered", { { "request", it.caller.attempt.value() } });
+}
+
+void Relay::noteConfig()
+{
+    for (auto &[id, it] : m_active) {
+        if (it->organisation.isEmpty() || it->runs > 0 || it->sends > 0)
+            continue;
+        const auto *organisation = m_state.index->findOrganisation(it->caller.key);
+        if (organisation && organisation->name == it->organisation)
+            continue;
+        it->isKeyWithdrawn = true;
+        it->cancel->cancel();
+    }
+}
+
+void Relay::record(const RequestContext &it, const Result<void> &result)
+{
+    const auto outcome =
+            result ? std::string("answered") : std::string(toString(result.error().code));
+    const auto taken = BootClock::now() - it.receivedAt;
+    const MetricLabels labels { it.organisation, ClassId(it.route ? it.route->name : std::string()),
+                                outcome };
+    m_state.metrics.count("bluebell_requests_total", labels);
+    m_state.metrics.observe("bluebell_request_seconds", labels, taken);
+    log::info("request",
+              { { "request", it.caller.attempt.value() },
+                { "organisation", it.organisation.value() },
+                { "route", it.route ? it.route->name : std::string() },
+                { "replica", it.caller.replica ? toString(*it.caller.replica) : std::string() },
+                { "target", it.lastTarget.value() },
+                { "sends", std::to_string(it.sends) },
+                { "config", std::to_string(it.index ? it.index->version() : 0) },
+                { "outcome", outcome },
+                { "cause", result ? std::string() : result.error().message },
+                { "ms", std::to_string(toMilliseconds(taken).count()) } });
+}
+
+} // namespace bluebell::gateway
--- /dev/null
+++ b/programs/gateway/sitestate.cpp
@@ -0,0 +1,127 @@
+#include "gateway/sitestate.h"
+
+#include "core/digest.h"
+
+#include <utility>
+
+namespace bluebell::gateway {
+namespace {
+
+/// One daemon's part of the fleet's retries, for eight daemons and some more.
+constexpr RetryBudget::Settings RetryShare { 0.15, 4 };
+/// Age of another daemon from which on its level of a bucket is worth more than an own fresh one.
+constexpr Duration SettledUptime = std::chrono::seconds(3);
+/// Time after the start in which the level of others is taken over.
+constexpr Duration StartTime = std::chrono::milliseconds(1500);
+
+FleetMember selfOf(const GatewaySettings &settings, const IncarnationId &incarnation)
+{
+    return { settings.vm,      incarnation,    settings.dataCentre,
+             settings.callers, settings.peers, settings.control };
+}
+
+Leadership::Settings leadershipOf(const GatewaySettings &settings)
+{
+    constexpr Duration TurnAllowance = std::chrono::milliseconds(100);
+    Leadership::Settings it;
+    it.turn = settings.leaseTime + TurnAllowance;
+    return it;
+}
+
+} // namespace
+
+SiteState::SiteState(boost::asio::any_io_executor executor, GatewaySettings given)
+    : settings(std::move(given)), incarnation(randomHex(8)), startedAt(BootClock::now()),
+      fleet(selfOf(settings, incarnation)), selector(settings.dataCentre, settings.vm.value()),
+      leadership(settings.vm, incarnation, leadershipOf(settings)), changed(executor),
+      statusDue(executor)
+{
+}
+
+std::map<TargetId, std::set<ReplicaKey>> SiteState::residents(TimePoint now) const
+{
+    if (leadership.isHolder(now))
+        return planner.residents();
+    if (const auto *told = fleet.residents(now))
+        return *told;
+    std::map<TargetId, std::set<ReplicaKey>> all;
+    for (const auto &[id, it] : registry.targets())
+        if (it.engine)
+            all.emplace(id, it.engine->resident);
+    return all;
+}
+
+std::vector<ModelInFlight> SiteState::inFlight() const
+{
+    std::vector<ModelInFlight> all;
+    for (const auto &[key, count] : selector.inFlight())
+        all.push_back({ key.first, key.second, count });
+    return all;
+}
+
+DaemonStatus SiteState::status(TimePoint now)
+{
+    DaemonStatus it;
+    it.vm = settings.vm;
+    it.incarnation = incarnation;
+    it.uptime = now - startedAt;
+    it.isReady = isReady();
+    it.configVersion = index ? index->version() : 0;
+    it.registryVersion = registryVersion;
+    it.storeSilence = now - storeAnsweredAt;
+    it.demand = demand.demand(now);
+    it.inFlight = inFlight();
+    for (auto &[organisation, rate] : rates)
+        it.rates.push_back({ organisation, rate.admitted(), rate.level(now) });
+    if (leadership.isHolder(now)) {
+        it.leaderEpoch = leadership.epoch();
+        it.residents = planner.residents();
+    }
+    return it;
+}
+
+SharedRate &SiteState::rateOf(const SiteOrganisation &organisation, TimePoint now)
+{
+    const auto [it, isNew] = rates.try_emplace(organisation.name, *organisation.limit, now);
+    return it->second;
+}
+
+RetryBudget &SiteState::retryBudgetOf(const ServiceId &service)
+{
+    return retryBudgets.try_emplace(service, RetryShare).first->second;
+}
+
+void SiteState::noteStatus(const DaemonStatus &told, TimePoint now)
+{
+    if (!fleet.noteStatus(told, now))
+        return;
+    std::map<TargetId, std::uint32_t> counts;
+    for (const auto &it : told.inFlight)
+        counts[it.target] += it.count;
+    selector.noteOthers(told.vm, std::move(counts), now);
+    const bool isFresh = now - startedAt < StartTime && told.uptime > SettledUptime;
+    for (const auto &it : told.rates) {
+        const auto *organisation = index ? index->findOrganisation(it.organisation) : nullptr;
+        if (!organisation || !organisation->limit)
+            continue;
+        auto &rate = rateOf(*organisation, now);
+        rate.noteAdmitted(told.incarnation, it.admitted, now);
+        if (isFresh)
+            rate.adoptLevel(it.level, now);
+    }
+    if (told.leaderEpoch > 0)
+        leadership.noteHolderHeard(now);
+    if (leadership.isHolder(now))
+        planner.noteDemand(told.vm, told.demand, told.inFlight, now);
+    const bool isNews = told.leaderEpoch > 0 || leadership.isHolder(now);
+    if (isNews)
+        changed.notify();
+}
+
+void SiteState::announce()
+{
+    changed.notify();
+    statusDue.notify();
+}
+
+} // namespace bluebell::gateway
--- /dev/null
+++ b/programs/gateway/sitestate.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "gateway/settings.h"
+#include "io/notifier.h"
+#include "membership/fleet.h"
+#include "membership/leadership.h"
+#include "metrics/metrics.h"
+#include "placement/demandboard.h"
+#include "placement/swapplanner.h"
+#include "rate/sharedrate.h"
+#include "routing/targetselector.h"
+#include "site/siteindex.h"
+#include "site/targetregistry.h"
+#include "streams/streamassembler.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <map>
+#include <memory>
+
+/// \file
+/// The decision objects of one gateway, shared by the parts that drive them. All run on one thread.
+
+namespace bluebell::gateway {
+
+struct SiteState
+{
+    SiteState(boost::asio::any_io_executor executor, GatewaySettings given);
+
+    GatewaySettings settings;
+    IncarnationId incarnation;
+    TimePoint startedAt;
+    /// The configuration in force; null while none is known.
+    std::shared_ptr<const SiteIndex> index;
+    /// The configuration as the operators wrote it, for daemons that cannot read the store.
+    std::string configText;
+    TargetRegistry registry;
+    /// The targets' entries as they were read, for daemons that cannot read the store.
+    std::map<std::string, std::string> entryTexts;
+    RowVersion registryVersion = 0;
+    Fleet fleet;
+    TargetSelector selector;
+    DemandBoard demand;
+    std::map<OrganisationId, SharedRate> rates;
+    std::map<ServiceId, RetryBudget> retryBudgets;
+    Leadership leadership;
+    SwapPlanner planner;
+    Metrics metrics;
+    /// When the store last answered a read of configuration or targets.
+    TimePoint storeAnsweredAt;
+    /// When a stop was asked for.
+    std::optional<TimePoint> stopRequestedAt;
+    /// Wakes requests that wait for a target and the driver of the planner.
+    Notifier changed;
+    /// Wakes the sender of statuses.
+    Notifier statusDue;
+
+    /// \returns whether callers may be sent here
+    [[nodiscard]] bool isReady() const noexcept { return index && !stopRequestedAt; }
+    /// \returns what engines hold, as the holder of the role or else the engines themselves tell it
+    [[nodiscard]] std::map<TargetId, std::set<ReplicaKey>> residents(TimePoint now) const;
+    /// \returns the state that the other daemons are told
+    [[nodiscard]] DaemonStatus status(TimePoint now);
+    /// \returns what this daemon has under way at engines
+    [[nodiscard]] std::vector<ModelInFlight> inFlight() const;
+    /// \returns the bucket of an organisation that has a limit
+    [[nodiscard]] SharedRate &rateOf(const SiteOrganisation &organisation, TimePoint now);
+    [[nodiscard]] RetryBudget &retryBudgetOf(const ServiceId &service);
+    /// Takes in another daemon's status.
+    void noteStatus(const DaemonStatus &told, TimePoint now);
+    /// Wakes whoever waits for targets, and tells the other daemons soon.
+    void announce();
+};
+
+} // namespace bluebell::gateway
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -32,6 +32,7 @@
 using ModelId = Id<struct ModelTag>;
 using AdapterId = Id<struct AdapterTag>;
 using TargetId = Id<struct TargetTag>;
+using ServiceId = Id<struct ServiceTag>;
 using VmId = Id<struct VmTag>;
 using DataCentreId = Id<struct DataCentreTag>;
 using ClassId = Id<struct ClassTag>;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -45,8 +46,29 @@
     {
         m_parser.body_limit(LargestBody);
     }
+    ~HttpClientConnection()
+    {
+        if (m_cancel)
+            m_cancel->remove(m_registration);
+    }
+    HttpClientConnection(const HttpClientConnection &) = delete;
+    HttpClientConnection &operator=(const HttpClientConnection &) = delete;
 
-    asio::awaitable<Result<void>> send(HttpRequest request, Duration timeout);
+    /// Closes the connection when `cancel` is cancelled.
+    void closeOn(std::shared_ptr<CancelSource> cancel)
+    {
+        m_cancel = std::move(cancel);
+        if (m_cancel)
+            m_registration = m_cancel->add([this] { close(); });
+    }
+    void close()
+    {
+        beast::error_code ec;
+        m_isClosed = true;
+        m_stream.socket().close(ec);
+    }
+    asio::awaitable<Result<void>> send(HttpRequest request, Duration connectTimeout,
+                                       Duration timeout);
     asio::awaitable<Result<std::optional<std::string>>> read(Duration timeout);
 
     [[nodiscard]] const auto &head() const { return m_parser.get(); }
@@ -56,19 +78,27 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     http::response_parser<http::buffer_body> m_parser;
+    std::shared_ptr<CancelSource> m_cancel;
+    CancelSource::Registration m_registration = 0;
+    bool m_isClosed = false;
 };
 
-asio::awaitable<Result<void>> HttpClientConnection::send(HttpRequest request, Duration timeout)
+asio::awaitable<Result<void>> HttpClientConnection::send(HttpRequest request,
+                                                         Duration connectTimeout, Duration timeout)
 {
     beast::error_code addressError;
     const auto address = asio::ip::make_address(m_endpoint.host, addressError);
     if (addressError)
         co_return transportError(m_endpoint, "address", addressError, Execution::NotRun);
-    m_stream.expires_after(timeout);
+    if (m_isClosed)
+        co_return transportError(m_endpoint, "connect", asio::error::operation_aborted,
+                                 Execution::NotRun);
+    m_stream.expires_after(std::min(connectTimeout, timeout));
     const auto [connectError] =
             co_await m_stream.async_connect(tcp::endpoint(address, m_endpoint.port), Await);
-    if (connectError)
+    if (connectError || m_isClosed)
         co_return transportError(m_endpoint, "connect", connectError, Execution::NotRun);
+    m_stream.expires_after(timeout);
     beast::error_code ignored;
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
 
@@ -76,8 +106,10 @@
     message.method_string(request.method);
     message.target(request.path);
     message.set(http::field::host, toString(m_endpoint));
+    if (!request.header("Host").empty())
+        message.erase(http::field::host);
     for (const auto &it : request.headers)
-        message.set(it.name, it.value);
+        message.insert(it.name, it.value);
     message.keep_alive(false);
     message.body() = std::move(request.body);
     message.prepare_payload();
@@ -134,6 +166,17 @@
     return it == head.end() ? std::string() : std::string(it->value());
 }
 
+HttpResponse HttpStream::head() const
+{
+    HttpResponse response;
+    response.status = status();
+    response.contentType.clear();
+    for (const auto &field : m_connection->head())
+        response.headers.push_back(
+                { std::string(field.name_string()), std::string(field.value()) });
+    return response;
+}
+
 asio::awaitable<Result<std::optional<std::string>>> HttpStream::read(Duration timeout)
 {
     return m_connection->read(timeout);
@@ -144,7 +187,9 @@
     auto executor = co_await asio::this_coro::executor;
     auto connection =
             std::make_unique<detail::HttpClientConnection>(executor, std::move(call.endpoint));
-    auto sent = co_await connection->send(std::move(call.request), call.timeout);
+    connection->closeOn(std::move(call.cancel));
+    auto sent =
+            co_await connection->send(std::move(call.request), call.connectTimeout, call.timeout);
     if (!sent)
         co_return sent.error();
     co_return HttpStream(std::move(connection));
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -29,6 +29,8 @@
 
     [[nodiscard]] unsigned status() const;
     [[nodiscard]] std::string header(std::string_view name) const;
+    /// \returns status and headers, without a body
+    [[nodiscard]] HttpResponse head() const;
 
     /// Reads the next piece.
     ///
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -33,4 +33,29 @@
     return findHeader(headers, name);
 }
 
+CancelSource::Registration CancelSource::add(std::function<void()> action)
+{
+    if (m_isCancelled) {
+        action();
+        return 0;
+    }
+    const auto registration = m_next++;
+    m_actions.emplace(registration, std::move(action));
+    return registration;
+}
+
+void CancelSource::remove(Registration registration)
+{
+    m_actions.erase(registration);
+}
+
+void CancelSource::cancel()
+{
+    m_isCancelled = true;
+    auto actions = std::move(m_actions);
+    m_actions.clear();
+    for (const auto &[registration, action] : actions)
+        action();
+}
+
 } // namespace bluebell
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -66,8 +66,12 @@
     asio::awaitable<bool> end();
     [[nodiscard]] bool hasBegun() const noexcept { return m_hasBegun; }
     [[nodiscard]] bool isIdle() const noexcept { return m_isIdle; }
+    void cancelWhenGone(const std::shared_ptr<CancelSource> &source);
 
 private:
+    void stopWatching();
+    /// Settles at the head of a response whether the connection is kept, as the head says it.
+    void decideKeepAlive();
     asio::awaitable<bool> readRequest();
     asio::awaitable<void> reject(beast::error_code ec);
     template<typename Message>
@@ -77,6 +81,8 @@
     std::weak_ptr<HttpListener> m_owner;
     HttpLimits m_limits;
     HttpHandler m_handler;
+    /// What to cancel when the caller goes; null while no request asks for it.
+    std::shared_ptr<CancelSource> m_watched;
     beast::flat_buffer m_buffer;
     std::optional<HttpRequest> m_request;
     unsigned m_version = 11;
@@ -97,7 +103,11 @@
 
     Result<Endpoint> listen(const Endpoint &endpoint);
     void stop(bool closeAll);
+    void announceClosing() noexcept { m_isClosing = true; }
+    void setLimits(const HttpLimits &limits) { m_limits = limits; }
     [[nodiscard]] bool isStopping() const noexcept { return m_isStopping; }
+    /// \returns whether connections end with their next response
+    [[nodiscard]] bool isClosing() const noexcept { return m_isStopping || m_isClosing; }
     [[nodiscard]] const HttpLimits &limits() const noexcept { return m_limits; }
     [[nodiscard]] const HttpHandler &handler() const noexcept { return m_handler; }
     [[nodiscard]] std::size_t connectionCount() const noexcept { return m_sessions.size(); }
@@ -112,6 +122,7 @@
     HttpHandler m_handler;
     std::set<std::shared_ptr<HttpSession>> m_sessions;
     bool m_isStopping = false;
+    bool m_isClosing = false;
 };
 
 HttpSession::HttpSession(tcp::socket socket, HttpListener &listener)
@@ -139,6 +150,7 @@
         m_hasEnded = false;
         HttpResponder responder(*this);
         co_await m_handler(*m_request, responder);
+        stopWatching();
         m_isIdle = true;
         const auto owner = m_owner.lock();
         if (!m_keepAlive || !m_hasEnded || !owner || owner->isStopping())
@@ -148,8 +160,34 @@
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
 }
 
+void HttpSession::cancelWhenGone(const std::shared_ptr<CancelSource> &source)
+{
+    m_watched = source;
+    m_stream.socket().async_wait(tcp::socket::wait_read,
+                                 [self = shared_from_this(), source](beast::error_code ec) {
+                                     if (ec || self->m_watched != source)
+                                         return;
+                                     // Bytes at hand are the next request; without any, the
+                                     // connection has ended.
+                                     const auto n = self->m_stream.socket().available(ec);
+                                     if (ec || n == 0)
+                                         source->cancel();
+                                 });
+}
+
+void HttpSession::stopWatching()
+{
+    if (!m_watched)
+        return;
+    m_watched.reset();
+    beast::error_code ec;
+    m_stream.socket().cancel(ec);
+}
+
 asio::awaitable<bool> HttpSession::readRequest()
 {
+    if (const auto owner = m_owner.lock())
+        m_limits = owner->limits();
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
     parser.body_limit(m_limits.bodyBytes);
@@ -206,15 +244,16 @@
 {
     message.version(m_version);
     message.result(response.status);
-    message.set(http::field::content_type, response.contentType);
+    if (!response.contentType.empty())
+        message.set(http::field::content_type, response.contentType);
     for (const auto &it : response.headers)
-        message.set(it.name, it.value);
-    const auto owner = m_owner.lock();
-    message.keep_alive(m_keepAlive && owner && !owner->isStopping());
+        message.insert(it.name, it.value);
+    message.keep_alive(m_keepAlive);
 }
 
 asio::awaitable<bool> HttpSession::send(HttpResponse response)
 {
+    decideKeepAlive();
     http::response<http::string_body> message;
     fillHead(message, response);
     message.body() = std::move(response.body);
@@ -226,8 +265,16 @@
     co_return !ec;
 }
 
+void HttpSession::decideKeepAlive()
+{
+    const auto owner = m_owner.lock();
+    if (!owner || owner->isClosing())
+        m_keepAlive = false;
+}
+
 asio::awaitable<bool> HttpSession::begin(HttpResponse head)
 {
+    decideKeepAlive();
     http::response<http::empty_body> message;
     fillHead(message, head);
     message.chunked(true);
@@ -337,6 +384,11 @@
     return m_session.hasBegun();
 }
 
+void HttpResponder::cancelWhenGone(const std::shared_ptr<CancelSource> &source)
+{
+    m_session.cancelWhenGone(source);
+}
+
 HttpServer::HttpServer(asio::io_context &context, HttpLimits limits, HttpHandler handler)
     : m_listener(std::make_shared<detail::HttpListener>(context, limits, std::move(handler)))
 {
@@ -352,6 +404,16 @@
     return m_listener->listen(endpoint);
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    m_listener->setLimits(limits);
+}
+
+void HttpServer::announceClosing()
+{
+    m_listener->announceClosing();
+}
+
 void HttpServer::stopAccepting()
 {
     m_listener->stop(false);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -38,6 +38,9 @@
 
     [[nodiscard]] bool hasBegun() const noexcept;
 
+    /// Cancels `source` when the caller closes its connection before the response has ended.
+    void cancelWhenGone(const std::shared_ptr<CancelSource> &source);
+
 private:
     detail::HttpSession &m_session;
 };
@@ -71,6 +74,12 @@
     /// \returns the address in use, or Unavailable
     Result<Endpoint> listen(const Endpoint &endpoint);
 
+    /// Puts other bounds into force for the requests that follow.
+    void setLimits(const HttpLimits &limits);
+
+    /// Still accepts, but ends each connection with its next response.
+    void announceClosing();
+
     /// Accepts no more, closes unused connections and announces the end on the others.
     void stopAccepting();
 
--- /dev/null
+++ b/src/membership/fleet.cpp
@@ -0,0 +1,147 @@
+#include "membership/fleet.h"
+
+#include <utility>
+
+namespace bluebell {
+namespace {
+
+/// A daemon whose store answered within this time can pass on what it reads.
+constexpr Duration FreshStore = std::chrono::milliseconds(1500);
+
+} // namespace
+
+void Fleet::replaceMembers(std::vector<FleetMember> members, TimePoint now)
+{
+    auto old = std::move(m_members);
+    m_members.clear();
+    for (auto &it : members) {
+        const auto vm = it.vm;
+        const auto known = old.find(vm);
+        const bool isSame = known != old.end() && known->second.member == it;
+        const auto since = isSame ? known->second.since : now;
+        if (vm != m_self.vm)
+            m_members.emplace(vm, Known { std::move(it), since });
+    }
+}
+
+void Fleet::putMember(FleetMember member, TimePoint now)
+{
+    if (member.vm == m_self.vm)
+        return;
+    const auto vm = member.vm;
+    m_members.insert_or_assign(vm, Known { std::move(member), now });
+}
+
+void Fleet::removeMember(const VmId &vm)
+{
+    m_members.erase(vm);
+}
+
+bool Fleet::noteStatus(const DaemonStatus &status, TimePoint now)
+{
+    if (status.vm == m_self.vm)
+        return false;
+    const auto it = m_heard.find(status.vm);
+    if (it != m_heard.end() && it->second.status.incarnation != status.incarnation
+        && now - it->second.at < HeardTime && status.uptime > it->second.status.uptime)
+        return false;
+    m_heard.insert_or_assign(status.vm, Heard { status, now });
+    return true;
+}
+
+bool Fleet::isHeard(const VmId &vm, TimePoint now) const
+{
+    const auto it = m_heard.find(vm);
+    return it != m_heard.end() && now - it->second.at < HeardTime;
+}
+
+std::vector<Endpoint> Fleet::peers() const
+{
+    std::vector<Endpoint> all;
+    for (const auto &[vm, it] : m_members)
+        all.push_back(it.member.peers);
+    return all;
+}
+
+std::vector<Endpoint> Fleet::callerAddresses(bool selfIsReady, TimePoint now) const
+{
+    std::vector<Endpoint> addresses;
+    if (selfIsReady)
+        addresses.push_back(m_self.callers);
+    for (const auto &[vm, it] : m_members)
+        if (isHeard(vm, now) && m_heard.at(vm).status.isReady)
+            addresses.push_back(it.member.callers);
+    if (addresses.empty())
+        addresses.push_back(m_self.callers);
+    return addresses;
+}
+
+std::size_t Fleet::heardCount(TimePoint now) const
+{
+    std::size_t n = 1;
+    for (const auto &[vm, it] : m_members)
+        n += isHeard(vm, now) ? 1 : 0;
+    return n;
+}
+
+std::set<IncarnationId> Fleet::heardIncarnations(TimePoint now) const
+{
+    std::set<IncarnationId> all;
+    for (const auto &[vm, it] : m_heard)
+        if (now - it.at < GoneTime)
+            all.insert(it.status.incarnation);
+    return all;
+}
+
+std::optional<FleetMember> Fleet::peerWithConfig(SiteVersion version, TimePoint now) const
+{
+    std::optional<FleetMember> best;
+    for (const auto &[vm, it] : m_members) {
+        if (!isHeard(vm, now) || m_heard.at(vm).status.configVersion <= version)
+            continue;
+        version = m_heard.at(vm).status.configVersion;
+        best = it.member;
+    }
+    return best;
+}
+
+std::optional<FleetMember> Fleet::peerWithRegistry(RowVersion version, TimePoint now) const
+{
+    std::optional<FleetMember> best;
+    for (const auto &[vm, it] : m_members) {
+        if (!isHeard(vm, now))
+            continue;
+        const auto &status = m_heard.at(vm).status;
+        if (status.storeSilence > FreshStore || status.registryVersion <= version)
+            continue;
+        version = status.registryVersion;
+        best = it.member;
+    }
+    return best;
+}
+
+const std::map<TargetId, std::set<ReplicaKey>> *Fleet::residents(TimePoint now) const
+{
+    const Heard *best = nullptr;
+    for (const auto &[vm, it] : m_heard) {
+        if (now - it.at >= HeardTime || it.status.leaderEpoch == 0)
+            continue;
+        if (!best || it.status.leaderEpoch > best->status.leaderEpoch)
+            best = &it;
+    }
+    return best ? &best->status.residents : nullptr;
+}
+
+std::vector<VmId> Fleet::goneMembers(TimePoint now) const
+{
+    std::vector<VmId> gone;
+    for (const auto &[vm, it] : m_members) {
+        const auto heard = m_heard.find(vm);
+        const auto last = heard == m_heard.end() ? it.since : std::max(heard->second.at, it.since);
+        if (now - last > GoneTime)
+            gone.push_back(vm);
+    }
+    return gone;
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/membership/leadership.cpp
@@ -0,0 +1,127 @@
+#include "membership/leadership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bluebell {
+
+Leadership::Leadership(VmId vm, IncarnationId incarnation, Settings settings)
+    : m_vm(std::move(vm)), m_incarnation(std::move(incarnation)), m_settings(settings),
+      m_holder(settings.lease), m_observer(settings.lease)
+{
+}
+
+bool Leadership::isOwn() const
+{
+    return m_record && m_record->incarnation == m_incarnation && !m_record->isReleased;
+}
+
+bool Leadership::mayClaim(TimePoint now) const
+{
+    if (m_isReleasing || !m_hasRead)
+        return false;
+    if (!m_record || m_record->isReleased || m_record->vm == m_vm)
+        return true;
+    return m_observer.hasLapsed(now);
+}
+
+LeadershipStep Leadership::next(TimePoint now) const
+{
+    if (m_isCalling)
+        return LeadershipStep::Wait;
+    if (isOwn() && !m_needsRead) {
+        if (m_isReleasing)
+            return LeadershipStep::Write;
+        return m_holder.renewalDue(now) ? LeadershipStep::Write : LeadershipStep::Wait;
+    }
+    const bool isHeard = m_heardAt && now - *m_heardAt < m_settings.silence;
+    if (isHeard || (m_isReleasing && !isOwn()))
+        return LeadershipStep::Wait;
+    if (!m_needsRead && mayClaim(now))
+        return LeadershipStep::Write;
+    const bool isDue = !m_lastRead || now - *m_lastRead >= m_settings.readEvery;
+    return isDue ? LeadershipStep::Read : LeadershipStep::Wait;
+}
+
+void Leadership::readSent(TimePoint now) noexcept
+{
+    m_isCalling = true;
+    m_lastRead = now;
+}
+
+void Leadership::readSucceeded(const std::optional<LeaderRecord> &record, RowVersion version,
+                               TimePoint now)
+{
+    m_isCalling = false;
+    m_needsRead = false;
+    if (!m_hasRead || version != m_version)
+        m_versionSince = now;
+    m_hasRead = true;
+    m_record = record;
+    m_version = version;
+    m_observer.noteRead(version, now);
+    if (!isOwn())
+        m_epoch = 0;
+}
+
+Duration Leadership::turnLeft(TimePoint now) const
+{
+    if (isOwn())
+        return std::max(m_turnAt - now, Duration::zero());
+    if (!m_record)
+        return Duration::zero();
+    if (m_record->vm == m_vm || m_record->isReleased)
+        return std::max(m_versionSince + m_record->turnLeft - now, Duration::zero());
+    const auto lastOrder = m_versionSince + m_settings.lease.duration;
+    return std::max(lastOrder + m_settings.turn - now, Duration::zero());
+}
+
+LeaderRecord Leadership::record(TimePoint now) const
+{
+    LeaderRecord it;
+    it.vm = m_vm;
+    it.incarnation = m_incarnation;
+    it.isReleased = m_isReleasing;
+    it.turnLeft = turnLeft(now);
+    it.epoch = isOwn() ? m_record->epoch : (m_record ? m_record->epoch : 0) + 1;
+    if (m_isReleasing && m_lastOrder)
+        it.turnLeft = std::max(it.turnLeft, *m_lastOrder + m_settings.turn - now);
+    return it;
+}
+
+void Leadership::writeSent(TimePoint now) noexcept
+{
+    const auto sent = record(now);
+    m_isCalling = true;
+    m_turnAt = now + sent.turnLeft;
+    m_holder.renewalSent(now);
+    m_record = sent;
+    m_epoch = sent.epoch;
+}
+
+void Leadership::writeSucceeded(RowVersion version) noexcept
+{
+    m_isCalling = false;
+    m_version = version;
+    m_holder.renewalSucceeded(version);
+}
+
+void Leadership::writeFailed() noexcept
+{
+    m_isCalling = false;
+    m_needsRead = true;
+    m_lastRead.reset();
+    m_holder.renewalFailed();
+}
+
+bool Leadership::isHolder(TimePoint now) const noexcept
+{
+    return isOwn() && !m_isReleasing && m_holder.isValid(now);
+}
+
+bool Leadership::mayOrder(TimePoint now) const noexcept
+{
+    return isHolder(now) && now >= m_turnAt;
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/peer/statuscodec.cpp
@@ -0,0 +1,171 @@
+#include "peer/statuscodec.h"
+
+#include "peer/generated/status.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+
+#include <algorithm>
+#include <cstring>
+#include <limits>
+
+namespace bluebell {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string text(capnp::Text::Reader in)
+{
+    return { in.cStr(), in.size() };
+}
+
+ReplicaKey keyOf(capnp::Text::Reader model, capnp::Text::Reader adapter)
+{
+    return { ModelId(text(model)), AdapterId(text(adapter)) };
+}
+
+template<typename Out>
+void writeKey(const ReplicaKey &key, Out out)
+{
+    out.setModel(key.model.value());
+    out.setAdapter(key.adapter.value());
+}
+
+std::uint32_t toWire(Duration d)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+            toMilliseconds(d).count(), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+void writeDemand(const std::vector<ModelDemand> &demand, wire::Status::Builder out)
+{
+    auto list = out.initDemand(static_cast<unsigned>(demand.size()));
+    for (unsigned n = 0; n < demand.size(); ++n) {
+        const auto &it = demand[n];
+        list[n].setService(it.service.value());
+        writeKey(it.key, list[n]);
+        list[n].setWaiting(it.waiting);
+        list[n].setUrgency(it.urgency);
+        list[n].setOldestWaitMs(toWire(it.oldestWait));
+        list[n].setArrivalsPerSecond(static_cast<float>(it.arrivalsPerSecond));
+    }
+}
+
+void writeInFlight(const std::vector<ModelInFlight> &inFlight, wire::Status::Builder out)
+{
+    auto list = out.initInFlight(static_cast<unsigned>(inFlight.size()));
+    for (unsigned n = 0; n < inFlight.size(); ++n) {
+        list[n].setTarget(inFlight[n].target.value());
+        writeKey(inFlight[n].key, list[n]);
+        list[n].setCount(inFlight[n].count);
+    }
+}
+
+void writeRates(const std::vector<RateCount> &rates, wire::Status::Builder out)
+{
+    auto list = out.initRates(static_cast<unsigned>(rates.size()));
+    for (unsigned n = 0; n < rates.size(); ++n) {
+        list[n].setOrganisation(rates[n].organisation.value());
+        list[n].setAdmitted(rates[n].admitted);
+        list[n].setLevel(rates[n].level);
+    }
+}
+
+void writeResidents(const std::map<TargetId, std::set<ReplicaKey>> &residents,
+                    wire::Status::Builder out)
+{
+    auto list = out.initResidents(static_cast<unsigned>(residents.size()));
+    unsigned n = 0;
+    for (const auto &[target, keys] : residents) {
+        std::map<ModelId, std::vector<std::string>> adapters;
+        for (const auto &key : keys) {
+            auto &names = adapters[key.model];
+            if (!key.adapter.isEmpty())
+                names.push_back(key.adapter.value());
+        }
+        auto it = list[n++];
+        it.setTarget(target.value());
+        auto replicas = it.initReplicas(static_cast<unsigned>(adapters.size()));
+        unsigned m = 0;
+        for (const auto &[model, names] : adapters) {
+            replicas[m].setModel(model.value());
+            auto out = replicas[m++].initAdapters(static_cast<unsigned>(names.size()));
+            for (unsigned k = 0; k < names.size(); ++k)
+                out.set(k, names[k]);
+        }
+    }
+}
+
+DaemonStatus read(wire::Status::Reader in)
+{
+    DaemonStatus status;
+    status.vm = VmId(text(in.getVm()));
+    status.incarnation = IncarnationId(text(in.getIncarnation()));
+    status.uptime = milliseconds(in.getUptimeMs());
+    status.isReady = in.getIsReady();
+    status.configVersion = in.getConfigVersion();
+    status.registryVersion = in.getRegistryVersion();
+    status.storeSilence = milliseconds(in.getStoreSilenceMs());
+    status.leaderEpoch = in.getLeaderEpoch();
+    for (const auto it : in.getDemand())
+        status.demand.push_back({ ServiceId(text(it.getService())),
+                                  keyOf(it.getModel(), it.getAdapter()), it.getWaiting(),
+                                  it.getUrgency(), milliseconds(it.getOldestWaitMs()),
+                                  it.getArrivalsPerSecond() });
+    for (const auto it : in.getInFlight())
+        status.inFlight.push_back({ TargetId(text(it.getTarget())),
+                                    keyOf(it.getModel(), it.getAdapter()), it.getCount() });
+    for (const auto it : in.getRates())
+        status.rates.push_back(
+                { OrganisationId(text(it.getOrganisation())), it.getAdmitted(), it.getLevel() });
+    for (const auto it : in.getResidents()) {
+        auto &keys = status.residents[TargetId(text(it.getTarget()))];
+        for (const auto replica : it.getReplicas()) {
+            const ModelId model(text(replica.getModel()));
+            keys.insert({ model, AdapterId() });
+            for (const auto adapter : replica.getAdapters())
+                keys.insert({ model, AdapterId(text(adapter)) });
+        }
+    }
+    return status;
+}
+
+} // namespace
+
+std::string encode(const DaemonStatus &status)
+{
+    capnp::MallocMessageBuilder message;
+    auto out = message.initRoot<wire::Status>();
+    out.setVm(status.vm.value());
+    out.setIncarnation(status.incarnation.value());
+    out.setUptimeMs(static_cast<std::uint64_t>(toMilliseconds(status.uptime).count()));
+    out.setIsReady(status.isReady);
+    out.setConfigVersion(status.configVersion);
+    out.setRegistryVersion(status.registryVersion);
+    out.setStoreSilenceMs(toWire(status.storeSilence));
+    out.setLeaderEpoch(status.leaderEpoch);
+    writeDemand(status.demand, out);
+    writeInFlight(status.inFlight, out);
+    writeRates(status.rates, out);
+    writeResidents(status.residents, out);
+    const auto words = capnp::messageToFlatArray(message);
+    const auto bytes = words.asBytes();
+    return { reinterpret_cast<const char *>(bytes.begin()), bytes.size() };
+}
+
+Result<DaemonStatus> decodeStatus(std::string_view bytes)
+{
+    if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0)
+        return makeError(ErrorCode::InvalidArgument, "a status of a wrong length");
+    auto words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
+    std::memcpy(words.begin(), bytes.data(), bytes.size());
+    try {
+        capnp::FlatArrayMessageReader reader(words);
+        return read(reader.getRoot<wire::Status>());
+    } catch (const kj::Exception &e) {
+        return makeError(ErrorCode::InvalidArgument,
+                         std::string("malformed status: ") + e.getDescription().cStr());
+    }
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/placement/demandboard.cpp
@@ -0,0 +1,65 @@
+#include "placement/demandboard.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bluebell {
+namespace {
+
+/// Time in which the weight of an arrival falls to 1/e.
+constexpr Duration FadeTime = std::chrono::seconds(4);
+/// Weight below which a model counts as unused.
+constexpr double Forgotten = 0.05;
+
+} // namespace
+
+void DemandBoard::fade(Rate &rate, TimePoint now)
+{
+    rate.weight *= std::exp(-toSeconds(now - rate.at) / toSeconds(FadeTime));
+    rate.at = now;
+}
+
+void DemandBoard::noteArrival(const ServiceId &service, const ReplicaKey &key, TimePoint now)
+{
+    auto &rate = m_rates.try_emplace({ service, key }, Rate { 0, now }).first->second;
+    fade(rate, now);
+    rate.weight += 1;
+}
+
+WaitId DemandBoard::startWait(const ServiceId &service, const ReplicaKey &key, double urgency,
+                              TimePoint now)
+{
+    const auto id = m_next++;
+    m_waits.emplace(id, Wait { { service, key }, urgency, now });
+    return id;
+}
+
+void DemandBoard::endWait(WaitId wait)
+{
+    m_waits.erase(wait);
+}
+
+std::vector<ModelDemand> DemandBoard::demand(TimePoint now)
+{
+    std::map<Key, ModelDemand> all;
+    for (auto &[key, rate] : m_rates) {
+        fade(rate, now);
+        all[key].arrivalsPerSecond = rate.weight / toSeconds(FadeTime);
+    }
+    std::erase_if(m_rates, [](const auto &it) { return it.second.weight < Forgotten; });
+    for (const auto &[id, wait] : m_waits) {
+        auto &it = all[wait.key];
+        ++it.waiting;
+        it.urgency += wait.urgency;
+        it.oldestWait = std::max(it.oldestWait, now - wait.since);
+    }
+    std::vector<ModelDemand> demand;
+    for (auto &[key, it] : all) {
+        it.service = key.first;
+        it.key = key.second;
+        demand.push_back(std::move(it));
+    }
+    return demand;
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/site/siteindex.cpp
@@ -0,0 +1,80 @@
+#include "site/siteindex.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bluebell {
+namespace {
+
+std::string routeKey(std::string_view host, std::string_view prefix)
+{
+    std::string key(host);
+    key += ' ';
+    key += prefix;
+    return key;
+}
+
+} // namespace
+
+SiteIndex::SiteIndex(SiteConfig config) : m_config(std::move(config))
+{
+    for (std::size_t n = 0; n < m_config.routes.size(); ++n)
+        m_routes.emplace(routeKey(m_config.routes[n].host, m_config.routes[n].prefix), n);
+    for (std::size_t n = 0; n < m_config.organisations.size(); ++n)
+        for (const auto &it : m_config.organisations[n].keys)
+            m_keys.emplace(it.value(), n);
+}
+
+const Route *SiteIndex::findRoute(std::string_view host, std::string_view target) const
+{
+    auto path = target.substr(0, target.find_first_of("?#"));
+    // Prefixes end with a slash, so only the path's own slashes can end one.
+    for (auto end = path.rfind('/'); end != std::string_view::npos;) {
+        const auto it = m_routes.find(routeKey(host, path.substr(0, end + 1)));
+        if (it != m_routes.end())
+            return &m_config.routes[it->second];
+        if (end == 0)
+            break;
+        end = path.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
+const SiteOrganisation *SiteIndex::findOrganisation(std::string_view key) const
+{
+    const auto it = m_keys.find(digestOfKey(key).value());
+    return it == m_keys.end() ? nullptr : &m_config.organisations[it->second];
+}
+
+const SiteOrganisation *SiteIndex::findOrganisation(const OrganisationId &name) const
+{
+    const auto it = std::find_if(m_config.organisations.begin(), m_config.organisations.end(),
+                                 [&](const auto &candidate) { return candidate.name == name; });
+    return it == m_config.organisations.end() ? nullptr : &*it;
+}
+
+const Service *SiteIndex::findService(const ServiceId &name) const
+{
+    const auto it = m_config.services.find(name);
+    return it == m_config.services.end() ? nullptr : &it->second;
+}
+
+const ServiceId *chooseService(const Route &route, std::uint64_t draw)
+{
+    std::uint64_t sum = 0;
+    for (const auto &it : route.services)
+        sum += it.weight;
+    if (sum == 0)
+        return nullptr;
+    auto left = draw % sum;
+    for (const auto &it : route.services) {
+        if (left < it.weight)
+            return &it.service;
+        left -= it.weight;
+    }
+    return nullptr;
+}
+
+} // namespace bluebell
--- /dev/null
+++ b/src/site/targetregistry.cpp
@@ -0,0 +1,83 @@
+#include "site/targetregistry.h"
+
+#include <utility>
+
+namespace bluebell {
+
+void TargetRegistry::noteContact(TimePoint now)
+{
+    if (m_lastContact && now - *m_lastContact > OutageGap)
+        m_returnedAt = now;
+    m_lastContact = now;
+}
+
+void TargetRegistry::put(const std::string &key, std::optional<TargetEntry> entry)
+{
+    const TargetId id(key);
+    m_missing.erase(id);
+    if (!entry) {
+        m_targets.erase(id);
+        return;
+    }
+    if (const auto *known = find(id)) {
+        const auto order = [](const TargetEntry &it) {
+            return std::pair(it.born, it.heartbeat);
+        };
+        if (order(*entry) < order(*known))
+            return;
+    }
+    m_targets.insert_or_assign(id, std::move(*entry));
+}
+
+bool TargetRegistry::mayHaveLapsed(TimePoint now) const
+{
+    return m_returnedAt && now - *m_returnedAt < ReturnGrace;
+}
+
+void TargetRegistry::remove(const std::string &key, TimePoint now)
+{
+    const TargetId id(key);
+    const auto it = m_targets.find(id);
+    if (it == m_targets.end())
+        return;
+    if (mayHaveLapsed(now) && !it->second.isDraining)
+        m_missing.try_emplace(id, *m_returnedAt + ReturnGrace);
+    else
+        m_targets.erase(it);
+}
+
+void TargetRegistry::replaceAll(std::map<std::string, std::optional<TargetEntry>> entries,
+                                TimePoint now)
+{
+    std::vector<std::string> missing;
+    for (const auto &[id, entry] : m_targets)
+        if (!entries.contains(id.value()))
+            missing.push_back(id.value());
+    for (const auto &it : missing)
+        remove(it, now);
+    for (auto &[key, entry] : entries)
+        put(key, std::move(entry));
+}
+
+bool TargetRegistry::expire(TimePoint now)
+{
+    bool hasDropped = false;
+    for (auto it = m_missing.begin(); it != m_missing.end();) {
+        if (now < it->second) {
+            ++it;
+            continue;
+        }
+        m_targets.erase(it->first);
+        it = m_missing.erase(it);
+        hasDropped = true;
+    }
+    return hasDropped;
+}
+
+const TargetEntry *TargetRegistry::find(const TargetId &id) const
+{
+    const auto it = m_targets.find(id);
+    return it == m_targets.end() ? nullptr : &it->second;
+}
+
+} // namespace bluebell
