Give no order to an engine while a former holder's order is under way

Cause: the report of an engine that loads for a former holder does not list the model, but says that an order is under way. Ruled out: orders applied late (the number of orders had not moved), two holders at a time (one role-gained line for the epoch). Regression test: SwapPlannerTest.GivesNoOrderWhileTheOrderOfAFormerHolderIsUnderWay. Conclusion: an engine that is busy with an order that is not ours takes no order.

--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -125,7 +125,7 @@
     it.engine.onDisk = state.onDisk;
     if (!it.pending) {
         it.engine = state;
-        if (state.isBusy && !it.reportAt)
+        if (state.isBusy)
             it.reportAt = now + ReportEvery;
         return;
     }
@@ -140,6 +140,8 @@
     if (isDone || isOther || !state.isBusy) {
         it.pending.reset();
         it.engine = state;
+        if (state.isBusy)
+            it.reportAt = now + ReportEvery;
         return;
     }
     it.pending->phase = Phase::Carried;
@@ -297,7 +299,9 @@
 
 bool SwapPlanner::takesOrders(const TargetState &it, const ServiceId &service)
 {
-    return isUsable(it, service) && it.isKnown;
+    // What a former holder's order loads holds memory, but is not listed before it is done.
+    const bool isOthersOrder = it.engine.isBusy && !it.pending;
+    return isUsable(it, service) && it.isKnown && !isOthersOrder;
 }
 
 Megabytes SwapPlanner::freeOf(const TargetState &it) const
--- /dev/null
+++ b/tests/tst_swapplanner.cpp
@@ -0,0 +1,278 @@
+#include "placement/swapplanner.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace bluebell;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceId Engines("engines");
+const VmId Vm("vm-1");
+constexpr TimePoint Start { 100s };
+
+/// A service whose targets hold two models of 60 GB, out of `models` models.
+Service makeService(int models)
+{
+    Service service;
+    service.name = Engines;
+    EngineSpec engine;
+    engine.weights = 130000;
+    engine.adapterSlots = 2;
+    engine.storeLoadsPerSecond = 3;
+    engine.slots = 64;
+    for (int n = 0; n < models; ++n) {
+        ModelSpec spec;
+        spec.weights = 60000;
+        spec.storeLoad = 6s;
+        spec.memoryLoad = 500ms;
+        spec.diskLoad = 800ms;
+        spec.adapterWeights = 60;
+        engine.models.emplace(ModelId("m" + std::to_string(n)), spec);
+    }
+    service.engine = engine;
+    return service;
+}
+
+ReplicaKey model(const std::string &name)
+{
+    return { ModelId(name), AdapterId() };
+}
+
+/// A planner with engines whose reports the test gives.
+class PlannerFixture : public ::testing::Test
+{
+protected:
+    void addTarget(const std::string &name, const std::vector<std::string> &resident,
+                   const std::vector<std::string> &onDisk = {})
+    {
+        TargetEntry entry;
+        entry.id = TargetId(name);
+        entry.service = Engines;
+        entry.slots = 64;
+        entry.born = 1;
+        EngineState state;
+        for (const auto &it : resident)
+            state.resident.insert(model(it));
+        for (const auto &it : onDisk)
+            state.onDisk.insert(ModelId(it));
+        entry.engine = state;
+        m_entries[entry.id] = entry;
+    }
+
+    void start(int models = 2)
+    {
+        m_planner.setServices({ { Engines, makeService(models) } });
+        m_planner.noteTargets(m_entries, m_now);
+        for (const auto &[id, entry] : m_entries)
+            m_planner.noteReport(id, entry.born, *entry.engine, m_now);
+    }
+
+    void want(const ReplicaKey &key, std::uint32_t waiting = 1)
+    {
+        ModelDemand demand;
+        demand.service = Engines;
+        demand.key = key;
+        demand.waiting = waiting;
+        demand.urgency = 9.0 * waiting;
+        m_planner.noteDemand(Vm, { demand }, {}, m_now);
+    }
+
+    EngineState report(const std::string &target) { return *m_entries[TargetId(target)].engine; }
+
+    TimePoint m_now = Start;
+    std::map<TargetId, TargetEntry> m_entries;
+    SwapPlanner m_planner;
+};
+
+using SwapPlannerTest = PlannerFixture;
+
+} // namespace
+
+TEST_F(SwapPlannerTest, LoadsAWantedModelWhereItIsOnDisk)
+{
+    addTarget("t1", {});
+    addTarget("t2", {}, { "m0" });
+    start();
+    want(model("m0"));
+    const auto orders = m_planner.plan(m_now);
+    const auto it = std::find_if(orders.begin(), orders.end(),
+                                 [](const auto &order) { return order.key == model("m0"); });
+    ASSERT_NE(it, orders.end());
+    EXPECT_EQ(it->target, TargetId("t2"));
+    EXPECT_EQ(it->action, IntentAction::Load);
+}
+
+TEST_F(SwapPlannerTest, ManyWaitingRequestsAreOneLoad)
+{
+    addTarget("t1", {}, { "m0" });
+    addTarget("t2", {}, { "m0" });
+    start(1);
+    want(model("m0"), 20);
+    EXPECT_EQ(m_planner.plan(m_now).size(), 1U);
+    m_now += 10ms;
+    want(model("m0"), 40);
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+}
+
+TEST_F(SwapPlannerTest, GivesNoOrderWhileTheOrderOfAFormerHolderIsUnderWay)
+{
+    addTarget("t1", { "m0" });
+    auto &state = *m_entries[TargetId("t1")].engine;
+    state.isBusy = true;
+    state.sequence = 26;
+    start(3);
+    want(model("m1"));
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+    // The former holder's model appears when its load is done; there is no room beside it.
+    state.isBusy = false;
+    state.resident.insert(model("m2"));
+    m_now += 100ms;
+    m_planner.noteReport(TargetId("t1"), 1, state, m_now);
+    want(model("m1"));
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().action, IntentAction::Unload);
+}
+
+TEST_F(SwapPlannerTest, RepeatsAnUnansweredOrderAsItWas)
+{
+    addTarget("t1", {}, { "m0" });
+    start(1);
+    want(model("m0"));
+    const auto first = m_planner.plan(m_now);
+    ASSERT_EQ(first.size(), 1U);
+    m_planner.noteOutcome(first.front(), OrderOutcome::Unknown, m_now);
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+    m_now += 500ms;
+    want(model("m0"));
+    const auto second = m_planner.plan(m_now);
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second.front().expectedSequence, first.front().expectedSequence);
+    EXPECT_EQ(second.front().key, first.front().key);
+}
+
+TEST_F(SwapPlannerTest, PassesOverAReportFromBeforeTheOrder)
+{
+    addTarget("t1", {}, { "m0", "m1" });
+    start();
+    want(model("m0"));
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_FALSE(orders.empty());
+    m_planner.noteOutcome(orders.front(), OrderOutcome::Accepted, m_now);
+    m_planner.noteReport(TargetId("t1"), 1, report("t1"), m_now);
+    want(model("m0"));
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+    auto done = report("t1");
+    done.sequence = 1;
+    done.resident.insert(model("m0"));
+    m_planner.noteReport(TargetId("t1"), 1, done, m_now + 900ms);
+    EXPECT_TRUE(m_planner.residents().at(TargetId("t1")).contains(model("m0")));
+}
+
+TEST_F(SwapPlannerTest, MakesRoomBeforeALoadAndNamesTheVictimNoMore)
+{
+    addTarget("t1", { "m0", "m1" }, { "m2" });
+    start(3);
+    want(model("m2"));
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().action, IntentAction::Unload);
+    EXPECT_FALSE(m_planner.residents().at(TargetId("t1")).contains(orders.front().key));
+}
+
+TEST_F(SwapPlannerTest, LeavesAWantedModelInPlace)
+{
+    addTarget("t1", { "m0", "m1" }, { "m2" });
+    start(3);
+    std::vector<ModelDemand> demand(3);
+    for (int n = 0; n < 3; ++n) {
+        demand[n].service = Engines;
+        demand[n].key = model("m" + std::to_string(n));
+    }
+    demand[0].arrivalsPerSecond = 20;
+    demand[2].waiting = 1;
+    demand[2].urgency = 9;
+    m_planner.noteDemand(Vm, demand, {}, m_now);
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().key, model("m1"));
+}
+
+TEST_F(SwapPlannerTest, LoadsAnAdapterBesideItsModel)
+{
+    addTarget("t1", {});
+    addTarget("t2", { "m0" });
+    start(1);
+    const ReplicaKey adapter { ModelId("m0"), AdapterId("a3") };
+    want(adapter);
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().target, TargetId("t2"));
+    EXPECT_EQ(orders.front().key, adapter);
+    m_planner.noteOutcome(orders.front(), OrderOutcome::Accepted, m_now);
+    m_now += 50ms;
+    (void)m_planner.reportsDue(m_now);
+    EXPECT_TRUE(m_planner.residents().at(TargetId("t2")).contains(adapter));
+}
+
+TEST_F(SwapPlannerTest, UnloadsAnAdapterWhenTheSlotsAreTaken)
+{
+    addTarget("t1", { "m0" });
+    auto &state = *m_entries[TargetId("t1")].engine;
+    state.resident.insert({ ModelId("m0"), AdapterId("a1") });
+    state.resident.insert({ ModelId("m0"), AdapterId("a2") });
+    start(1);
+    want({ ModelId("m0"), AdapterId("a3") });
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().action, IntentAction::Unload);
+    EXPECT_FALSE(orders.front().key.adapter.isEmpty());
+}
+
+TEST_F(SwapPlannerTest, KeepsToTheFullSpeedLoadsOfTheWeightStore)
+{
+    for (int n = 0; n < 8; ++n)
+        addTarget("t" + std::to_string(n), {});
+    start(20);
+    EXPECT_LE(m_planner.plan(m_now).size(), 4U);
+    std::size_t orders = 0;
+    for (int n = 0; n < 40; ++n) {
+        m_now += 25ms;
+        orders += m_planner.plan(m_now).size();
+    }
+    EXPECT_LE(orders, 4U);
+}
+
+TEST_F(SwapPlannerTest, ATargetThatDoesNotReportIsAway)
+{
+    addTarget("t1", { "m0" });
+    addTarget("t2", {}, { "m0" });
+    start(1);
+    m_planner.noteReportFailed(TargetId("t1"));
+    m_planner.noteReportFailed(TargetId("t1"));
+    want(model("m0"));
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().target, TargetId("t2"));
+}
+
+TEST_F(SwapPlannerTest, ARestartedTargetStartsAnew)
+{
+    addTarget("t1", { "m0", "m1" }, { "m2" });
+    start(3);
+    auto &entry = m_entries[TargetId("t1")];
+    entry.born = 2;
+    entry.engine = EngineState();
+    m_planner.noteTargets(m_entries, m_now);
+    want(model("m2"));
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+    m_planner.noteReport(TargetId("t1"), 1, report("t1"), m_now);
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+    m_planner.noteReport(TargetId("t1"), 2, EngineState(), m_now);
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().expectedSequence, 0U);
+}
