Start no stream that a stop may cut, and keep spare copies of busy models

A stopping daemon now refuses a stream that may not end in time with 'not run' and Retry-After 0, and answers about addresses are kept for 1 s instead of 2 s. Ruled out: a silent server (it was still sending). 2. Models with 2 requests a second or more now have a second copy, from 10 a third; loads that many wait for may exceed the store's four at full speed. Regression tests: SwapPlannerTest.KeepsASpareCopyOfABusyModel, .ACopyOnADrainingTargetDoesNotCount.

--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -21,7 +21,7 @@
 /// Changes within this time go out together.
 constexpr Duration StatusGather = milliseconds(4);
 /// How long callers may keep an answer about addresses.
-constexpr Duration HoldTime = milliseconds(2000);
+constexpr Duration HoldTime = milliseconds(1000);
 /// Some callers keep an answer this many times as long.
 constexpr int HoldFactor = 3;
 /// Before the forced end of a stop.
--- a/programs/gateway/relay.cpp
+++ b/programs/gateway/relay.cpp
@@ -27,6 +27,10 @@
 constexpr std::uint32_t MostSends = 8;
 /// Time before the forced end of a stop at which the last answers are given.
 constexpr Duration StopMargin = milliseconds(600);
+/// Time that a stream may take; a stopping daemon starts none that might not end in time.
+constexpr Duration StreamTime = milliseconds(4500);
+/// Time that any other request may take.
+constexpr Duration PlainTime = milliseconds(1500);
 constexpr unsigned StatusServerError = 500;
 
 Error notRun(ErrorCode code, std::string message, Duration retryAfter)
@@ -90,6 +94,15 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+bool Relay::isTooLateToStart(const RequestContext &it, TimePoint now) const
+{
+    if (!m_state.stopRequestedAt)
+        return false;
+    const auto end = *m_state.stopRequestedAt + m_state.settings.stopTime - StopMargin;
+    const bool isStream = it.route->kind == RequestKind::Streaming;
+    return end - now < (isStream ? StreamTime : PlainTime);
+}
+
 TargetNeed Relay::needOf(const RequestContext &it) const
 {
     TargetNeed need;
@@ -111,6 +124,10 @@
             result = notRun(ErrorCode::KeyWithdrawn, "the caller has gone", milliseconds(0));
             break;
         }
+        if (isTooLateToStart(it, now)) {
+            result = notRun(ErrorCode::Unavailable, "the daemon is stopping", Duration::zero());
+            break;
+        }
         auto need = needOf(it);
         const auto residents =
                 need.key ? m_state.residents(now) : std::map<TargetId, std::set<ReplicaKey>>();
--- a/programs/gateway/relay.h
+++ b/programs/gateway/relay.h
@@ -98,6 +98,9 @@
     boost::asio::awaitable<AttemptResult> relayEvents(RequestContext &it, HttpStream stream,
                                                       HttpResponder &responder);
     [[nodiscard]] bool mayTryAgain(RequestContext &it, AttemptOutcome outcome);
+    /// \returns whether a stop leaves no time for the request, so that another daemon should have
+    /// it
+    [[nodiscard]] bool isTooLateToStart(const RequestContext &it, TimePoint now) const;
     [[nodiscard]] TargetNeed needOf(const RequestContext &it) const;
     [[nodiscard]] Duration answerTimeout(const RequestContext &it, TimePoint now) const;
     void record(const RequestContext &it, const Result<void> &result);
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -37,6 +37,16 @@
 constexpr Duration StoreWindow = std::chrono::seconds(5);
 /// Part of the weight store's rate that is used, so that its bound holds in every window.
 constexpr double StoreShare = 0.9;
+/// Loads from the weight store under way up to which a model is loaded that nobody waits for.
+constexpr std::size_t PrefetchLoads = 3;
+/// Loads under way up to which a model with a high pressure is loaded, at a lower speed for all.
+constexpr std::size_t UrgentLoads = 6;
+constexpr double UrgentPressure = 30;
+/// Requests a second from which on a model has a second copy, and a third one.
+constexpr double SecondCopyFrom = 2;
+constexpr double ThirdCopyFrom = 10;
+/// Gain of one more copy for each request a second.
+constexpr double SpareGain = 0.4;
 /// Loss below which a model may make way for one that nobody has asked for yet.
 constexpr double PrefetchGain = 1.0;
 
@@ -331,16 +341,20 @@
             }));
 }
 
+std::size_t SwapPlanner::comingOf(const ReplicaKey &key, const ServiceId &service) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_targets.begin(), m_targets.end(), [&](const auto &it) {
+                const auto &state = it.second;
+                return isUsable(state, service) && state.pending
+                        && state.pending->order.action == IntentAction::Load
+                        && state.pending->order.key == key;
+            }));
+}
+
 bool SwapPlanner::isPlacedOrComing(const ReplicaKey &key, const ServiceId &service) const
 {
-    if (copiesOf(key, service) > 0)
-        return true;
-    return std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &it) {
-        const auto &state = it.second;
-        return isUsable(state, service) && state.pending
-                && state.pending->order.action == IntentAction::Load
-                && state.pending->order.key == key;
-    });
+    return copiesOf(key, service) + comingOf(key, service) > 0;
 }
 
 std::uint32_t SwapPlanner::inFlightAt(const TargetId &target, const ModelId &model) const
@@ -538,23 +552,55 @@
     const auto best = bestTarget(whole, now);
     if (!best)
         return;
-    auto &it = m_targets.at(best->target);
-    if (best->isFromStore
-        && (storeLoadsUnderWay() >= FullSpeedLoads || !mayLoadFromStore(*engine, now)))
+    const auto mostLoads = wanted.pressure() >= UrgentPressure ? UrgentLoads : FullSpeedLoads;
+    if (best->isFromStore && (storeLoadsUnderWay() >= mostLoads || !mayLoadFromStore(*engine, now)))
         return;
-    m_reserved.insert(best->target);
+    makeRoomOrLoad(*best, key, now, orders);
+}
+
+void SwapPlanner::makeRoomOrLoad(const Candidate &candidate, const ReplicaKey &key, TimePoint now,
+                                 std::vector<PlacementOrder> &orders)
+{
+    m_reserved.insert(candidate.target);
+    auto &it = m_targets.at(candidate.target);
     if (it.pending || now < it.pausedUntil)
         return;
-    if (best->victims.empty())
+    if (candidate.victims.empty())
         order(it, IntentAction::Load, key, now, orders);
     else
-        order(it, IntentAction::Unload, best->victims.front(), now, orders);
+        order(it, IntentAction::Unload, candidate.victims.front(), now, orders);
+}
+
+void SwapPlanner::planSpares(TimePoint now, std::vector<PlacementOrder> &orders)
+{
+    std::map<std::pair<ServiceId, ModelId>, double> rates;
+    for (const auto &it : m_wanted)
+        rates[{ it.service, it.key.model }] += it.arrivalsPerSecond;
+    for (const auto &[name, perSecond] : rates) {
+        const auto &[service, model] = name;
+        const auto *engine = engineOf(service);
+        if (!engine || perSecond < SecondCopyFrom)
+            continue;
+        Wanted spare;
+        spare.service = service;
+        spare.key = { model, AdapterId() };
+        spare.urgency = SpareGain * perSecond;
+        const std::size_t copies = perSecond < ThirdCopyFrom ? 2 : 3;
+        if (copiesOf(spare.key, service) + comingOf(spare.key, service) >= copies)
+            continue;
+        const auto best = bestTarget(spare, now);
+        if (!best
+            || (best->isFromStore
+                && (storeLoadsUnderWay() >= PrefetchLoads || !mayLoadFromStore(*engine, now))))
+            continue;
+        makeRoomOrLoad(*best, spare.key, now, orders);
+    }
 }
 
 void SwapPlanner::planPrefetch(TimePoint now, std::vector<PlacementOrder> &orders)
 {
     for (const auto &[service, spec] : m_services) {
-        if (!spec.engine || storeLoadsUnderWay() >= FullSpeedLoads
+        if (!spec.engine || storeLoadsUnderWay() >= PrefetchLoads
             || !mayLoadFromStore(*spec.engine, now))
             continue;
         std::set<ModelId> atHand;
@@ -618,6 +664,7 @@
         else
             planModel(it, now, orders);
     }
+    planSpares(now, orders);
     planPrefetch(now, orders);
     return orders;
 }
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -178,6 +178,7 @@
     [[nodiscard]] Megabytes sizeOf(const ServiceId &service, const ReplicaKey &key) const;
     [[nodiscard]] Megabytes freeOf(const TargetState &it) const;
     [[nodiscard]] std::size_t copiesOf(const ReplicaKey &key, const ServiceId &service) const;
+    [[nodiscard]] std::size_t comingOf(const ReplicaKey &key, const ServiceId &service) const;
     [[nodiscard]] bool isPlacedOrComing(const ReplicaKey &key, const ServiceId &service) const;
     [[nodiscard]] std::uint32_t inFlightAt(const TargetId &target, const ModelId &model) const;
     [[nodiscard]] std::uint32_t loadOf(const TargetId &target) const;
@@ -194,6 +195,11 @@
     [[nodiscard]] static bool takesOrders(const TargetState &it, const ServiceId &service);
     void planAdapter(const Wanted &wanted, TimePoint now, std::vector<PlacementOrder> &orders);
     void planModel(const Wanted &wanted, TimePoint now, std::vector<PlacementOrder> &orders);
+    /// Keeps more than one copy of models that are asked for often.
+    void planSpares(TimePoint now, std::vector<PlacementOrder> &orders);
+    /// Unloads the first victim or, when there is none, loads.
+    void makeRoomOrLoad(const Candidate &candidate, const ReplicaKey &key, TimePoint now,
+                        std::vector<PlacementOrder> &orders);
     void planPrefetch(TimePoint now, std::vector<PlacementOrder> &orders);
     void planRepeats(TimePoint now, std::vector<PlacementOrder> &orders);
     void order(TargetState &it, IntentAction action, const ReplicaKey &key, TimePoint now,
--- a/tests/tst_swapplanner.cpp
+++ b/tests/tst_swapplanner.cpp
@@ -276,3 +276,31 @@
     ASSERT_EQ(orders.size(), 1U);
     EXPECT_EQ(orders.front().expectedSequence, 0U);
 }
+
+TEST_F(SwapPlannerTest, KeepsASpareCopyOfABusyModel)
+{
+    addTarget("t1", { "m0" });
+    addTarget("t2", {}, { "m0", "m1" });
+    start(2);
+    ModelDemand busy;
+    busy.service = Engines;
+    busy.key = model("m0");
+    busy.arrivalsPerSecond = 5;
+    m_planner.noteDemand(Vm, { busy }, {}, m_now);
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().target, TargetId("t2"));
+    EXPECT_EQ(orders.front().key, model("m0"));
+}
+
+TEST_F(SwapPlannerTest, ACopyOnADrainingTargetDoesNotCount)
+{
+    addTarget("t1", { "m0" });
+    addTarget("t2", {});
+    m_entries[TargetId("t1")].isDraining = true;
+    start(1);
+    want(model("m0"));
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().target, TargetId("t2"));
+}
