Refuse by the time of a load that is under way, and tell callers when to return

Tried and taken back: estimates for models that only wait for a load, from the planner's best target and the store's queue. Kept: only loads under way are told, as a time; a request that cannot be there then is refused 'not run' with that time as Retry-After, and its demand stands until it returns. Without an estimate it waits until its caller's patience ends.

--- a/programs/gateway/relay.cpp
+++ b/programs/gateway/relay.cpp
@@ -21,6 +21,8 @@
 constexpr Duration PauseAfterRefusal = milliseconds(30);
 /// The longest time between two looks for a target.
 constexpr Duration LookEvery = milliseconds(250);
+/// How long the demand of a request is kept beyond the time at which it was told to come back.
+constexpr Duration ReturnAllowance = milliseconds(500);
 /// The longest silence of a stream that may be resumed at another target.
 constexpr Duration ShortestSilence = milliseconds(800);
 /// Sends of one request, whatever becomes of them.
@@ -143,6 +145,17 @@
                                             now);
             m_state.announce();
         }
+        if (need.key) {
+            const auto verdict = decideWait(waitFacts(it, now), now);
+            if (verdict.refuseWithRetryAfter) {
+                const auto retryAfter = *verdict.refuseWithRetryAfter;
+                m_state.demand.keepUntil(*wait, now + retryAfter + ReturnAllowance);
+                wait.reset();
+                result = notRun(ErrorCode::Overloaded, "the model is not loaded in time",
+                                retryAfter);
+                break;
+            }
+        }
         const auto pause = it.met.empty() ? LookEvery : PauseAfterRefusal;
         it.met.clear();
         co_await m_state.changed.wait(std::min<Duration>(pause, it.deadline - now));
@@ -152,6 +165,19 @@
     co_return result;
 }
 
+WaitFacts Relay::waitFacts(const RequestContext &it, TimePoint now) const
+{
+    WaitFacts facts;
+    facts.receivedAt = it.receivedAt;
+    facts.deadline = it.deadline;
+    facts.latencyGoal = it.route->latencyGoal;
+    facts.patience = it.route->kind == RequestKind::Streaming
+            ? streamPatience(it.route->latencyGoal, it.route->pauseGoal)
+            : it.deadline - it.receivedAt;
+    facts.readyAt = m_state.readyAt(it.service->name, it.caller.replica->model, now);
+    return facts;
+}
+
 Duration Relay::answerTimeout(const RequestContext &it, TimePoint now) const
 {
     const auto left = std::max<Duration>(it.deadline - now, milliseconds(1));
--- a/programs/gateway/relay.h
+++ b/programs/gateway/relay.h
@@ -4,6 +4,7 @@
 #include "gateway/sitestate.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "queue/patience.h"
 #include "streams/eventsplitter.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -102,6 +103,7 @@
     /// it
     [[nodiscard]] bool isTooLateToStart(const RequestContext &it, TimePoint now) const;
     [[nodiscard]] TargetNeed needOf(const RequestContext &it) const;
+    [[nodiscard]] WaitFacts waitFacts(const RequestContext &it, TimePoint now) const;
     [[nodiscard]] Duration answerTimeout(const RequestContext &it, TimePoint now) const;
     void record(const RequestContext &it, const Result<void> &result);
 
--- a/programs/gateway/sitestate.cpp
+++ b/programs/gateway/sitestate.cpp
@@ -51,6 +51,17 @@
     return all;
 }
 
+std::optional<TimePoint> SiteState::readyAt(const ServiceId &service, const ModelId &model,
+                                            TimePoint now) const
+{
+    if (!leadership.isHolder(now))
+        return fleet.readyAt(service, model, now);
+    for (const auto &it : planner.estimates(now))
+        if (it.service == service && it.model == model)
+            return now + it.readyIn;
+    return std::nullopt;
+}
+
 std::vector<ModelInFlight> SiteState::inFlight() const
 {
     std::vector<ModelInFlight> all;
@@ -76,6 +87,7 @@
     if (leadership.isHolder(now)) {
         it.leaderEpoch = leadership.epoch();
         it.residents = planner.residents();
+        it.estimates = planner.estimates(now);
     }
     return it;
 }
--- a/programs/gateway/sitestate.h
+++ b/programs/gateway/sitestate.h
@@ -59,6 +59,9 @@
     [[nodiscard]] bool isReady() const noexcept { return index && !stopRequestedAt; }
     /// \returns what engines hold, as the holder of the role or else the engines themselves tell it
     [[nodiscard]] std::map<TargetId, std::set<ReplicaKey>> residents(TimePoint now) const;
+    /// \returns when a model can serve that is not there yet, if the holder of the role knows
+    [[nodiscard]] std::optional<TimePoint> readyAt(const ServiceId &service, const ModelId &model,
+                                                   TimePoint now) const;
     /// \returns the state that the other daemons are told
     [[nodiscard]] DaemonStatus status(TimePoint now);
     /// \returns what this daemon has under way at engines
--- a/src/membership/daemonstatus.h
+++ b/src/membership/daemonstatus.h
@@ -45,6 +45,8 @@
     std::vector<RateCount> rates;
     /// What engines hold; only told by the holder of the role.
     std::map<TargetId, std::set<ReplicaKey>> residents;
+    /// When models that are being loaded can serve; only told by the holder of the role.
+    std::vector<LoadEstimate> estimates;
 };
 
 } // namespace bluebell
--- a/src/membership/fleet.cpp
+++ b/src/membership/fleet.cpp
@@ -120,7 +120,7 @@
     return best;
 }
 
-const std::map<TargetId, std::set<ReplicaKey>> *Fleet::residents(TimePoint now) const
+const Fleet::Heard *Fleet::holder(TimePoint now) const
 {
     const Heard *best = nullptr;
     for (const auto &[vm, it] : m_heard) {
@@ -129,7 +129,25 @@
         if (!best || it.status.leaderEpoch > best->status.leaderEpoch)
             best = &it;
     }
-    return best ? &best->status.residents : nullptr;
+    return best;
+}
+
+const std::map<TargetId, std::set<ReplicaKey>> *Fleet::residents(TimePoint now) const
+{
+    const auto *told = holder(now);
+    return told ? &told->status.residents : nullptr;
+}
+
+std::optional<TimePoint> Fleet::readyAt(const ServiceId &service, const ModelId &model,
+                                        TimePoint now) const
+{
+    const auto *told = holder(now);
+    if (!told)
+        return std::nullopt;
+    for (const auto &it : told->status.estimates)
+        if (it.service == service && it.model == model)
+            return told->at + it.readyIn;
+    return std::nullopt;
 }
 
 std::vector<VmId> Fleet::goneMembers(TimePoint now) const
--- a/src/membership/fleet.h
+++ b/src/membership/fleet.h
@@ -74,6 +74,9 @@
                                                               TimePoint now) const;
     /// \returns what engines hold, if the holder of the role was heard from lately
     [[nodiscard]] const std::map<TargetId, std::set<ReplicaKey>> *residents(TimePoint now) const;
+    /// \returns when a model can serve, if the holder of the role was heard from lately and knows
+    [[nodiscard]] std::optional<TimePoint> readyAt(const ServiceId &service, const ModelId &model,
+                                                   TimePoint now) const;
     /// \returns daemons whose rows may be removed
     [[nodiscard]] std::vector<VmId> goneMembers(TimePoint now) const;
 
@@ -89,6 +92,8 @@
         TimePoint since;
     };
 
+    /// \returns what was heard last from the holder of the role, or null
+    [[nodiscard]] const Heard *holder(TimePoint now) const;
     [[nodiscard]] bool isHeard(const VmId &vm, TimePoint now) const;
 
     FleetMember m_self;
--- a/src/peer/statuscodec.cpp
+++ b/src/peer/statuscodec.cpp
@@ -96,6 +96,16 @@
     }
 }
 
+void writeEstimates(const std::vector<LoadEstimate> &estimates, wire::Status::Builder out)
+{
+    auto list = out.initEstimates(static_cast<unsigned>(estimates.size()));
+    for (unsigned n = 0; n < estimates.size(); ++n) {
+        list[n].setService(estimates[n].service.value());
+        list[n].setModel(estimates[n].model.value());
+        list[n].setReadyInMs(toWire(estimates[n].readyIn));
+    }
+}
+
 DaemonStatus read(wire::Status::Reader in)
 {
     DaemonStatus status;
@@ -118,6 +128,9 @@
     for (const auto it : in.getRates())
         status.rates.push_back(
                 { OrganisationId(text(it.getOrganisation())), it.getAdmitted(), it.getLevel() });
+    for (const auto it : in.getEstimates())
+        status.estimates.push_back({ ServiceId(text(it.getService())), ModelId(text(it.getModel())),
+                                     milliseconds(it.getReadyInMs()) });
     for (const auto it : in.getResidents()) {
         auto &keys = status.residents[TargetId(text(it.getTarget()))];
         for (const auto replica : it.getReplicas()) {
@@ -148,6 +161,7 @@
     writeInFlight(status.inFlight, out);
     writeRates(status.rates, out);
     writeResidents(status.residents, out);
+    writeEstimates(status.estimates, out);
     const auto words = capnp::messageToFlatArray(message);
     const auto bytes = words.asBytes();
     return { reinterpret_cast<const char *>(bytes.begin()), bytes.size() };
--- a/src/placement/demandboard.cpp
+++ b/src/placement/demandboard.cpp
@@ -30,7 +30,7 @@
                               TimePoint now)
 {
     const auto id = m_next++;
-    m_waits.emplace(id, Wait { { service, key }, urgency, now });
+    m_waits.emplace(id, Wait { { service, key }, urgency, now, std::nullopt });
     return id;
 }
 
@@ -39,8 +39,16 @@
     m_waits.erase(wait);
 }
 
+void DemandBoard::keepUntil(WaitId wait, TimePoint until)
+{
+    if (const auto it = m_waits.find(wait); it != m_waits.end())
+        it->second.until = until;
+}
+
 std::vector<ModelDemand> DemandBoard::demand(TimePoint now)
 {
+    std::erase_if(m_waits,
+                  [&](const auto &it) { return it.second.until && now >= *it.second.until; });
     std::map<Key, ModelDemand> all;
     for (auto &[key, rate] : m_rates) {
         fade(rate, now);
--- a/src/placement/demandboard.h
+++ b/src/placement/demandboard.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 /// \file
@@ -26,6 +27,8 @@
     [[nodiscard]] WaitId startWait(const ServiceId &service, const ReplicaKey &key, double urgency,
                                    TimePoint now);
     void endWait(WaitId wait);
+    /// Keeps the demand of a request that was told to come back, until it does.
+    void keepUntil(WaitId wait, TimePoint until);
 
     // Questions.
 
@@ -47,6 +50,8 @@
         Key key;
         double urgency = 0;
         TimePoint since;
+        /// Set when the request was told to come back.
+        std::optional<TimePoint> until;
     };
 
     static void fade(Rate &rate, TimePoint now);
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -571,6 +571,19 @@
         order(it, IntentAction::Unload, candidate.victims.front(), now, orders);
 }
 
+std::vector<LoadEstimate> SwapPlanner::estimates(TimePoint now) const
+{
+    std::vector<LoadEstimate> all;
+    for (const auto &[id, it] : m_targets) {
+        const bool isLoad = it.pending && it.pending->order.action == IntentAction::Load
+                && it.pending->order.key.adapter.isEmpty();
+        if (isLoad)
+            all.push_back({ it.entry.service, it.pending->order.key.model,
+                            std::max(it.pending->expectedEnd - now, Duration::zero()) });
+    }
+    return all;
+}
+
 void SwapPlanner::planSpares(TimePoint now, std::vector<PlacementOrder> &orders)
 {
     std::map<std::pair<ServiceId, ModelId>, double> rates;
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -41,6 +41,14 @@
     std::uint32_t count = 0;
 };
 
+/// When a model that is being loaded can serve.
+struct LoadEstimate
+{
+    ServiceId service;
+    ModelId model;
+    Duration readyIn {};
+};
+
 /// An order for a target. It takes effect only if no other order was accepted in between, so that a
 /// late order cannot overcommit the target's memory.
 struct PlacementOrder
@@ -107,6 +115,8 @@
 
     /// \returns what can serve requests at each target, without what is about to leave
     [[nodiscard]] std::map<TargetId, std::set<ReplicaKey>> residents() const;
+    /// \returns when the models can serve that are being loaded
+    [[nodiscard]] std::vector<LoadEstimate> estimates(TimePoint now) const;
 
 private:
     enum class Phase : std::uint8_t {
