Test the gateway against stand-ins that speak the published protocol

The store, engines and plain targets of the platform as stand-ins in one process with real gateways, and tests of each decision object that came with them. Found by them: a model that nobody used any more stayed in the demand for one more status (DemandBoard.ArrivalsFade). 221 of 221 tests passed.

--- a/src/placement/demandboard.cpp
+++ b/src/placement/demandboard.cpp
@@ -50,11 +50,11 @@
     std::erase_if(m_waits,
                   [&](const auto &it) { return it.second.until && now >= *it.second.until; });
     std::map<Key, ModelDemand> all;
-    for (auto &[key, rate] : m_rates) {
+    for (auto &[key, rate] : m_rates)
         fade(rate, now);
-        all[key].arrivalsPerSecond = rate.weight / toSeconds(FadeTime);
-    }
     std::erase_if(m_rates, [](const auto &it) { return it.second.weight < Forgotten; });
+    for (const auto &[key, rate] : m_rates)
+        all[key].arrivalsPerSecond = rate.weight / toSeconds(FadeTime);
     for (const auto &[id, wait] : m_waits) {
         auto &it = all[wait.key];
         ++it.waiting;
--- /dev/null
+++ b/tests/platformstandin.cpp
@@ -0,0 +1,361 @@
+#include "platformstandin.h"
+
+#include "core/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <openssl/evp.h>
+
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace bluebell::testing {
+namespace {
+
+using nlohmann::json;
+
+std::string toBase64(const std::string &bytes)
+{
+    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    const auto n = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
+                                   reinterpret_cast<const unsigned char *>(bytes.data()),
+                                   static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(n));
+    return text;
+}
+
+std::string fromBase64(const std::string &text)
+{
+    std::string bytes(text.size(), '\0');
+    auto n = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
+                             reinterpret_cast<const unsigned char *>(text.data()),
+                             static_cast<int>(text.size()));
+    for (auto it = text.rbegin(); it != text.rend() && *it == '=' && n > 0; ++it)
+        --n;
+    bytes.resize(static_cast<std::size_t>(std::max(n, 0)));
+    return bytes;
+}
+
+std::string queryValue(const std::string &path, const std::string &name)
+{
+    auto from = path.find(name + "=");
+    if (from == std::string::npos)
+        return {};
+    from += name.size() + 1;
+    return path.substr(from, path.find('&', from) - from);
+}
+
+HttpResponse statusOnly(unsigned status)
+{
+    HttpResponse response;
+    response.status = status;
+    response.body = "{}";
+    return response;
+}
+
+} // namespace
+
+StoreStandIn::StoreStandIn(asio::io_context &context)
+    : m_server(context, HttpLimits(),
+               [this](const HttpRequest &request, HttpResponder &responder) {
+                   return answer(request, responder);
+               }),
+      m_changed(context.get_executor())
+{
+}
+
+Endpoint StoreStandIn::listen()
+{
+    return m_server.listen({ "127.0.0.1", 0 }).value();
+}
+
+void StoreStandIn::put(const std::string &table, const std::string &key, const std::string &value)
+{
+    m_rows[{ table, key }] = { value, ++m_version, false };
+    m_changed.notify();
+}
+
+void StoreStandIn::remove(const std::string &table, const std::string &key)
+{
+    m_rows[{ table, key }] = { {}, ++m_version, true };
+    m_changed.notify();
+}
+
+void StoreStandIn::compact()
+{
+    std::erase_if(m_rows, [](const auto &it) { return it.second.isDeleted; });
+    m_oldest = ++m_version;
+    m_changed.notify();
+}
+
+std::string StoreStandIn::value(const std::string &table, const std::string &key) const
+{
+    const auto it = m_rows.find({ table, key });
+    return it == m_rows.end() || it->second.isDeleted ? std::string() : it->second.value;
+}
+
+json StoreStandIn::rowsSince(const std::string &table, std::uint64_t after, bool withDeleted) const
+{
+    auto rows = json::array();
+    for (const auto &[key, row] : m_rows) {
+        if (key.first != table || row.version <= after || (row.isDeleted && !withDeleted))
+            continue;
+        json it = { { "Table", table },
+                    { "part", "" },
+                    { "Key", key.second },
+                    { "Value", toBase64(row.value) },
+                    { "Ver", row.version } };
+        if (row.isDeleted)
+            it["Deleted"] = true;
+        rows.push_back(std::move(it));
+    }
+    return rows;
+}
+
+HttpResponse StoreStandIn::transact(const std::string &text)
+{
+    const auto body = json::parse(text);
+    for (const auto &it : body["Expected"]) {
+        const auto row = m_rows.find({ it["Table"], it["Key"] });
+        const auto version = row == m_rows.end() || row->second.isDeleted ? 0 : row->second.version;
+        if (version != it["Ver"].get<std::uint64_t>())
+            return statusOnly(412);
+    }
+    for (const auto &it : body["SetKeys"])
+        put(it["Table"], it["Key"], fromBase64(it["Value"]));
+    for (const auto &it : body["Remove"])
+        remove(it["Table"], it["Key"]);
+    auto response = statusOnly(200);
+    response.body = json { { "Ver", m_version }, { "NowMs", 1 } }.dump();
+    return response;
+}
+
+asio::awaitable<void> StoreStandIn::answer(const HttpRequest &request, HttpResponder &responder)
+{
+    ++calls;
+    auto response = statusOnly(503);
+    const auto table = queryValue(request.path, "Table");
+    if (isDown) {
+        // Nothing is done.
+    } else if (request.path.starts_with("/-/rows-tx")) {
+        response = transact(request.body);
+        if (losesAnswers)
+            co_return;
+    } else if (request.path.starts_with("/-/rows-get")) {
+        response = statusOnly(200);
+        response.body = json {
+            { "Rows", rowsSince(table, 0, false) },
+            { "HasMore", false },
+            { "Ver", m_version },
+            { "NowMs", 1 }
+        }.dump();
+    } else if (request.path.starts_with("/-/rows-feed")) {
+        const auto after = std::stoull(queryValue(request.path, "after"));
+        const auto wait = std::chrono::milliseconds(std::stoi(queryValue(request.path, "WaitMs")));
+        const auto end = BootClock::now() + wait;
+        while (!isDown && after >= m_oldest && rowsSince(table, after, true).empty()
+               && BootClock::now() < end)
+            co_await m_changed.wait(std::max<Duration>(end - BootClock::now(), Duration(1)));
+        response = statusOnly(isDown ? 503 : after < m_oldest ? 410 : 200);
+        if (response.status == 200)
+            response.body = json {
+                { "Rows", rowsSince(table, after, true) }, { "Ver", m_version }, { "NowMs", 1 }
+            }.dump();
+    }
+    (void)co_await responder.send(std::move(response));
+}
+
+TargetStandIn::TargetStandIn(asio::io_context &context, StoreStandIn &store, std::string id,
+                             std::string service)
+    : m_context(context), m_store(store), m_id(std::move(id)), m_service(std::move(service)),
+      m_server(std::make_unique<HttpServer>(
+              context, HttpLimits(), [this](const HttpRequest &request, HttpResponder &responder) {
+                  return answer(request, responder);
+              }))
+{
+}
+
+Endpoint TargetStandIn::listen()
+{
+    m_address = m_server->listen({ "127.0.0.1", 0 }).value();
+    return m_address;
+}
+
+void TargetStandIn::stop()
+{
+    m_server.reset();
+}
+
+json TargetStandIn::state() const
+{
+    json it = { { "born", 1000 }, { "Sequence", m_sequence } };
+    if (!isEngine)
+        return it;
+    it["Models"] = json::array();
+    for (const auto &model : models)
+        it["Models"].push_back(
+                { { "Name", model }, { "Version", 1 }, { "Adapters", json::array() } });
+    it["AtHand"] = { { "InMemory", json::array() }, { "OnDisk", json(onDisk) } };
+    it["Busy"] = m_isBusy;
+    return it;
+}
+
+void TargetStandIn::announce(const std::string &stateName)
+{
+    auto it = state();
+    it["Sequence"] = ++m_heartbeat;
+    it["Service"] = m_service;
+    it["Address"] = toString(m_address);
+    it["Zone"] = "leicester";
+    it["Version"] = "v1";
+    it["Slots"] = 8;
+    it["State"] = stateName;
+    it["ColdLeftMs"] = 0;
+    m_store.put("servers", m_id, it.dump());
+}
+
+HttpResponse TargetStandIn::takeOrder(const std::string &text)
+{
+    const auto body = json::parse(text);
+    if (m_isBusy || body["Expected"] != m_sequence)
+        return statusOnly(409);
+    ++m_sequence;
+    m_isBusy = true;
+    const auto name = body["Model"].get<std::string>();
+    const bool isLoad = body["Operation"] == "load";
+    orders.push_back(body["Operation"].get<std::string>() + " " + name);
+    auto carryOut = [](TargetStandIn &self, std::string model, bool load) -> asio::awaitable<void> {
+        co_await sleepFor(load ? self.loadTime : Duration(1000000));
+        if (load)
+            self.models.insert(model);
+        else
+            self.models.erase(model);
+        self.onDisk.insert(model);
+        self.m_isBusy = false;
+        self.announce();
+    };
+    asio::co_spawn(m_context, carryOut(*this, name, isLoad), asio::detached);
+    return statusOnly(202);
+}
+
+asio::awaitable<void> TargetStandIn::answer(const HttpRequest &request, HttpResponder &responder)
+{
+    HttpResponse response;
+    const bool isMine = request.header("X-Expect-Instance") == m_id;
+    if (!isMine) {
+        response = statusOnly(421);
+    } else if (request.path == "/-/report") {
+        response.body = state().dump();
+    } else if (request.path == "/-/order") {
+        response = takeOrder(request.body);
+    } else {
+        auto running = run(request, responder);
+        co_await std::move(running);
+        co_return;
+    }
+    (void)co_await responder.send(std::move(response));
+}
+
+asio::awaitable<void> TargetStandIn::run(const HttpRequest &request, HttpResponder &responder)
+{
+    auto response = statusOnly(200);
+    const auto attempt = std::string(request.header("X-Attempt-Id"));
+    response.headers.push_back({ "X-Attempt-Id", behaviour.answersForeign ? "another" : attempt });
+    const auto model = std::string(request.header("X-Model"));
+    if (behaviour.isFull || (isEngine && !models.contains(model))) {
+        response.status = behaviour.isFull ? 503 : 421;
+        response.headers.push_back({ "X-Not-Executed", "1" });
+        (void)co_await responder.send(std::move(response));
+        co_return;
+    }
+    runs.push_back(attempt);
+    lastHeaders = request.headers;
+    co_await sleepFor(behaviour.work);
+    if (behaviour.dropsRequests)
+        co_return;
+    response.headers.push_back({ "X-Server-Seal", "seal-of-" + m_id });
+    if (behaviour.fails)
+        response.status = 500;
+    response.body = "answer of " + m_id;
+    if (isEngine && response.status == 200) {
+        auto streaming = stream(request, std::move(response), responder);
+        co_await std::move(streaming);
+        co_return;
+    }
+    (void)co_await responder.send(std::move(response));
+}
+
+asio::awaitable<void> TargetStandIn::stream(const HttpRequest &request, HttpResponse head,
+                                            HttpResponder &responder)
+{
+    head.contentType = "text/event-stream";
+    const bool isBegun = co_await responder.begin(std::move(head));
+    if (!isBegun)
+        co_return;
+    const auto last = request.header("Last-Event-Id");
+    int sent = 0;
+    for (int n = last.empty() ? 1 : std::stoi(std::string(last)) + 1; n <= events; ++n) {
+        if (behaviour.cutsAfter > 0 && sent == behaviour.cutsAfter) {
+            // A crash may cut an event in the middle.
+            (void)co_await responder.write("id: " + std::to_string(n) + "\nda");
+            co_return;
+        }
+        const bool isSent = co_await responder.write("id: " + std::to_string(n) + "\ndata: t\n\n");
+        if (!isSent)
+            co_return;
+        ++sent;
+        co_await sleepFor(behaviour.work);
+    }
+    (void)co_await responder.end();
+}
+
+json siteConfig(std::uint64_t version, int models)
+{
+    const auto route = [](const std::string &name, const std::string &kind,
+                          const std::string &service) {
+        return json {
+            { "Name", name },       { "Host", "shop.example" }, { "Prefix", "/" + name + "/" },
+            { "Kind", kind },       { "TimeoutMs", 5000 },      { "LatencyGoalMs", 300 },
+            { "Priority", 1 },      { "Service", service },     { "MaxAttempts", 1 },
+            { "Anonymous", false }, { "Resumable", false },     { "GapAimMs", 250 }
+        };
+    };
+    auto review = route("review", "streaming", "engines");
+    review["Resumable"] = true;
+    review["MaxAttempts"] = 3;
+    auto look = route("look", "idempotent", "plain");
+    look["MaxAttempts"] = 2;
+    auto open = route("open", "idempotent", "plain");
+    open["Anonymous"] = true;
+    json engine = { { "Slots", 8 },
+                    { "WeightsMb", 130000 },
+                    { "AdapterSlots", 2 },
+                    { "LoadsPerS", 3.0 },
+                    { "Models", json::array() } };
+    for (int n = 0; n < models; ++n)
+        engine["Models"].push_back({ { "Name", "m" + std::to_string(n) },
+                                     { "WeightsMb", 60000 },
+                                     { "LoadS", 0.1 },
+                                     { "WarmS", 0.1 },
+                                     { "DiskS", 0.1 },
+                                     { "Adapters", 0 },
+                                     { "AdapterMb", 10 } });
+    return { { "Version", version },
+             { "Routes",
+               json::array({ route("chat", "streaming", "engines"), review,
+                             route("order", "non_idempotent", "plain"), look, open }) },
+             { "Services",
+               json::array({ { { "Name", "engines" }, { "MaxConns", 100 }, { "Engine", engine } },
+                             { { "Name", "plain" }, { "MaxConns", 100 } } }) },
+             { "Tenants",
+               json::array({ { { "Name", "leicester-hifi" },
+                               { "ApiKeys", json::array({ "key-1" }) } } }) },
+             { "Limits",
+               { { "HeaderBytes", 16384 },
+                 { "MaxBodyBytes", 1048576 },
+                 { "HeaderTimeoutMs", 3000 },
+                 { "IdleTimeoutMs", 15000 } } } };
+}
+
+} // namespace bluebell::testing
--- /dev/null
+++ b/tests/tst_adapter_gateway.cpp
@@ -0,0 +1,463 @@
+#include "gateway/daemon.h"
+#include "http/client.h"
+#include "platformstandin.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+
+namespace asio = boost::asio;
+
+using namespace bluebell;
+using namespace bluebell::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// \returns a port of the loopback interface that nobody listens on
+std::uint16_t freePort()
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    return acceptor.local_endpoint().port();
+}
+
+gateway::GatewaySettings settingsOf(const std::string &vm, const Endpoint &store)
+{
+    gateway::GatewaySettings it;
+    it.vm = VmId(vm);
+    it.dataCentre = DataCentreId("leicester");
+    for (auto *endpoint : { &it.callers, &it.readiness, &it.directory, &it.control, &it.peers })
+        *endpoint = { "127.0.0.1", freePort() };
+    it.store = store;
+    it.stopTime = 3s;
+    it.leaseTime = 300ms;
+    return it;
+}
+
+/// A gateway with an event loop of its own, so that it can be frozen.
+struct GatewayProcess
+{
+    explicit GatewayProcess(gateway::GatewaySettings settings)
+        : daemon(context, std::move(settings))
+    {
+    }
+
+    asio::io_context context;
+    gateway::Daemon daemon;
+    bool isFrozen = false;
+};
+
+/// A site of stand-ins and gateways in one thread.
+class GatewayTest : public ::testing::Test
+{
+protected:
+    GatewayTest() : store(context), storeAddress(store.listen()) { config(siteConfig(1)); }
+
+    void config(const nlohmann::json &it) { store.put("op", "config", it.dump()); }
+
+    TargetStandIn &addTarget(const std::string &id, const std::string &service,
+                             std::set<std::string> models = {})
+    {
+        targets.push_back(std::make_unique<TargetStandIn>(context, store, id, service));
+        auto &it = *targets.back();
+        it.isEngine = service == "engines";
+        it.models = std::move(models);
+        it.listen();
+        it.announce();
+        return it;
+    }
+
+    gateway::Daemon &addGateway(const std::string &vm)
+    {
+        settings.push_back(settingsOf(vm, storeAddress));
+        processes.push_back(std::make_unique<GatewayProcess>(settings.back()));
+        EXPECT_TRUE(processes.back()->daemon.start());
+        return processes.back()->daemon;
+    }
+
+    /// Runs everything until `condition` holds.
+    ::testing::AssertionResult runUntil(const std::function<bool()> &condition, Duration most = 8s)
+    {
+        const auto end = BootClock::now() + most;
+        while (!condition()) {
+            if (BootClock::now() > end)
+                return ::testing::AssertionFailure() << "not in time";
+            if (context.stopped())
+                context.restart();
+            context.run_for(1ms);
+            for (const auto &it : processes)
+                if (!it->isFrozen)
+                    it->context.run_for(1ms);
+        }
+        return ::testing::AssertionSuccess();
+    }
+
+    void run(Duration length)
+    {
+        const auto end = BootClock::now() + length;
+        (void)runUntil([&] { return BootClock::now() > end; }, length + 1s);
+    }
+
+    struct Reply
+    {
+        std::optional<Result<HttpResponse>> result;
+
+        [[nodiscard]] unsigned status() const
+        {
+            return result && *result ? result->value().status : 0;
+        }
+        [[nodiscard]] std::string body() const
+        {
+            return result && *result ? result->value().body : std::string();
+        }
+    };
+
+    HttpCall callTo(const Endpoint &endpoint, const std::string &path, const std::string &key,
+                    std::vector<HttpHeader> headers)
+    {
+        HttpCall call;
+        call.endpoint = endpoint;
+        call.request.method = "POST";
+        call.request.path = path;
+        call.request.body = "{}";
+        call.request.headers = std::move(headers);
+        call.request.headers.push_back({ "Host", "shop.example" });
+        call.request.headers.push_back({ "X-Attempt-Id", "a" + std::to_string(++attempts) });
+        if (!key.empty())
+            call.request.headers.push_back({ "Authorization", "Bearer " + key });
+        call.timeout = 8s;
+        return call;
+    }
+
+    std::shared_ptr<Reply> send(std::size_t gateway, const std::string &path,
+                                const std::string &key = "key-1",
+                                std::vector<HttpHeader> headers = {})
+    {
+        auto reply = std::make_shared<Reply>();
+        auto ask = [](std::shared_ptr<Reply> out, HttpCall call) -> asio::awaitable<void> {
+            out->result = co_await exchange(std::move(call));
+        };
+        asio::co_spawn(context,
+                       ask(reply, callTo(settings[gateway].callers, path, key, std::move(headers))),
+                       asio::detached);
+        return reply;
+    }
+
+    unsigned ask(std::size_t gateway, const std::string &path, const std::string &key = "key-1",
+                 std::vector<HttpHeader> headers = {})
+    {
+        const auto reply = send(gateway, path, key, std::move(headers));
+        EXPECT_TRUE(runUntil([&] { return reply->result.has_value(); }));
+        lastBody = reply->body();
+        return reply->status();
+    }
+
+    unsigned askSystem(const Endpoint &endpoint, const std::string &path)
+    {
+        auto reply = std::make_shared<Reply>();
+        auto call = callTo(endpoint, path, {}, {});
+        call.request.method = "GET";
+        auto work = [](std::shared_ptr<Reply> out, HttpCall it) -> asio::awaitable<void> {
+            out->result = co_await exchange(std::move(it));
+        };
+        asio::co_spawn(context, work(reply, std::move(call)), asio::detached);
+        EXPECT_TRUE(runUntil([&] { return reply->result.has_value(); }));
+        lastBody = reply->body();
+        return reply->status();
+    }
+
+    ::testing::AssertionResult awaitReady(std::size_t gateway)
+    {
+        return runUntil([&] { return askSystem(settings[gateway].readiness, "/-/ready") == 200; });
+    }
+
+    asio::io_context context;
+    StoreStandIn store;
+    Endpoint storeAddress;
+    std::vector<std::unique_ptr<TargetStandIn>> targets;
+    std::vector<gateway::GatewaySettings> settings;
+    std::vector<std::unique_ptr<GatewayProcess>> processes;
+    std::string lastBody;
+    int attempts = 0;
+};
+
+const std::vector<HttpHeader> ModelZero { { "X-Model", "m0" }, { "X-Token-Counts", "10,20" } };
+const std::vector<HttpHeader> ModelOne { { "X-Model", "m1" }, { "X-Token-Counts", "10,20" } };
+const std::string FiveEvents = "id: 1\ndata: t\n\nid: 2\ndata: t\n\nid: 3\ndata: t\n\n"
+                               "id: 4\ndata: t\n\nid: 5\ndata: t\n\n";
+
+} // namespace
+
+TEST_F(GatewayTest, RelaysEachKindOfRequest)
+{
+    addTarget("e1", "engines", { "m0" });
+    auto &plain = addTarget("p1", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    EXPECT_EQ(ask(0, "/chat/x", "key-1", ModelZero), 200U);
+    EXPECT_EQ(lastBody, FiveEvents);
+    EXPECT_EQ(ask(0, "/order/x"), 200U);
+    EXPECT_EQ(lastBody, "answer of p1");
+    EXPECT_EQ(ask(0, "/look/x"), 200U);
+    EXPECT_EQ(ask(0, "/open/x", ""), 200U);
+    EXPECT_EQ(plain.runs.size(), 3U);
+}
+
+TEST_F(GatewayTest, TheKeyDoesNotReachTheTarget)
+{
+    auto &plain = addTarget("p1", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    EXPECT_EQ(ask(0, "/look/x", "key-1", { { "X-Tenant", "forged" }, { "X-Hold", "7" } }), 200U);
+    HttpRequest seen;
+    seen.headers = plain.lastHeaders;
+    EXPECT_EQ(seen.header("Authorization"), "");
+    EXPECT_EQ(seen.header("X-Hold"), "");
+    EXPECT_EQ(seen.header("X-Tenant"), "leicester-hifi");
+    EXPECT_EQ(seen.header("X-Expect-Instance"), "p1");
+}
+
+TEST_F(GatewayTest, RefusesUnknownKeysAndRoutes)
+{
+    addTarget("p1", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    EXPECT_EQ(ask(0, "/look/x", "key-2"), 401U);
+    EXPECT_EQ(ask(0, "/look/x", ""), 401U);
+    EXPECT_EQ(ask(0, "/nowhere/x"), 404U);
+}
+
+TEST_F(GatewayTest, WithoutAConfigurationNothingIsSaidAboutKeysOrRoutes)
+{
+    store.remove("op", "config");
+    addGateway("vm-1");
+    run(200ms);
+    EXPECT_EQ(askSystem(settings[0].readiness, "/-/ready"), 503U);
+    EXPECT_EQ(ask(0, "/look/x"), 503U);
+}
+
+TEST_F(GatewayTest, AnswersWhichAddressesToUse)
+{
+    addGateway("vm-1");
+    addGateway("vm-2");
+    ASSERT_TRUE(awaitReady(0));
+    EXPECT_TRUE(runUntil([&] {
+        askSystem(settings[0].directory, "/-/resolve?Name=shop.example&Region=r&Zone=z");
+        return nlohmann::json::parse(lastBody)["Addresses"].size() == 2;
+    }));
+}
+
+TEST_F(GatewayTest, AColdModelIsLoadedOnceForAllWhoWait)
+{
+    auto &engine = addTarget("e1", "engines", { "m0" });
+    engine.onDisk = { "m0", "m1", "m2" };
+    addGateway("vm-1");
+    addGateway("vm-2");
+    ASSERT_TRUE(awaitReady(0));
+    ASSERT_TRUE(awaitReady(1));
+    std::vector<std::shared_ptr<Reply>> replies;
+    for (int n = 0; n < 6; ++n)
+        replies.push_back(send(n % 2, "/chat/x", "key-1", ModelOne));
+    for (const auto &it : replies) {
+        EXPECT_TRUE(runUntil([&] { return it->result.has_value(); }));
+        EXPECT_EQ(it->body(), FiveEvents);
+    }
+    EXPECT_EQ(std::count(engine.orders.begin(), engine.orders.end(), "load m1"), 1);
+}
+
+TEST_F(GatewayTest, AWithdrawnKeyStopsWorking)
+{
+    addTarget("p1", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    EXPECT_EQ(ask(0, "/look/x"), 200U);
+    auto next = siteConfig(2);
+    next["Tenants"][0]["ApiKeys"] = nlohmann::json::array({ "key-9" });
+    config(next);
+    run(300ms);
+    EXPECT_EQ(ask(0, "/look/x"), 401U);
+    EXPECT_EQ(ask(0, "/look/x", "key-9"), 200U);
+}
+
+TEST_F(GatewayTest, AWithdrawnKeyStopsARequestThatWaits)
+{
+    auto &engine = addTarget("e1", "engines", { "m0" });
+    engine.onDisk = { "m0", "m1", "m2" };
+    engine.loadTime = 1500ms;
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    const auto reply = send(0, "/chat/x", "key-1", ModelOne);
+    run(200ms);
+    auto next = siteConfig(2);
+    next["Tenants"][0]["ApiKeys"] = nlohmann::json::array();
+    config(next);
+    EXPECT_TRUE(runUntil([&] { return reply->result.has_value(); }, 1s));
+    EXPECT_EQ(reply->status(), 401U);
+    EXPECT_TRUE(engine.runs.empty());
+}
+
+TEST_F(GatewayTest, AnOlderConfigurationNeverComesBack)
+{
+    addTarget("p1", "plain");
+    auto first = siteConfig(7);
+    first["Routes"][3]["Prefix"] = "/new/";
+    config(first);
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    config(siteConfig(6));
+    run(200ms);
+    EXPECT_EQ(ask(0, "/new/x"), 200U);
+    EXPECT_EQ(ask(0, "/look/x"), 404U);
+}
+
+TEST_F(GatewayTest, AStreamGoesOnAtAnotherTargetAfterABreak)
+{
+    auto &first = addTarget("e1", "engines", { "m0" });
+    auto &second = addTarget("e2", "engines", { "m0" });
+    first.behaviour.cutsAfter = 2;
+    second.behaviour.cutsAfter = 2;
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    run(300ms);
+    EXPECT_EQ(ask(0, "/review/x", "key-1", ModelZero), 200U);
+    EXPECT_EQ(lastBody, FiveEvents);
+    EXPECT_EQ(first.runs.size() + second.runs.size(), 3U);
+}
+
+TEST_F(GatewayTest, AStreamThatMayNotBeRepeatedIsCutNotEnded)
+{
+    auto &engine = addTarget("e1", "engines", { "m0" });
+    engine.behaviour.cutsAfter = 2;
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    const auto reply = send(0, "/chat/x", "key-1", ModelZero);
+    ASSERT_TRUE(runUntil([&] { return reply->result.has_value(); }));
+    EXPECT_FALSE(*reply->result);
+    EXPECT_EQ(engine.runs.size(), 1U);
+}
+
+TEST_F(GatewayTest, AnOrderIsSentOnceWhateverBecomesOfIt)
+{
+    auto &first = addTarget("p1", "plain");
+    auto &second = addTarget("p2", "plain");
+    first.behaviour.dropsRequests = true;
+    second.behaviour.dropsRequests = true;
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    EXPECT_EQ(ask(0, "/order/x"), 502U);
+    EXPECT_EQ(first.runs.size() + second.runs.size(), 1U);
+}
+
+TEST_F(GatewayTest, AnOrderGoesToAnotherTargetWhenTheFirstIsFull)
+{
+    auto &first = addTarget("p1", "plain");
+    auto &second = addTarget("p2", "plain");
+    first.behaviour.isFull = true;
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    for (int n = 0; n < 3; ++n)
+        EXPECT_EQ(ask(0, "/order/x"), 200U);
+    EXPECT_EQ(second.runs.size(), 3U);
+    EXPECT_TRUE(first.runs.empty());
+}
+
+TEST_F(GatewayTest, ARepeatableCallIsRepeatedAfterAFailure)
+{
+    auto &first = addTarget("p1", "plain");
+    auto &second = addTarget("p2", "plain");
+    first.behaviour.fails = true;
+    second.behaviour.answersForeign = true;
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    const auto status = ask(0, "/look/x");
+    EXPECT_TRUE(status == 500U || status == 502U);
+    EXPECT_EQ(first.runs.size() + second.runs.size(), 2U);
+}
+
+TEST_F(GatewayTest, ADrainingTargetGetsNothingNew)
+{
+    auto &first = addTarget("p1", "plain");
+    auto &second = addTarget("p2", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    first.announce("draining");
+    run(800ms);
+    for (int n = 0; n < 5; ++n)
+        EXPECT_EQ(ask(0, "/order/x"), 200U);
+    EXPECT_TRUE(first.runs.empty());
+    EXPECT_EQ(second.runs.size(), 5U);
+}
+
+TEST_F(GatewayTest, AMalformedEntryHarmsNoOther)
+{
+    addTarget("p1", "plain");
+    store.put("servers", "x1", "not json");
+    store.put("servers", "x2", R"({"Service":"plain","Address":7})");
+    store.put("servers", "x3",
+              R"({"Service":"plain","Address":"127.0.0.1:1","Zone":"z","Slots":1,"State":"odd",)"
+              R"("Sequence":1})");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    for (int n = 0; n < 5; ++n)
+        EXPECT_EQ(ask(0, "/order/x"), 200U);
+}
+
+TEST_F(GatewayTest, ServesOnWhileTheStoreIsDown)
+{
+    addTarget("p1", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    store.isDown = true;
+    run(1500ms);
+    EXPECT_EQ(ask(0, "/order/x"), 200U);
+    store.isDown = false;
+    auto next = siteConfig(2);
+    next["Routes"][3]["Prefix"] = "/new/";
+    config(next);
+    EXPECT_TRUE(runUntil([&] { return ask(0, "/new/x") == 200; }, 3s));
+}
+
+TEST_F(GatewayTest, ReadsAnewWhenTheStoreForgetsItsHistory)
+{
+    addTarget("p1", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    store.compact();
+    auto next = siteConfig(2);
+    next["Routes"][3]["Prefix"] = "/new/";
+    config(next);
+    EXPECT_TRUE(runUntil([&] { return ask(0, "/new/x") == 200; }, 3s));
+}
+
+TEST_F(GatewayTest, AnotherDaemonTakesOverTheOrders)
+{
+    auto &engine = addTarget("e1", "engines", { "m0" });
+    engine.onDisk = { "m0", "m1", "m2" };
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    run(500ms);
+    addGateway("vm-2");
+    ASSERT_TRUE(awaitReady(1));
+    processes[0]->isFrozen = true;
+    EXPECT_TRUE(runUntil([&] { return ask(1, "/chat/x", "key-1", ModelOne) == 200; }, 8s));
+    EXPECT_NE(store.value("bluebell-roles", "orders").find("vm-2"), std::string::npos);
+}
+
+TEST_F(GatewayTest, AStoppingDaemonServesUntilCallersHaveLeftAndTakesItsRowAway)
+{
+    addTarget("p1", "plain");
+    auto &daemon = addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    EXPECT_NE(store.value("bluebell-members", "vm-1"), "");
+    daemon.requestStop();
+    EXPECT_EQ(askSystem(settings[0].readiness, "/-/ready"), 503U);
+    EXPECT_EQ(ask(0, "/order/x"), 200U);
+    EXPECT_TRUE(runUntil([&] { return store.value("bluebell-members", "vm-1").empty(); }, 4s));
+    EXPECT_TRUE(runUntil([&] { return daemon.stoppedGracefully(); }, 4s));
+}
--- /dev/null
+++ b/tests/tst_eventsplitter.cpp
@@ -0,0 +1,45 @@
+#include "streams/eventsplitter.h"
+
+#include <gtest/gtest.h>
+
+using namespace bluebell;
+
+TEST(EventSplitter, GivesOutWholeEventsOnly)
+{
+    EventSplitter events;
+    EXPECT_EQ(events.add("id: 1\nda"), "");
+    EXPECT_EQ(events.add("ta: a\n\nid: 2\n"), "id: 1\ndata: a\n\n");
+    EXPECT_EQ(events.lastId(), "1");
+    EXPECT_TRUE(events.hasRest());
+    EXPECT_EQ(events.add("data: b\n\n"), "id: 2\ndata: b\n\n");
+    EXPECT_EQ(events.lastId(), "2");
+    EXPECT_FALSE(events.hasRest());
+}
+
+TEST(EventSplitter, KeepsBytesAsTheyAre)
+{
+    EventSplitter events;
+    const std::string text = "id:7\r\ndata: x\r\n\r\n";
+    EXPECT_EQ(events.add(text), text);
+    EXPECT_EQ(events.lastId(), "7");
+}
+
+TEST(EventSplitter, EveryCutGivesTheSameEvents)
+{
+    const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+        EventSplitter events;
+        auto all = events.add(text.substr(0, cut));
+        all += events.add(text.substr(cut));
+        EXPECT_EQ(all, text);
+        EXPECT_EQ(events.lastId(), "3");
+    }
+}
+
+TEST(EventSplitter, ForgetsTheRestBeforeAnotherTargetGoesOn)
+{
+    EventSplitter events;
+    EXPECT_EQ(events.add("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+    events.dropRest();
+    EXPECT_EQ(events.add("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+}
--- /dev/null
+++ b/tests/tst_fleet.cpp
@@ -0,0 +1,136 @@
+#include "membership/fleet.h"
+#include "placement/demandboard.h"
+
+#include <gtest/gtest.h>
+
+using namespace bluebell;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start { 100s };
+
+FleetMember member(const std::string &vm)
+{
+    FleetMember it;
+    it.vm = VmId(vm);
+    it.incarnation = IncarnationId(vm + "-1");
+    it.callers = { vm, 1 };
+    it.peers = { vm, 2 };
+    return it;
+}
+
+DaemonStatus status(const std::string &vm, Duration uptime = 10s)
+{
+    DaemonStatus it;
+    it.vm = VmId(vm);
+    it.incarnation = IncarnationId(vm + "-1");
+    it.uptime = uptime;
+    it.isReady = true;
+    return it;
+}
+
+} // namespace
+
+TEST(Fleet, KeepsEachMemberUnderItsName)
+{
+    Fleet fleet(member("a"));
+    fleet.replaceMembers({ member("a"), member("b"), member("c") }, Start);
+    EXPECT_EQ(fleet.size(), 3U);
+    fleet.noteStatus(status("b"), Start);
+    EXPECT_EQ(fleet.heardCount(Start), 2U);
+    EXPECT_EQ(fleet.heardCount(Start + 5s), 1U);
+}
+
+TEST(Fleet, NamesReadyDaemonsAndItselfWhenThereIsNoOther)
+{
+    Fleet fleet(member("a"));
+    fleet.replaceMembers({ member("b"), member("c") }, Start);
+    fleet.noteStatus(status("b"), Start);
+    auto leaving = status("c");
+    leaving.isReady = false;
+    fleet.noteStatus(leaving, Start);
+    const std::vector<Endpoint> both { { "a", 1 }, { "b", 1 } };
+    EXPECT_EQ(fleet.callerAddresses(true, Start), both);
+    const std::vector<Endpoint> other { { "b", 1 } };
+    EXPECT_EQ(fleet.callerAddresses(false, Start), other);
+    const std::vector<Endpoint> self { { "a", 1 } };
+    EXPECT_EQ(fleet.callerAddresses(false, Start + 5s), self);
+}
+
+TEST(Fleet, ALateStatusOfAFormerIncarnationChangesNothing)
+{
+    Fleet fleet(member("a"));
+    fleet.replaceMembers({ member("b") }, Start);
+    auto restarted = status("b", 100ms);
+    restarted.incarnation = IncarnationId("b-2");
+    EXPECT_TRUE(fleet.noteStatus(restarted, Start));
+    EXPECT_FALSE(fleet.noteStatus(status("b", 30s), Start + 10ms));
+}
+
+TEST(Fleet, FindsTheNewestConfigurationAndTheHolder)
+{
+    Fleet fleet(member("a"));
+    fleet.replaceMembers({ member("b"), member("c") }, Start);
+    auto b = status("b");
+    b.configVersion = 5;
+    b.leaderEpoch = 3;
+    b.residents[TargetId("t")].insert({ ModelId("m"), AdapterId() });
+    b.estimates.push_back({ ServiceId("s"), ModelId("n"), 2s });
+    auto c = status("c");
+    c.configVersion = 7;
+    fleet.noteStatus(b, Start);
+    fleet.noteStatus(c, Start);
+    EXPECT_EQ(fleet.peerWithConfig(5, Start)->vm, VmId("c"));
+    EXPECT_FALSE(fleet.peerWithConfig(7, Start));
+    ASSERT_NE(fleet.residents(Start), nullptr);
+    EXPECT_EQ(fleet.residents(Start + 5s), nullptr);
+    EXPECT_EQ(fleet.readyAt(ServiceId("s"), ModelId("n"), Start), Start + 2s);
+    EXPECT_FALSE(fleet.readyAt(ServiceId("s"), ModelId("x"), Start));
+}
+
+TEST(Fleet, ASilentMemberIsGoneAfterAWhile)
+{
+    Fleet fleet(member("a"));
+    fleet.replaceMembers({ member("b") }, Start);
+    EXPECT_TRUE(fleet.goneMembers(Start + 10s).empty());
+    EXPECT_EQ(fleet.goneMembers(Start + 25s).size(), 1U);
+    fleet.noteStatus(status("b"), Start + 24s);
+    EXPECT_TRUE(fleet.goneMembers(Start + 25s).empty());
+}
+
+TEST(DemandBoard, CountsWhatWaitsAndForgetsWhatIsUnused)
+{
+    DemandBoard board;
+    const ReplicaKey key { ModelId("m"), AdapterId() };
+    const auto wait = board.startWait(ServiceId("s"), key, 9, Start);
+    (void)board.startWait(ServiceId("s"), key, 3, Start + 1s);
+    auto demand = board.demand(Start + 2s);
+    ASSERT_EQ(demand.size(), 1U);
+    EXPECT_EQ(demand[0].waiting, 2U);
+    EXPECT_EQ(demand[0].urgency, 12);
+    EXPECT_EQ(demand[0].oldestWait, 2s);
+    board.endWait(wait);
+    EXPECT_EQ(board.demand(Start + 2s)[0].oldestWait, 1s);
+}
+
+TEST(DemandBoard, KeepsTheDemandOfWhoWasToldToComeBack)
+{
+    DemandBoard board;
+    const ReplicaKey key { ModelId("m"), AdapterId() };
+    board.keepUntil(board.startWait(ServiceId("s"), key, 9, Start), Start + 3s);
+    EXPECT_EQ(board.demand(Start + 2s).size(), 1U);
+    EXPECT_TRUE(board.demand(Start + 4s).empty());
+}
+
+TEST(DemandBoard, ArrivalsFade)
+{
+    DemandBoard board;
+    const ReplicaKey key { ModelId("m"), AdapterId() };
+    for (int n = 0; n < 40; ++n)
+        board.noteArrival(ServiceId("s"), key, Start + n * 100ms);
+    const auto busy = board.demand(Start + 4s);
+    ASSERT_EQ(busy.size(), 1U);
+    EXPECT_GT(busy[0].arrivalsPerSecond, 5);
+    EXPECT_TRUE(board.demand(Start + 60s).empty());
+}
--- /dev/null
+++ b/tests/tst_site.cpp
@@ -0,0 +1,130 @@
+#include "core/digest.h"
+#include "site/siteindex.h"
+#include "site/targetregistry.h"
+
+#include <gtest/gtest.h>
+
+using namespace bluebell;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start { 100s };
+
+Route route(const std::string &name, const std::string &prefix)
+{
+    Route it;
+    it.name = name;
+    it.host = "shop.example";
+    it.prefix = prefix;
+    it.services = { { ServiceId("a"), 9 }, { ServiceId("b"), 1 } };
+    return it;
+}
+
+TargetEntry entry(const std::string &name, std::uint64_t heartbeat = 1, std::uint64_t born = 1)
+{
+    TargetEntry it;
+    it.id = TargetId(name);
+    it.service = ServiceId("a");
+    it.heartbeat = heartbeat;
+    it.born = born;
+    return it;
+}
+
+} // namespace
+
+TEST(SiteIndex, TheLongestPrefixWins)
+{
+    SiteConfig config;
+    config.routes = { route("short", "/a/"), route("long", "/a/b/"), route("root", "/") };
+    const SiteIndex index(config);
+    EXPECT_EQ(index.findRoute("shop.example", "/a/b/c?x=1")->name, "long");
+    EXPECT_EQ(index.findRoute("shop.example", "/a/bc")->name, "short");
+    EXPECT_EQ(index.findRoute("shop.example", "/z")->name, "root");
+    EXPECT_EQ(index.findRoute("other.example", "/a/"), nullptr);
+}
+
+TEST(SiteIndex, ThePathOfAQueryDoesNotCount)
+{
+    SiteConfig config;
+    config.routes = { route("short", "/a/") };
+    const SiteIndex index(config);
+    EXPECT_EQ(index.findRoute("shop.example", "/b?x=/a/"), nullptr);
+}
+
+TEST(SiteIndex, FindsOrganisationsByKey)
+{
+    SiteConfig config;
+    SiteOrganisation organisation;
+    organisation.name = OrganisationId("leicester-hifi");
+    organisation.keys = { digestOfKey("one"), digestOfKey("two") };
+    config.organisations = { organisation };
+    const SiteIndex index(config);
+    EXPECT_EQ(index.findOrganisation(std::string_view("two"))->name, organisation.name);
+    EXPECT_EQ(index.findOrganisation(std::string_view("three")), nullptr);
+}
+
+TEST(SiteIndex, ServicesGetTheirShareOfARoute)
+{
+    const auto it = route("r", "/");
+    int toB = 0;
+    for (std::uint64_t n = 0; n < 1000; ++n)
+        toB += *chooseService(it, n) == ServiceId("b") ? 1 : 0;
+    EXPECT_EQ(toB, 100);
+    EXPECT_EQ(chooseService(Route(), 1), nullptr);
+}
+
+TEST(TargetRegistry, AnOlderHeartbeatChangesNothing)
+{
+    TargetRegistry registry;
+    auto draining = entry("t", 7);
+    draining.isDraining = true;
+    registry.put("t", draining);
+    registry.put("t", entry("t", 6));
+    EXPECT_TRUE(registry.find(TargetId("t"))->isDraining);
+    registry.put("t", entry("t", 1, 2));
+    EXPECT_FALSE(registry.find(TargetId("t"))->isDraining);
+}
+
+TEST(TargetRegistry, AnUnusableEntryNamesNoTarget)
+{
+    TargetRegistry registry;
+    registry.put("t", entry("t"));
+    registry.put("t", std::nullopt);
+    EXPECT_EQ(registry.find(TargetId("t")), nullptr);
+}
+
+TEST(TargetRegistry, ARemovedTargetIsGoneAtOnce)
+{
+    TargetRegistry registry;
+    registry.noteContact(Start);
+    registry.put("t", entry("t"));
+    registry.noteContact(Start + 1s);
+    registry.remove("t", Start + 1s);
+    EXPECT_EQ(registry.find(TargetId("t")), nullptr);
+}
+
+TEST(TargetRegistry, AnEntryThatLapsedInAnOutageIsKeptForAWhile)
+{
+    TargetRegistry registry;
+    registry.noteContact(Start);
+    registry.put("t", entry("t"));
+    registry.noteContact(Start + 6s);
+    registry.replaceAll({}, Start + 6s);
+    EXPECT_NE(registry.find(TargetId("t")), nullptr);
+    EXPECT_FALSE(registry.expire(Start + 7s));
+    EXPECT_TRUE(registry.expire(Start + 8s));
+    EXPECT_EQ(registry.find(TargetId("t")), nullptr);
+}
+
+TEST(TargetRegistry, AnEntryThatIsBackStays)
+{
+    TargetRegistry registry;
+    registry.noteContact(Start);
+    registry.put("t", entry("t"));
+    registry.noteContact(Start + 6s);
+    registry.replaceAll({}, Start + 6s);
+    registry.put("t", entry("t", 2));
+    EXPECT_FALSE(registry.expire(Start + 9s));
+    EXPECT_NE(registry.find(TargetId("t")), nullptr);
+}
--- /dev/null
+++ b/tests/tst_targetselector.cpp
@@ -0,0 +1,89 @@
+#include "routing/targetselector.h"
+
+#include <gtest/gtest.h>
+
+using namespace bluebell;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start { 100s };
+const ServiceId Plain("plain");
+
+std::map<TargetId, TargetEntry> targets(std::initializer_list<std::string> names)
+{
+    std::map<TargetId, TargetEntry> all;
+    for (const auto &name : names) {
+        TargetEntry it;
+        it.id = TargetId(name);
+        it.service = Plain;
+        it.slots = 6;
+        it.dataCentre = DataCentreId(name.substr(0, 1));
+        all.emplace(it.id, it);
+    }
+    return all;
+}
+
+TargetNeed need()
+{
+    TargetNeed it;
+    it.service = Plain;
+    return it;
+}
+
+} // namespace
+
+TEST(TargetSelector, PrefersTheOwnDataCentreUntilItIsBusier)
+{
+    TargetSelector selector(DataCentreId("a"), "vm-1");
+    const auto all = targets({ "a1", "b1" });
+    EXPECT_EQ(selector.choose(need(), all, {}, Start), TargetId("a1"));
+    for (int n = 0; n < 3; ++n)
+        selector.noteStarted(TargetId("a1"), std::nullopt);
+    EXPECT_EQ(selector.choose(need(), all, {}, Start), TargetId("b1"));
+}
+
+TEST(TargetSelector, CountsWhatOtherDaemonsSend)
+{
+    TargetSelector selector(DataCentreId("a"), "vm-1");
+    const auto all = targets({ "a1", "a2" });
+    const auto first = *selector.choose(need(), all, {}, Start);
+    selector.noteOthers(VmId("vm-2"), { { first, 4 } }, Start);
+    EXPECT_NE(selector.choose(need(), all, {}, Start), first);
+    EXPECT_EQ(selector.choose(need(), all, {}, Start + 5s), first);
+}
+
+TEST(TargetSelector, LeavesABrokenTargetAloneAndComesBack)
+{
+    TargetSelector selector(DataCentreId("a"), "vm-1");
+    const auto all = targets({ "a1", "b1" });
+    selector.noteSignal(TargetId("a1"), TargetSignal::Broken, Start);
+    EXPECT_EQ(selector.choose(need(), all, {}, Start), TargetId("b1"));
+    for (int n = 0; n < 30; ++n)
+        selector.noteSignal(TargetId("a1"), TargetSignal::Answered, Start + 1s);
+    EXPECT_EQ(selector.choose(need(), all, {}, Start + 5s), TargetId("a1"));
+}
+
+TEST(TargetSelector, ABrokenTargetIsBetterThanNone)
+{
+    TargetSelector selector(DataCentreId("a"), "vm-1");
+    selector.noteSignal(TargetId("a1"), TargetSignal::Broken, Start);
+    EXPECT_EQ(selector.choose(need(), targets({ "a1" }), {}, Start), TargetId("a1"));
+}
+
+TEST(TargetSelector, NamesNoDrainingExcludedOrEmptyTarget)
+{
+    TargetSelector selector(DataCentreId("a"), "vm-1");
+    auto all = targets({ "a1", "a2", "a3" });
+    all[TargetId("a1")].isDraining = true;
+    auto it = need();
+    it.excluded.insert(TargetId("a2"));
+    it.key = ReplicaKey { ModelId("m"), AdapterId() };
+    EXPECT_FALSE(selector.choose(it, all, {}, Start));
+    std::map<TargetId, std::set<ReplicaKey>> residents;
+    for (const auto &[id, entry] : all)
+        residents[id].insert(*it.key);
+    EXPECT_EQ(selector.choose(it, all, residents, Start), TargetId("a3"));
+    selector.noteAbsent(TargetId("a3"), *it.key, Start);
+    EXPECT_FALSE(selector.choose(it, all, residents, Start));
+}
