Reload settings, log on standard output within bounds, end requests of withdrawn keys

Settings are read again on SIGHUP and when the file changes; an unreadable file leaves the former in force. A request that runs when its key is withdrawn ends within 4 s, one that waits at once.

--- a/programs/gateway/conductor.h
+++ b/programs/gateway/conductor.h
@@ -17,6 +17,8 @@
     Conductor(boost::asio::io_context &context, SiteState &state);
 
     void start();
+    /// Puts changed settings into force.
+    void noteSettings() { m_store.setEndpoint(m_state.settings.store); }
     /// Puts changed services into force.
     void noteConfig();
     /// Gives the role back.
--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -91,6 +91,20 @@
     return callers;
 }
 
+void Daemon::noteSettings(const GatewaySettings &settings)
+{
+    const auto &now = m_state.settings;
+    const bool needsRestart = settings.callers != now.callers || settings.peers != now.peers
+            || settings.readiness != now.readiness || settings.directory != now.directory
+            || settings.vm != now.vm;
+    if (needsRestart)
+        log::warning("changed addresses or names need a restart", { { "vm", now.vm.value() } });
+    m_state.noteSettings(settings);
+    m_watch.noteSettings();
+    m_conductor.noteSettings();
+    log::info("settings in force", { { "store", toString(m_state.settings.store) } });
+}
+
 void Daemon::noteConfig()
 {
     const auto &config = m_state.index->config();
--- a/programs/gateway/daemon.h
+++ b/programs/gateway/daemon.h
@@ -24,6 +24,9 @@
     /// \returns the address for callers, or Unavailable
     Result<Endpoint> start();
 
+    /// Puts changed settings into force.
+    void noteSettings(const GatewaySettings &settings);
+
     /// Begins a planned stop; a second call ends it at once.
     void requestStop();
 
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -4,12 +4,16 @@
 #include "settings/daemonmain.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/program_options.hpp>
 #include <fmt/core.h>
 
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <iterator>
+#include <utility>
 
 /// \file
 /// bluebell-gateway: serves callers on the users' platform, on every VM.
@@ -27,27 +31,67 @@
     return path ? path : "";
 }
 
-/// Reads the settings file again, to tell at once when it cannot be read; what is bound at the
-/// start stays in force.
-void reload(const std::string &path)
+std::string readFile(const std::string &path)
 {
-    const auto settings = platform::readSettings(path);
-    if (settings)
-        log::info("settings read again", { { "file", path } });
-    else
-        log::error("settings not read, the former stay in force",
-                   { { "cause", settings.error().message } });
+    std::ifstream in(path);
+    return { std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>() };
 }
 
-void reloadOnHangup(boost::asio::signal_set &signals, const std::string &path)
+/// Puts a changed settings file into force, on SIGHUP or when it is found changed.
+class SettingsWatch
 {
-    signals.async_wait([&signals, path](const auto &ec, int) {
-        if (ec)
-            return;
-        reload(path);
-        reloadOnHangup(signals, path);
-    });
-}
+public:
+    SettingsWatch(boost::asio::io_context &context, std::string path, gateway::Daemon &daemon)
+        : m_path(std::move(path)), m_daemon(daemon), m_signals(context, SIGHUP), m_timer(context),
+          m_text(readFile(m_path))
+    {
+        awaitSignal();
+        awaitTimer();
+    }
+
+private:
+    static constexpr auto LookEvery = std::chrono::seconds(2);
+
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](const auto &ec, int) {
+            if (ec)
+                return;
+            log::info("reload asked for", { { "file", m_path } });
+            reload(readFile(m_path));
+            awaitSignal();
+        });
+    }
+
+    void awaitTimer()
+    {
+        m_timer.expires_after(LookEvery);
+        m_timer.async_wait([this](const auto &ec) {
+            if (ec)
+                return;
+            if (auto text = readFile(m_path); text != m_text)
+                reload(std::move(text));
+            awaitTimer();
+        });
+    }
+
+    void reload(std::string text)
+    {
+        m_text = std::move(text);
+        const auto settings = platform::readSettings(m_path);
+        if (settings)
+            m_daemon.noteSettings(settings.value());
+        else
+            log::error("settings not read, the former stay in force",
+                       { { "cause", settings.error().message } });
+    }
+
+    std::string m_path;
+    gateway::Daemon &m_daemon;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_timer;
+    std::string m_text;
+};
 
 } // namespace
 
@@ -80,11 +124,10 @@
         return 0;
     log::setLevel(log::levelFromString(level));
     boost::asio::io_context context(1);
-    boost::asio::signal_set hangups(context, SIGHUP);
-    reloadOnHangup(hangups, path);
     gateway::Daemon daemon(context, std::move(settings.value()));
     if (const auto address = daemon.start(); !address)
         return failToStart(Program, address.error());
+    SettingsWatch watch(context, path, daemon);
     runUntilStopped(context, [&daemon] { daemon.requestStop(); });
     return daemon.stoppedGracefully() ? 0 : 1;
 }
--- a/programs/gateway/relay.cpp
+++ b/programs/gateway/relay.cpp
@@ -33,6 +33,8 @@
 constexpr Duration StreamTime = milliseconds(4500);
 /// Time that any other request may take.
 constexpr Duration PlainTime = milliseconds(1500);
+/// How long a request that runs may go on after its key was withdrawn.
+constexpr Duration WithdrawnKeyTime = std::chrono::seconds(4);
 constexpr unsigned StatusServerError = 500;
 
 Error notRun(ErrorCode code, std::string message, Duration retryAfter)
@@ -414,14 +416,24 @@
 
 void Relay::noteConfig()
 {
+    const auto now = BootClock::now();
     for (auto &[id, it] : m_active) {
-        if (it->organisation.isEmpty() || it->runs > 0 || it->sends > 0)
+        if (it->organisation.isEmpty())
             continue;
         const auto *organisation = m_state.index->findOrganisation(it->caller.key);
         if (organisation && organisation->name == it->organisation)
             continue;
         it->isKeyWithdrawn = true;
-        it->cancel->cancel();
+        log::info("key withdrawn under a request",
+                  { { "request", it->caller.attempt.value() },
+                    { "organisation", it->organisation.value() },
+                    { "config", std::to_string(m_state.index->version()) },
+                    { "sends", std::to_string(it->sends) } });
+        // What has reached a target may end if it does so soon; what waits ends now.
+        if (it->sends > 0)
+            it->deadline = std::min(it->deadline, now + WithdrawnKeyTime);
+        else
+            it->cancel->cancel();
     }
 }
 
--- a/programs/gateway/sitestate.cpp
+++ b/programs/gateway/sitestate.cpp
@@ -20,9 +20,11 @@
              settings.callers, settings.peers, settings.control };
 }
 
+/// Added to the time between orders of two VMs, for clocks that run at different speeds.
+constexpr Duration TurnAllowance = std::chrono::milliseconds(100);
+
 Leadership::Settings leadershipOf(const GatewaySettings &settings)
 {
-    constexpr Duration TurnAllowance = std::chrono::milliseconds(100);
     Leadership::Settings it;
     it.turn = settings.leaseTime + TurnAllowance;
     return it;
@@ -38,6 +40,15 @@
 {
 }
 
+void SiteState::noteSettings(const GatewaySettings &changed)
+{
+    settings.store = changed.store;
+    settings.stopTime = changed.stopTime;
+    settings.leaseTime = changed.leaseTime;
+    settings.longestHold = changed.longestHold;
+    leadership.setTurn(settings.leaseTime + TurnAllowance);
+}
+
 std::map<TargetId, std::set<ReplicaKey>> SiteState::residents(TimePoint now) const
 {
     if (leadership.isHolder(now))
--- a/programs/gateway/sitestate.h
+++ b/programs/gateway/sitestate.h
@@ -55,6 +55,8 @@
     /// Wakes the sender of statuses.
     Notifier statusDue;
 
+    /// Puts changed settings into force; addresses to listen on need a restart.
+    void noteSettings(const GatewaySettings &changed);
     /// \returns whether callers may be sent here
     [[nodiscard]] bool isReady() const noexcept { return index && !stopRequestedAt; }
     /// \returns what engines hold, as the holder of the role or else the engines themselves tell it
--- a/programs/gateway/storewatch.h
+++ b/programs/gateway/storewatch.h
@@ -22,6 +22,8 @@
                std::function<void()> configChanged);
 
     void start();
+    /// Puts changed settings into force.
+    void noteSettings() { m_store.setEndpoint(m_state.settings.store); }
     /// Takes this daemon's row out of the store.
     [[nodiscard]] boost::asio::awaitable<void> leave();
 
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -6,7 +6,10 @@
 #include <string_view>
 
 /// \file
-/// JSON-lines log on standard error.
+/// JSON-lines log on standard output.
+///
+/// Bounded: beyond a number of lines a second, and while nobody reads the output, lines are left
+/// out and counted; the next line that gets through tells how many. Writing never blocks.
 
 namespace bluebell::log {
 
@@ -36,6 +39,9 @@
 /// Writes one line: time, level, program, message and `fields`. Safe from any thread.
 void write(Level level, std::string_view message, std::initializer_list<Field> fields = {});
 
+/// \returns lines that were left out since the start
+[[nodiscard]] std::uint64_t linesLeftOut();
+
 inline void debug(std::string_view message, std::initializer_list<Field> fields = {})
 {
     write(Level::Debug, message, fields);
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -62,6 +62,8 @@
 
     // Events.
 
+    /// Changes the time between orders of two VMs.
+    void setTurn(Duration turn) noexcept { m_settings.turn = turn; }
     /// Notes that the holder itself told that its lease is valid.
     void noteHolderHeard(TimePoint now) noexcept { m_heardAt = now; }
     void readSent(TimePoint now) noexcept;
--- a/tests/site.cpp
+++ b/tests/site.cpp
@@ -98,7 +98,7 @@
     waitProcess(m_farmPid);
     if (testing::Test::HasFailure())
         for (const auto &it : std::filesystem::directory_iterator(m_dir))
-            if (it.path().extension() == ".log")
+            if (it.path().extension() == ".log" || it.path().extension() == ".out")
                 std::cerr << it.path().filename() << ":\n" << readFile(it.path()) << '\n';
     std::filesystem::remove_all(m_dir);
 }
