Take loads and unloads of a known time as done without waiting for a report

Change: an accepted unload of a model that nobody runs, and a load from memory or disk, end after their known time. An engine that is not done yet refuses the next order (409) or the request (not run). Ruled out: orders that overcommit memory, as an engine takes no order while one is under way. Tests: SwapPlannerTest.TakesALoadFromDiskAsDoneAfterItsTime, .LoadsRightAfterTheUnloadOfAnIdleModel, .AwaitsAReportOfTheUnloadOfAModelThatRuns.

--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -21,6 +21,10 @@
 constexpr Duration AdapterLoad = milliseconds(15);
 /// Time that an unload takes when nothing runs.
 constexpr Duration UnloadTime = milliseconds(20);
+/// Added to the time of a load, so that it has ended for certain.
+constexpr Duration EndAllowance = milliseconds(15);
+/// A report tells the state of this time ago at the latest.
+constexpr Duration ReportLag = milliseconds(200);
 /// Added to an unload that must wait for running requests.
 constexpr Duration RunningWait = milliseconds(1000);
 /// Between two reports while nothing is awaited.
@@ -196,8 +200,9 @@
     switch (outcome) {
     case OrderOutcome::Accepted:
         it.pending->phase = Phase::Carried;
+        it.pending->expectedEnd = now + it.pending->duration;
         it.engine.sequence = std::max(it.engine.sequence, order.expectedSequence + 1);
-        if (order.key.adapter.isEmpty())
+        if (!it.pending->endsOnTime)
             it.reportAt = it.pending->expectedEnd;
         break;
     case OrderOutcome::Done:
@@ -230,10 +235,15 @@
 {
     std::vector<TargetId> due;
     for (auto &[id, it] : m_targets) {
-        // An adapter that was accepted is there after its time; no report tells it sooner.
-        if (it.pending && it.pending->phase == Phase::Carried
-            && !it.pending->order.key.adapter.isEmpty() && now >= it.pending->expectedEnd)
+        // Reports lag; what takes a known time is done before one can tell. If it is not, the next
+        // order meets a conflict, and requests are told that they did not run.
+        if (it.pending && it.pending->phase == Phase::Carried && it.pending->endsOnTime
+            && now >= it.pending->expectedEnd) {
+            const bool isAdapter = !it.pending->order.key.adapter.isEmpty();
             finish(it, now);
+            if (!isAdapter)
+                it.reportAt = now + ReportLag;
+        }
         if (it.pending && it.pending->phase == Phase::Carried && !it.reportAt)
             it.reportAt = std::max(now + ReportEvery, it.pending->expectedEnd);
         if (!it.reportAt && now - it.reportedAt > IdleReportEvery)
@@ -490,17 +500,21 @@
     pending.order = { it.entry.id, it.entry.born, action, key, it.engine.sequence };
     pending.repeatAt = now + AnswerTime;
     if (!key.adapter.isEmpty()) {
-        pending.expectedEnd = now + AdapterLoad;
+        pending.duration = AdapterLoad;
+        pending.endsOnTime = true;
     } else if (action == IntentAction::Load) {
-        pending.expectedEnd = now + loadTime(it, key.model, pending.isFromStore);
+        pending.duration = loadTime(it, key.model, pending.isFromStore) + EndAllowance;
+        pending.endsOnTime = !pending.isFromStore;
         if (pending.isFromStore)
             m_storeLoads.push_back(now);
         while (m_storeLoads.size() > 1000)
             m_storeLoads.pop_front();
     } else {
         const bool hasRunning = inFlightAt(it.entry.id, key.model) > 0;
-        pending.expectedEnd = now + UnloadTime + (hasRunning ? RunningWait : Duration::zero());
+        pending.duration = UnloadTime + (hasRunning ? RunningWait : Duration::zero());
+        pending.endsOnTime = !hasRunning;
     }
+    pending.expectedEnd = now + pending.duration;
     orders.push_back(pending.order);
     it.pending = std::move(pending);
 }
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -132,9 +132,13 @@
     {
         PlacementOrder order;
         Phase phase = Phase::Sent;
+        /// How long the target should take.
+        Duration duration {};
         TimePoint expectedEnd;
         TimePoint repeatAt;
         bool isFromStore = false;
+        /// Whether the end is known from the time alone, without a report.
+        bool endsOnTime = false;
     };
 
     struct TargetState
--- a/tests/tst_swapplanner.cpp
+++ b/tests/tst_swapplanner.cpp
@@ -162,6 +162,7 @@
     const auto orders = m_planner.plan(m_now);
     ASSERT_FALSE(orders.empty());
     m_planner.noteOutcome(orders.front(), OrderOutcome::Accepted, m_now);
+    m_now += 100ms;
     m_planner.noteReport(TargetId("t1"), 1, report("t1"), m_now);
     want(model("m0"));
     EXPECT_TRUE(m_planner.plan(m_now).empty());
@@ -304,3 +305,63 @@
     ASSERT_EQ(orders.size(), 1U);
     EXPECT_EQ(orders.front().target, TargetId("t2"));
 }
+
+TEST_F(SwapPlannerTest, TakesALoadFromDiskAsDoneAfterItsTime)
+{
+    addTarget("t1", {}, { "m0" });
+    start(1);
+    want(model("m0"));
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    m_planner.noteOutcome(orders.front(), OrderOutcome::Accepted, m_now);
+    (void)m_planner.reportsDue(m_now + 700ms);
+    EXPECT_FALSE(m_planner.residents().at(TargetId("t1")).contains(model("m0")));
+    (void)m_planner.reportsDue(m_now + 900ms);
+    EXPECT_TRUE(m_planner.residents().at(TargetId("t1")).contains(model("m0")));
+}
+
+TEST_F(SwapPlannerTest, LoadsRightAfterTheUnloadOfAnIdleModel)
+{
+    addTarget("t1", { "m0", "m1" }, { "m2" });
+    start(3);
+    want(model("m2"));
+    const auto unload = m_planner.plan(m_now);
+    ASSERT_EQ(unload.size(), 1U);
+    m_planner.noteOutcome(unload.front(), OrderOutcome::Accepted, m_now);
+    m_now += 50ms;
+    (void)m_planner.reportsDue(m_now);
+    want(model("m2"));
+    const auto load = m_planner.plan(m_now);
+    ASSERT_EQ(load.size(), 1U);
+    EXPECT_EQ(load.front().action, IntentAction::Load);
+    EXPECT_EQ(load.front().expectedSequence, 1U);
+    // The unload takes longer than thought: the load is given again when the report allows it.
+    m_planner.noteOutcome(load.front(), OrderOutcome::Conflict, m_now);
+    auto state = report("t1");
+    state.sequence = 1;
+    state.isBusy = true;
+    m_planner.noteReport(TargetId("t1"), 1, state, m_now + 100ms);
+    want(model("m2"));
+    EXPECT_TRUE(m_planner.plan(m_now + 100ms).empty());
+}
+
+TEST_F(SwapPlannerTest, AwaitsAReportOfTheUnloadOfAModelThatRuns)
+{
+    addTarget("t1", { "m0", "m1" }, { "m2" });
+    start(3);
+    std::vector<ModelDemand> demand(1);
+    demand[0].service = Engines;
+    demand[0].key = model("m2");
+    demand[0].waiting = 1;
+    demand[0].urgency = 50;
+    m_planner.noteDemand(Vm, demand,
+                         { { TargetId("t1"), model("m0"), 2 }, { TargetId("t1"), model("m1"), 2 } },
+                         m_now);
+    const auto unload = m_planner.plan(m_now);
+    ASSERT_EQ(unload.size(), 1U);
+    m_planner.noteOutcome(unload.front(), OrderOutcome::Accepted, m_now);
+    m_now += 500ms;
+    (void)m_planner.reportsDue(m_now);
+    want(model("m2"));
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+}
