Count adapters on their way, and wait out an unload before another engine makes room

By the code: a report from the 5 to 10 ms in which an adapter is on its way lists it only as coming, so the planner forgot the order and the place that it takes, and the next adapter could exceed the places. Adapters on their way now count. An unload takes 50 ms, not 20 (183 of 250 swaps met a conflict), and each conflict sent the planner to another engine, which unloaded as well. An unload is now taken as 53 ms, and making room costs 200 ms in the comparison of engines; an unloaded model counts as being on that engine's disk.

--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -54,7 +54,7 @@
       m_watch(context, m_state, [this] { noteConfig(); }), m_conductor(context, m_state),
       m_relay(m_state),
       m_link(context.get_executor(),
-             [this](DaemonStatus status) { m_state.noteStatus(status, BootClock::now()); }),
+             [this](const DaemonStatus &status) { m_state.noteStatus(status, BootClock::now()); }),
       m_callers(context, HttpLimits(),
                 [this](const HttpRequest &request, HttpResponder &responder) {
                     return m_relay.handle(request, responder);
--- a/programs/gateway/sitestate.cpp
+++ b/programs/gateway/sitestate.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-SiteState::SiteState(boost::asio::any_io_executor executor, GatewaySettings given)
+SiteState::SiteState(const boost::asio::any_io_executor &executor, GatewaySettings given)
     : settings(std::move(given)), incarnation(randomHex(8)), startedAt(BootClock::now()),
       fleet(selfOf(settings, incarnation)), selector(settings.dataCentre, settings.vm.value()),
       leadership(settings.vm, incarnation, leadershipOf(settings)), changed(executor),
--- a/programs/gateway/sitestate.h
+++ b/programs/gateway/sitestate.h
@@ -25,7 +25,7 @@
 
 struct SiteState
 {
-    SiteState(boost::asio::any_io_executor executor, GatewaySettings given);
+    SiteState(const boost::asio::any_io_executor &executor, GatewaySettings given);
 
     GatewaySettings settings;
     IncarnationId incarnation;
--- a/programs/gateway/storewatch.cpp
+++ b/programs/gateway/storewatch.cpp
@@ -247,7 +247,7 @@
         else
             entries[it.key] = std::nullopt;
     }
-    m_state.registry.replaceAll(std::move(entries), now);
+    m_state.registry.replaceAll(entries, now);
     m_state.registryVersion = std::max(m_state.registryVersion, version);
     m_state.changed.notify();
 }
--- a/src/peer/statuslink.cpp
+++ b/src/peer/statuslink.cpp
@@ -69,7 +69,7 @@
         if (ec)
             continue;
         if (auto status = decodeStatus(std::string_view(buf).substr(0, n)); status)
-            self->m_handler(std::move(status.value()));
+            self->m_handler(status.value());
         else
             log::warning("status of a peer is malformed",
                          { { "peer", from.address().to_string() },
@@ -96,7 +96,7 @@
 
 } // namespace detail
 
-StatusLink::StatusLink(asio::any_io_executor executor, Handler handler)
+StatusLink::StatusLink(const asio::any_io_executor &executor, Handler handler)
     : m_socket(std::make_shared<detail::StatusSocket>(executor, std::move(handler)))
 {
 }
--- a/src/peer/statuslink.h
+++ b/src/peer/statuslink.h
@@ -25,9 +25,9 @@
 class StatusLink
 {
 public:
-    using Handler = std::function<void(DaemonStatus)>;
+    using Handler = std::function<void(const DaemonStatus &)>;
 
-    StatusLink(boost::asio::any_io_executor executor, Handler handler);
+    StatusLink(const boost::asio::any_io_executor &executor, Handler handler);
     ~StatusLink();
     StatusLink(const StatusLink &) = delete;
     StatusLink &operator=(const StatusLink &) = delete;
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -20,7 +20,9 @@
 /// Time that an adapter takes, with allowance for others on their way.
 constexpr Duration AdapterLoad = milliseconds(15);
 /// Time that an unload takes when nothing runs.
-constexpr Duration UnloadTime = milliseconds(20);
+constexpr Duration UnloadTime = milliseconds(53);
+/// How much later another target may have a model ready before a resident one makes way for it.
+constexpr Duration EvictionCost = milliseconds(200);
 /// Added to the time of a load, so that it has ended for certain.
 constexpr Duration EndAllowance = milliseconds(15);
 /// A report tells the state of this time ago at the latest.
@@ -151,7 +153,8 @@
     const bool isDone = state.resident.contains(order.key) == isLoad;
     const bool isOther = state.sequence > order.expectedSequence + 1;
     it.engine.sequence = state.sequence;
-    if (isDone || isOther || !state.isBusy) {
+    const bool isComing = isLoad && state.coming.contains(order.key);
+    if (isDone || isOther || (!state.isBusy && !isComing)) {
         it.pending.reset();
         it.engine = state;
         if (state.isBusy)
@@ -175,6 +178,7 @@
     const auto &order = it.pending->order;
     if (order.action == IntentAction::Load) {
         it.engine.resident.insert(order.key);
+        it.engine.coming.erase(order.key);
         it.lastUsed[order.key] = now;
         if (order.key.adapter.isEmpty()) {
             it.engine.onDisk.insert(order.key.model);
@@ -183,6 +187,8 @@
     } else if (order.key.adapter.isEmpty()) {
         std::erase_if(it.engine.resident,
                       [&](const auto &key) { return key.model == order.key.model; });
+        // What was held before stays on the target's disk.
+        it.engine.onDisk.insert(order.key.model);
     } else {
         it.engine.resident.erase(order.key);
     }
@@ -481,8 +487,8 @@
         if (!victims)
             continue;
         for (const auto &victim : *victims)
-            candidate.readyIn +=
-                    inFlightAt(id, victim.model) > 0 ? UnloadTime + RunningWait : UnloadTime;
+            candidate.readyIn += EvictionCost + UnloadTime
+                    + (inFlightAt(id, victim.model) > 0 ? RunningWait : Duration::zero());
         candidate.victims = std::move(*victims);
         const auto load = loadOf(id);
         if (best && std::tie(best->readyIn, bestLoad) <= std::tie(candidate.readyIn, load))
@@ -539,7 +545,11 @@
     for (const auto &key : best->engine.resident)
         if (!key.adapter.isEmpty())
             held.push_back(key);
-    if (held.size() < engine->adapterSlots && freeOf(*best) >= sizeOf(wanted.service, wanted.key)) {
+    const auto onTheirWay = static_cast<std::size_t>(
+            std::count_if(best->engine.coming.begin(), best->engine.coming.end(),
+                          [&](const auto &key) { return !best->engine.resident.contains(key); }));
+    if (held.size() + onTheirWay < engine->adapterSlots
+        && freeOf(*best) >= sizeOf(wanted.service, wanted.key)) {
         order(*best, IntentAction::Load, wanted.key, now, orders);
         return;
     }
--- a/src/site/targetregistry.cpp
+++ b/src/site/targetregistry.cpp
@@ -46,7 +46,7 @@
         m_targets.erase(it);
 }
 
-void TargetRegistry::replaceAll(std::map<std::string, std::optional<TargetEntry>> entries,
+void TargetRegistry::replaceAll(const std::map<std::string, std::optional<TargetEntry>> &entries,
                                 TimePoint now)
 {
     std::vector<std::string> missing;
@@ -55,8 +55,8 @@
             missing.push_back(id.value());
     for (const auto &it : missing)
         remove(it, now);
-    for (auto &[key, entry] : entries)
-        put(key, std::move(entry));
+    for (const auto &[key, entry] : entries)
+        put(key, entry);
 }
 
 bool TargetRegistry::expire(TimePoint now)
--- a/src/site/targetregistry.h
+++ b/src/site/targetregistry.h
@@ -22,6 +22,8 @@
 {
     /// Models and their adapters that can serve requests.
     std::set<ReplicaKey> resident;
+    /// Adapters on their way to the target; they hold its places already.
+    std::set<ReplicaKey> coming;
     /// Models with a copy in the target's memory, from which they load fastest.
     std::set<ModelId> inMemory;
     /// Models with a copy on the target's disk.
@@ -70,7 +72,8 @@
     /// Takes in that an entry was removed.
     void remove(const std::string &key, TimePoint now);
     /// Takes in all entries at once; others are missing.
-    void replaceAll(std::map<std::string, std::optional<TargetEntry>> entries, TimePoint now);
+    void replaceAll(const std::map<std::string, std::optional<TargetEntry>> &entries,
+                    TimePoint now);
     /// Drops entries that were missing for too long.
     ///
     /// \returns whether any was dropped
