Call the store less often

Change: the configuration's feed waits 2 s (a peer's status tells a newer version within 0.25 s), the entries are read 0.65 s apart, the daemons' rows wait 8 s.

--- a/programs/gateway/storewatch.cpp
+++ b/programs/gateway/storewatch.cpp
@@ -23,11 +23,11 @@
 const std::string MemberTable = "bluebell-members";
 
 /// A feed is asked again this often, so that a connection that went silent is found out.
-constexpr Duration ConfigWait = milliseconds(1000);
-constexpr Duration TargetWait = milliseconds(1000);
-constexpr Duration MemberWait = milliseconds(4000);
+constexpr Duration ConfigWait = milliseconds(2000);
+constexpr Duration TargetWait = milliseconds(1500);
+constexpr Duration MemberWait = milliseconds(8000);
 /// Between two calls for the targets' entries, which change with every heartbeat that tells more.
-constexpr Duration TargetPace = milliseconds(300);
+constexpr Duration TargetPace = milliseconds(650);
 constexpr Duration MemberPace = milliseconds(100);
 constexpr Duration ReadTimeout = milliseconds(1200);
 constexpr Duration PauseAfterFailure = milliseconds(200);
@@ -35,7 +35,7 @@
 constexpr Duration PeerCheckEvery = milliseconds(250);
 constexpr Duration PeerTimeout = milliseconds(800);
 /// Silence of the store from which on the targets are asked of peers.
-constexpr Duration StoreSilence = milliseconds(1600);
+constexpr Duration StoreSilence = milliseconds(2600);
 constexpr Duration GoneCheckEvery = std::chrono::seconds(5);
 
 json toJson(const FleetMember &member)
