Notice the return of the store, and refuse soon when nobody takes a request

Cause: TargetRegistry learnt of answers of the store only when the whole table was read. So entries that lapsed in an outage were dropped at its end, although they are back within 2 s, and entries that were missing after lost history without an outage were kept for 1.9 s of the 2 s that DrainMs allows. The test of it showed a second fault: a request to a plain service without any target was held for its whole time (5 s) before 'not run'. It now waits as long as it can be on time. Tests that failed before: GatewayTest.AnEntryThatLapsedInAnOutageIsUsedUntilItIsBack, .AnEntryThatIsMissingAfterLostHistoryIsGoneAtOnce.

--- a/programs/gateway/relay.cpp
+++ b/programs/gateway/relay.cpp
@@ -147,16 +147,17 @@
                                             now);
             m_state.announce();
         }
-        if (need.key) {
-            const auto verdict = decideWait(waitFacts(it, now), now);
-            if (verdict.refuseWithRetryAfter) {
-                const auto retryAfter = *verdict.refuseWithRetryAfter;
-                m_state.demand.keepUntil(*wait, now + retryAfter + ReturnAllowance);
-                wait.reset();
-                result = notRun(ErrorCode::Overloaded, "the model is not loaded in time",
-                                retryAfter);
-                break;
-            }
+        if (const auto verdict = decideWait(waitFacts(it, now), now);
+            verdict.refuseWithRetryAfter) {
+            const auto retryAfter = *verdict.refuseWithRetryAfter;
+            if (wait)
+                m_state.demand.keepUntil(*std::exchange(wait, std::nullopt),
+                                         now + retryAfter + ReturnAllowance);
+            result = notRun(ErrorCode::Overloaded,
+                            need.key ? "the model is not loaded in time"
+                                     : "no target takes the request",
+                            retryAfter);
+            break;
         }
         const auto pause = it.met.empty() ? LookEvery : PauseAfterRefusal;
         it.met.clear();
@@ -173,9 +174,12 @@
     facts.receivedAt = it.receivedAt;
     facts.deadline = it.deadline;
     facts.latencyGoal = it.route->latencyGoal;
-    facts.patience = it.route->kind == RequestKind::Streaming
-            ? streamPatience(it.route->latencyGoal, it.route->pauseGoal)
-            : it.deadline - it.receivedAt;
+    if (!it.service->engine || !it.caller.replica) {
+        // Nothing is being loaded for it; a target that comes back in time is all it can hope for.
+        facts.patience = it.route->latencyGoal;
+        return facts;
+    }
+    facts.patience = streamPatience(it.route->latencyGoal, it.route->pauseGoal);
     facts.readyAt = m_state.readyAt(it.service->name, it.caller.replica->model, now);
     return facts;
 }
--- a/programs/gateway/storewatch.cpp
+++ b/programs/gateway/storewatch.cpp
@@ -106,6 +106,7 @@
         takeEntries(rows, version);
     };
     const auto changedEntries = [this](const std::vector<StoreRow> &rows, RowVersion version) {
+        m_state.registry.noteContact(BootClock::now());
         for (const auto &it : rows)
             if (it.isDeleted) {
                 m_state.entryTexts.erase(it.key);
--- a/tests/tst_adapter_gateway.cpp
+++ b/tests/tst_adapter_gateway.cpp
@@ -455,6 +455,38 @@
     EXPECT_TRUE(runUntil([&] { return ask(0, "/new/x") == 200; }, 3s));
 }
 
+/// Regression: the return of the store was only noticed when the whole table was read anew.
+TEST_F(GatewayTest, AnEntryThatLapsedInAnOutageIsUsedUntilItIsBack)
+{
+    addTarget("p1", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    run(900ms);
+    store.isDown = true;
+    run(3500ms);
+    store.remove("servers", "p1");
+    store.isDown = false;
+    run(700ms);
+    EXPECT_EQ(ask(0, "/order/x"), 200U);
+    run(2500ms);
+    const auto askedAt = BootClock::now();
+    EXPECT_EQ(ask(0, "/order/x"), 503U);
+    EXPECT_LT(BootClock::now() - askedAt, 1s);
+}
+
+/// Regression: after lost history, entries that were missing were kept as after an outage.
+TEST_F(GatewayTest, AnEntryThatIsMissingAfterLostHistoryIsGoneAtOnce)
+{
+    addTarget("p1", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    run(3s);
+    store.remove("servers", "p1");
+    store.compact();
+    run(1000ms);
+    EXPECT_EQ(ask(0, "/order/x"), 503U);
+}
+
 TEST_F(GatewayTest, AnotherDaemonTakesOverTheOrders)
 {
     auto &engine = addTarget("e1", "engines", { "m0" });
