Wait for another engine when one has no connection, without drawing on the retry budget

The holder of the orders learnt of the crash from its idle report every 3 s. Change: a target without a connection gets nothing for 250 ms, such a try draws on no budget, and the planner asks for the report of an engine that should serve what is waited for. Tests: TargetSelector.WithoutAConnectionItIsBetterToWait, SwapPlannerTest.LooksAfterATargetThatShouldServeWhatIsWaitedFor. The request line of the log now tells the time waited, runs, whether it ran, and Retry-After.

--- a/programs/gateway/relay.cpp
+++ b/programs/gateway/relay.cpp
@@ -198,7 +198,7 @@
 {
     const auto *target = m_state.registry.find(id);
     if (!target)
-        co_return AttemptResult { AttemptOutcome::NotRun,
+        co_return AttemptResult { AttemptOutcome::NotSent,
                                   notRun(ErrorCode::Unavailable, "the target has left", {}) };
     const auto now = BootClock::now();
     ForwardDetails details;
@@ -223,11 +223,13 @@
         auto relayed = relayAnswer(it, id, std::move(stream.value()), responder);
         result = co_await std::move(relayed);
     } else {
-        const bool isNotRun = stream.error().execution == Execution::NotRun;
+        const bool isNotSent = stream.error().execution == Execution::NotRun;
         if (!it.cancel->isCancelled())
-            m_state.selector.noteSignal(id, TargetSignal::Broken, BootClock::now());
-        it.runs += isNotRun ? 0 : 1;
-        result = { isNotRun ? AttemptOutcome::NotRun : AttemptOutcome::Failed, stream.error() };
+            m_state.selector.noteSignal(
+                    id, isNotSent ? TargetSignal::Unreachable : TargetSignal::Broken,
+                    BootClock::now());
+        it.runs += isNotSent ? 0 : 1;
+        result = { isNotSent ? AttemptOutcome::NotSent : AttemptOutcome::Failed, stream.error() };
     }
     m_state.selector.noteEnded(id, key);
     co_return result;
@@ -342,6 +344,9 @@
     const auto now = BootClock::now();
     if (it.cancel->isCancelled() || now >= it.deadline || it.sends >= MostSends)
         return false;
+    // What reached no target costs the others nothing.
+    if (outcome == AttemptOutcome::NotSent)
+        return true;
     if (outcome == AttemptOutcome::Failed) {
         const bool isAllowed = it.route->mayRepeat() && it.runs < it.route->mostTargets;
         if (!isAllowed)
@@ -356,7 +361,9 @@
     if (it.service->engine && it.caller.replica)
         m_state.demand.noteArrival(it.service->name, *it.caller.replica, it.receivedAt);
     for (;;) {
+        const auto askedAt = BootClock::now();
         auto target = co_await awaitTarget(it);
+        it.waited += BootClock::now() - askedAt;
         if (!target) {
             auto error = target.error();
             if (it.runs > 0)
@@ -458,9 +465,17 @@
                 { "replica", it.caller.replica ? toString(*it.caller.replica) : std::string() },
                 { "target", it.lastTarget.value() },
                 { "sends", std::to_string(it.sends) },
+                { "runs", std::to_string(it.runs) },
+                { "waited_ms", std::to_string(toMilliseconds(it.waited).count()) },
                 { "config", std::to_string(it.index ? it.index->version() : 0) },
                 { "outcome", outcome },
                 { "cause", result ? std::string() : result.error().message },
+                { "execution",
+                  result ? std::string() : std::string(toString(result.error().execution)) },
+                { "retry_after_ms",
+                  !result && result.error().retryAfter
+                          ? std::to_string(toMilliseconds(*result.error().retryAfter).count())
+                          : std::string() },
                 { "ms", std::to_string(toMilliseconds(taken).count()) } });
 }
 
--- a/programs/gateway/relay.h
+++ b/programs/gateway/relay.h
@@ -43,6 +43,8 @@
     /// Targets that the request has been sent to.
     std::uint32_t sends = 0;
     std::set<TargetId> met;
+    /// Time in which the request waited for a target.
+    Duration waited {};
     /// Whether the head of the answer has gone to the caller.
     bool hasBegun = false;
     /// Whole events that have gone to the caller.
@@ -54,6 +56,8 @@
 enum class AttemptOutcome : std::uint8_t {
     /// The caller has its whole answer.
     Answered,
+    /// No byte of the request has left.
+    NotSent,
     /// The target did not run the request.
     NotRun,
     /// The request may have run, and there is no answer to pass on.
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -31,6 +31,8 @@
 constexpr Duration RunningWait = milliseconds(1000);
 /// Between two reports while nothing is awaited.
 constexpr Duration IdleReportEvery = std::chrono::seconds(3);
+/// Between two reports of a target that should serve what is waited for.
+constexpr Duration CheckEvery = milliseconds(300);
 /// Reports in a row that did not come, after which a target counts as away.
 constexpr unsigned MissedReportsOfAway = 2;
 /// Between two reports while an order is awaited.
@@ -525,6 +527,14 @@
     it.pending = std::move(pending);
 }
 
+void SwapPlanner::checkHolders(const Wanted &wanted, TimePoint now)
+{
+    for (auto &[id, it] : m_targets)
+        if (it.engine.resident.contains(wanted.key) && !it.reportAt
+            && now - it.reportedAt > CheckEvery)
+            it.reportAt = now;
+}
+
 void SwapPlanner::planAdapter(const Wanted &wanted, TimePoint now,
                               std::vector<PlacementOrder> &orders)
 {
@@ -695,6 +705,7 @@
     for (const auto &it : wanted) {
         if (it.waiting == 0)
             continue;
+        checkHolders(it, now);
         const ReplicaKey model { it.key.model, AdapterId() };
         if (!it.key.adapter.isEmpty() && copiesOf(model, it.service) > 0)
             planAdapter(it, now, orders);
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -207,6 +207,8 @@
     [[nodiscard]] static bool isUsable(const TargetState &it, const ServiceId &service);
     /// \returns whether an order may be decided for the target, now or when it is free
     [[nodiscard]] static bool takesOrders(const TargetState &it, const ServiceId &service);
+    /// Asks for the reports of targets that should serve what is waited for.
+    void checkHolders(const Wanted &wanted, TimePoint now);
     void planAdapter(const Wanted &wanted, TimePoint now, std::vector<PlacementOrder> &orders);
     void planModel(const Wanted &wanted, TimePoint now, std::vector<PlacementOrder> &orders);
     /// Keeps more than one copy of models that are asked for often.
--- a/src/routing/targetselector.cpp
+++ b/src/routing/targetselector.cpp
@@ -15,6 +15,8 @@
 /// How long a target is left alone after its first broken exchange; doubles up to LongestAlone.
 constexpr Duration ShortestAlone = milliseconds(300);
 constexpr Duration LongestAlone = milliseconds(2000);
+/// How long a target without a connection gets no request at all.
+constexpr Duration UnreachableTime = milliseconds(250);
 /// How long a target that is full is left alone.
 constexpr Duration AloneWhenFull = milliseconds(60);
 /// How long a model counts as absent after a target said so.
@@ -58,12 +60,15 @@
         it.leftAloneUntil = std::max(it.leftAloneUntil, now + AloneWhenFull);
         return;
     }
-    mix(it.broken, signal == TargetSignal::Broken);
+    const bool isBroken = signal == TargetSignal::Broken || signal == TargetSignal::Unreachable;
+    mix(it.broken, isBroken);
     mix(it.failed, signal == TargetSignal::Failed);
-    if (signal != TargetSignal::Broken) {
+    if (!isBroken) {
         it.failuresInRow = 0;
         return;
     }
+    if (signal == TargetSignal::Unreachable)
+        it.unreachableUntil = now + UnreachableTime;
     const auto doublings = std::min<std::uint32_t>(it.failuresInRow++, 4);
     it.leftAloneUntil = now + std::min(ShortestAlone * (1 << doublings), LongestAlone);
 }
@@ -128,6 +133,9 @@
     for (const auto &[id, target] : targets) {
         if (target.service != need.service || target.isDraining || need.excluded.contains(id))
             continue;
+        const auto standing = m_standing.find(id);
+        if (standing != m_standing.end() && now < standing->second.unreachableUntil)
+            continue;
         if (need.key) {
             const auto held = residents.find(id);
             if (held == residents.end() || !held->second.contains(*need.key))
--- a/src/routing/targetselector.h
+++ b/src/routing/targetselector.h
@@ -33,8 +33,10 @@
     Failed,
     /// Refused the request because it is full.
     Full,
-    /// No connection, no answer, or an answer that could not be read.
+    /// No answer, or one that could not be read.
     Broken,
+    /// No connection: the target is not there at all.
+    Unreachable,
 };
 
 /// Knows the load of targets and which of them are better left alone for a while.
@@ -84,6 +86,8 @@
         double broken = 0;
         double failed = 0;
         TimePoint leftAloneUntil;
+        /// Until then, requests are better off waiting for another target.
+        TimePoint unreachableUntil;
         std::uint32_t failuresInRow = 0;
     };
     struct Others
--- a/tests/tst_swapplanner.cpp
+++ b/tests/tst_swapplanner.cpp
@@ -409,3 +409,17 @@
     ASSERT_EQ(next.size(), 1U);
     EXPECT_EQ(next.front().action, IntentAction::Unload);
 }
+
+TEST_F(SwapPlannerTest, LooksAfterATargetThatShouldServeWhatIsWaitedFor)
+{
+    addTarget("t1", { "m0" });
+    addTarget("t2", {}, { "m0" });
+    start(1);
+    m_now += 500ms;
+    EXPECT_TRUE(m_planner.reportsDue(m_now).empty());
+    want(model("m0"));
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+    const auto due = m_planner.reportsDue(m_now);
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_EQ(due.front(), TargetId("t1"));
+}
--- a/tests/tst_targetselector.cpp
+++ b/tests/tst_targetselector.cpp
@@ -87,3 +87,12 @@
     selector.noteAbsent(TargetId("a3"), *it.key, Start);
     EXPECT_FALSE(selector.choose(it, all, residents, Start));
 }
+
+TEST(TargetSelector, WithoutAConnectionItIsBetterToWait)
+{
+    TargetSelector selector(DataCentreId("a"), "vm-1");
+    const auto all = targets({ "a1" });
+    selector.noteSignal(TargetId("a1"), TargetSignal::Unreachable, Start);
+    EXPECT_FALSE(selector.choose(need(), all, {}, Start + 100ms));
+    EXPECT_EQ(selector.choose(need(), all, {}, Start + 400ms), TargetId("a1"));
+}
