--- a/src/bluebell.h
+++ b/src/bluebell.h
@@ -14,22 +14,32 @@
 #include "config/configreplica.h"
 #include "rules/parser.h"
 #include "rules/ruleset.h"
+#include "site/siteindex.h"
+#include "site/targetregistry.h"
 
 // Who decides.
 #include "membership/drain.h"
+#include "membership/fleet.h"
+#include "membership/leadership.h"
 #include "membership/lease.h"
 #include "membership/roles.h"
 
 // Requests.
 #include "orders/orderflow.h"
+#include "queue/patience.h"
 #include "queue/requestqueue.h"
 #include "rate/grantholder.h"
 #include "rate/ratehome.h"
+#include "rate/sharedrate.h"
 #include "rate/shares.h"
 #include "routing/entryadvisor.h"
 #include "routing/router.h"
+#include "routing/targetselector.h"
+#include "streams/eventsplitter.h"
 #include "streams/streamassembler.h"
 
 // Loads and memory.
+#include "placement/demandboard.h"
 #include "placement/ledger.h"
 #include "placement/planner.h"
+#include "placement/swapplanner.h"
