Hold the places of adapters until their leaving has been seen

Cause: an order to unload an adapter that requests still use is answered 202 and carried out when they end. The same held for the adapters of a model whose unload was taken as done by its time, since adapter orders are accepted while a model is leaving. Adapters on their way did not count in the memory that is free.

Ruled out: an order carried out late (it names the number of orders before it, and would be refused); the memory of adapters (8 x 66 MB beside 1.9 GB that are free).

Change: an adapter that leaves later keeps its place and memory until a report no longer lists it; it holds up no order for a model. A model that left by the time alone keeps its adapters' places until a report or an accepted model order.

Tests: three, of which two failed for the cause and the third guards the way back.

--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -35,6 +35,8 @@
 constexpr unsigned MissedReportsOfAway = 2;
 /// Between two reports while an order is awaited.
 constexpr Duration ReportEvery = milliseconds(60);
+/// How long an adapter may be used after it was told to leave before it is told again.
+constexpr Duration LongestAdapterUse = std::chrono::seconds(10);
 /// After a refusal or a failed connection.
 constexpr Duration PauseAfterFailure = milliseconds(500);
 /// Loads from the weight store that run at full speed together.
@@ -140,9 +142,7 @@
     it.engine.inMemory = state.inMemory;
     it.engine.onDisk = state.onDisk;
     if (!it.pending) {
-        it.engine = state;
-        if (state.isBusy)
-            it.reportAt = now + ReportEvery;
+        settle(it, state, now);
         return;
     }
     const auto &order = it.pending->order;
@@ -156,14 +156,27 @@
     const bool isComing = isLoad && state.coming.contains(order.key);
     if (isDone || isOther || (!state.isBusy && !isComing)) {
         it.pending.reset();
-        it.engine = state;
-        if (state.isBusy)
-            it.reportAt = now + ReportEvery;
+        settle(it, state, now);
         return;
     }
     it.pending->phase = Phase::Carried;
 }
 
+void SwapPlanner::settle(TargetState &it, const EngineState &state, TimePoint now)
+{
+    it.engine = state;
+    it.leavingModel.clear();
+    std::erase_if(it.leavingAdapters, [&](const auto &leaving) {
+        return !state.resident.contains(leaving.first) || now >= leaving.second;
+    });
+    for (const auto &[key, until] : it.leavingAdapters)
+        it.engine.resident.erase(key);
+    if (state.isBusy)
+        it.reportAt = now + ReportEvery;
+    else if (!it.leavingAdapters.empty())
+        it.reportAt = now + CheckEvery;
+}
+
 void SwapPlanner::noteDemand(const VmId &vm, std::vector<ModelDemand> demand,
                              std::vector<ModelInFlight> inFlight, TimePoint now)
 {
@@ -185,8 +198,18 @@
             it.engine.inMemory.insert(order.key.model);
         }
     } else if (order.key.adapter.isEmpty()) {
-        std::erase_if(it.engine.resident,
-                      [&](const auto &key) { return key.model == order.key.model; });
+        const auto isOfModel = [&](const auto &key) {
+            return key.model == order.key.model;
+        };
+        for (const auto &key : it.engine.resident)
+            if (isOfModel(key))
+                it.leavingModel.insert(key);
+        for (const auto &[key, until] : it.leavingAdapters)
+            if (isOfModel(key))
+                it.leavingModel.insert(key);
+        std::erase_if(it.engine.resident, isOfModel);
+        std::erase_if(it.leavingAdapters,
+                      [&](const auto &leaving) { return isOfModel(leaving.first); });
         // What was held before stays on the target's disk.
         it.engine.onDisk.insert(order.key.model);
     } else {
@@ -205,11 +228,7 @@
         return;
     switch (outcome) {
     case OrderOutcome::Accepted:
-        it.pending->phase = Phase::Carried;
-        it.pending->expectedEnd = now + it.pending->duration;
-        it.engine.sequence = std::max(it.engine.sequence, order.expectedSequence + 1);
-        if (!it.pending->endsOnTime)
-            it.reportAt = it.pending->expectedEnd;
+        noteAccepted(it, order, now);
         break;
     case OrderOutcome::Done:
         // An adapter leaves at once, and that counts as an order.
@@ -237,6 +256,26 @@
     }
 }
 
+void SwapPlanner::noteAccepted(TargetState &it, const PlacementOrder &order, TimePoint now)
+{
+    it.engine.sequence = std::max(it.engine.sequence, order.expectedSequence + 1);
+    if (order.action == IntentAction::Unload && !order.key.adapter.isEmpty()) {
+        // One that leaves at once is answered as done; requests still use this one.
+        it.engine.resident.erase(order.key);
+        it.leavingAdapters[order.key] = now + LongestAdapterUse;
+        it.pending.reset();
+        it.reportAt = now + ReportLag;
+        return;
+    }
+    // The target carries out one model order at a time, so those before have ended.
+    if (order.key.adapter.isEmpty())
+        it.leavingModel.clear();
+    it.pending->phase = Phase::Carried;
+    it.pending->expectedEnd = now + it.pending->duration;
+    if (!it.pending->endsOnTime)
+        it.reportAt = it.pending->expectedEnd;
+}
+
 std::vector<TargetId> SwapPlanner::reportsDue(TimePoint now)
 {
     std::vector<TargetId> due;
@@ -341,9 +380,34 @@
     if (it.pending && it.pending->order.action == IntentAction::Load
         && !it.engine.resident.contains(it.pending->order.key))
         free -= sizeOf(it.entry.service, it.pending->order.key);
+    for (const auto &key : it.engine.coming)
+        if (!it.engine.resident.contains(key))
+            free -= sizeOf(it.entry.service, key);
+    for (const auto &[key, until] : it.leavingAdapters)
+        free -= sizeOf(it.entry.service, key);
     return free;
 }
 
+Megabytes SwapPlanner::freeForAdapters(const TargetState &it) const
+{
+    auto free = freeOf(it);
+    for (const auto &key : it.leavingModel)
+        free -= sizeOf(it.entry.service, key);
+    return free;
+}
+
+std::size_t SwapPlanner::adapterPlacesTaken(const TargetState &it)
+{
+    std::set<ReplicaKey> adapters;
+    for (const auto *keys : { &it.engine.resident, &it.engine.coming, &it.leavingModel })
+        for (const auto &key : *keys)
+            if (!key.adapter.isEmpty())
+                adapters.insert(key);
+    for (const auto &[key, until] : it.leavingAdapters)
+        adapters.insert(key);
+    return adapters.size();
+}
+
 std::size_t SwapPlanner::copiesOf(const ReplicaKey &key, const ServiceId &service) const
 {
     return static_cast<std::size_t>(
@@ -552,11 +616,8 @@
     for (const auto &key : best->engine.resident)
         if (!key.adapter.isEmpty())
             held.push_back(key);
-    const auto onTheirWay = static_cast<std::size_t>(
-            std::count_if(best->engine.coming.begin(), best->engine.coming.end(),
-                          [&](const auto &key) { return !best->engine.resident.contains(key); }));
-    if (held.size() + onTheirWay < engine->adapterSlots
-        && freeOf(*best) >= sizeOf(wanted.service, wanted.key)) {
+    if (adapterPlacesTaken(*best) < engine->adapterSlots
+        && freeForAdapters(*best) >= sizeOf(wanted.service, wanted.key)) {
         order(*best, IntentAction::Load, wanted.key, now, orders);
         return;
     }
@@ -567,7 +628,8 @@
     const auto oldest =
             std::min_element(held.begin(), held.end(),
                              [&](const auto &a, const auto &b) { return usedAt(a) < usedAt(b); });
-    if (oldest != held.end())
+    // What is leaving makes the place without another order.
+    if (oldest != held.end() && best->leavingModel.empty() && best->leavingAdapters.empty())
         order(*best, IntentAction::Unload, *oldest, now, orders);
 }
 
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -154,6 +154,11 @@
         bool isKnown = false;
         /// Reports in a row that did not come.
         unsigned missedReports = 0;
+        /// A model with its adapters that is taken as gone by the time alone. It holds its memory
+        /// and places against adapters, whose orders the target accepts while a model is leaving.
+        std::set<ReplicaKey> leavingModel;
+        /// Adapters that were told to leave while requests use them, and when to tell them again.
+        std::map<ReplicaKey, TimePoint> leavingAdapters;
         std::map<ReplicaKey, TimePoint> lastUsed;
     };
 
@@ -186,11 +191,18 @@
 
     void gather(TimePoint now);
     void applyState(TargetState &it, const EngineState &state, TimePoint now);
-    void finish(TargetState &it, TimePoint now);
+    /// Takes over a report of a target that has no order under way.
+    static void settle(TargetState &it, const EngineState &state, TimePoint now);
+    static void finish(TargetState &it, TimePoint now);
+    static void noteAccepted(TargetState &it, const PlacementOrder &order, TimePoint now);
     [[nodiscard]] const EngineSpec *engineOf(const ServiceId &service) const;
     [[nodiscard]] const ModelSpec *specOf(const ServiceId &service, const ModelId &model) const;
     [[nodiscard]] Megabytes sizeOf(const ServiceId &service, const ReplicaKey &key) const;
     [[nodiscard]] Megabytes freeOf(const TargetState &it) const;
+    /// \returns memory that is free for adapters, whose orders no unload under way holds up
+    [[nodiscard]] Megabytes freeForAdapters(const TargetState &it) const;
+    /// \returns places that adapters hold or may still hold
+    [[nodiscard]] static std::size_t adapterPlacesTaken(const TargetState &it);
     [[nodiscard]] std::size_t copiesOf(const ReplicaKey &key, const ServiceId &service) const;
     [[nodiscard]] std::size_t comingOf(const ReplicaKey &key, const ServiceId &service) const;
     [[nodiscard]] bool isPlacedOrComing(const ReplicaKey &key, const ServiceId &service) const;
--- a/tests/tst_swapplanner.cpp
+++ b/tests/tst_swapplanner.cpp
@@ -423,3 +423,88 @@
     ASSERT_EQ(due.size(), 1U);
     EXPECT_EQ(due.front(), TargetId("t1"));
 }
+
+/// Regression: an adapter that was told to leave counted as gone while requests still used it.
+TEST_F(SwapPlannerTest, AnAdapterThatIsStillUsedKeepsItsPlace)
+{
+    addTarget("t1", { "m0" });
+    auto &state = *m_entries[TargetId("t1")].engine;
+    state.resident.insert({ ModelId("m0"), AdapterId("a1") });
+    state.resident.insert({ ModelId("m0"), AdapterId("a2") });
+    start(1);
+    const ReplicaKey third { ModelId("m0"), AdapterId("a3") };
+    want(third);
+    const auto unload = m_planner.plan(m_now);
+    ASSERT_EQ(unload.size(), 1U);
+    ASSERT_EQ(unload.front().action, IntentAction::Unload);
+    // Accepted, not done: a request that no daemon tells of any more still uses it.
+    m_planner.noteOutcome(unload.front(), OrderOutcome::Accepted, m_now);
+    auto busy = state;
+    busy.sequence = 1;
+    for (int n = 0; n < 5; ++n) {
+        m_now += 100ms;
+        (void)m_planner.reportsDue(m_now);
+        want(third);
+        EXPECT_TRUE(m_planner.plan(m_now).empty());
+        m_planner.noteReport(TargetId("t1"), 1, busy, m_now);
+    }
+    auto free = busy;
+    free.resident.erase(unload.front().key);
+    m_planner.noteReport(TargetId("t1"), 1, free, m_now);
+    const auto load = m_planner.plan(m_now);
+    ASSERT_EQ(load.size(), 1U);
+    EXPECT_EQ(load.front().action, IntentAction::Load);
+    EXPECT_EQ(load.front().key, third);
+}
+
+/// Regression: the adapters of a model that was told to leave counted as gone by the time alone.
+TEST_F(SwapPlannerTest, AdaptersOfALeavingModelKeepTheirPlacesUntilItsEndIsSeen)
+{
+    addTarget("t1", { "m0", "m1" }, { "m2" });
+    auto &state = *m_entries[TargetId("t1")].engine;
+    state.resident.insert({ ModelId("m0"), AdapterId("a1") });
+    state.resident.insert({ ModelId("m0"), AdapterId("a2") });
+    start(3);
+    want(model("m2"));
+    const auto unload = m_planner.plan(m_now);
+    ASSERT_EQ(unload.size(), 1U);
+    ASSERT_EQ(unload.front().key, model("m0"));
+    m_planner.noteOutcome(unload.front(), OrderOutcome::Accepted, m_now);
+    m_now += 60ms;
+    (void)m_planner.reportsDue(m_now);
+    want({ ModelId("m1"), AdapterId("a5") });
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+    auto gone = state;
+    gone.sequence = 1;
+    gone.resident = { model("m1") };
+    m_planner.noteReport(TargetId("t1"), 1, gone, m_now);
+    const auto load = m_planner.plan(m_now);
+    ASSERT_EQ(load.size(), 1U);
+    EXPECT_EQ(load.front().key, (ReplicaKey { ModelId("m1"), AdapterId("a5") }));
+}
+
+/// A model order that is accepted shows that the unload before it has ended.
+TEST_F(SwapPlannerTest, AnAcceptedModelOrderEndsTheLeavingBeforeIt)
+{
+    addTarget("t1", { "m0", "m1" }, { "m2" });
+    auto &state = *m_entries[TargetId("t1")].engine;
+    state.resident.insert({ ModelId("m0"), AdapterId("a1") });
+    state.resident.insert({ ModelId("m0"), AdapterId("a2") });
+    start(3);
+    want(model("m2"));
+    const auto unload = m_planner.plan(m_now);
+    ASSERT_EQ(unload.size(), 1U);
+    m_planner.noteOutcome(unload.front(), OrderOutcome::Accepted, m_now);
+    m_now += 60ms;
+    (void)m_planner.reportsDue(m_now);
+    want(model("m2"));
+    const auto load = m_planner.plan(m_now);
+    ASSERT_EQ(load.size(), 1U);
+    m_planner.noteOutcome(load.front(), OrderOutcome::Accepted, m_now);
+    m_now += 900ms;
+    (void)m_planner.reportsDue(m_now);
+    want({ ModelId("m2"), AdapterId("a5") });
+    const auto adapter = m_planner.plan(m_now);
+    ASSERT_EQ(adapter.size(), 1U);
+    EXPECT_EQ(adapter.front().action, IntentAction::Load);
+}
