Use one client, one codec and one stand-in of the store

Cause: the store was spoken to in two ways. The gateway used the published protocol, the programs of our own sites a former one with its own client (src/platform/table), and two stand-ins kept rows, versions and faults each for itself. A fault that one of them had (a feed, a lost answer, a rate) was never met by the programs behind the other.

Change: platform/storecodec holds the calls and answers both ways; platform/store is the only client, with ranges, transactions over several rows and objects; src/records (moved from src/platform) keeps what is the product's: keys, rows, and resolving a transaction whose answer was lost. bluebell-standin serves the published protocol, with the feed, and the gateway's tests use it; their own store stand-in is gone. The list of VMs, which the protocol does not have, is a table of the operators. A 503 or 429 of the store now counts as not run also on our own sites.

Ruled out: a translating server beside the old protocol (a third copy of the same rows).

The targets' protocol of our own sites is still the former one.

--- a/bench/bench_messages.cpp
+++ b/bench/bench_messages.cpp
@@ -1,5 +1,5 @@
 #include "peer/codec.h"
-#include "platform/rows.h"
+#include "records/rows.h"
 
 #include <benchmark/benchmark.h>
 #include <capnp/message.h>
--- a/programs/controller/configsync.cpp
+++ b/programs/controller/configsync.cpp
@@ -23,9 +23,9 @@
 
 } // namespace
 
-ConfigSync::ConfigSync(PlatformClient platform, RoleKeeper &roles, PeerNode &peers,
+ConfigSync::ConfigSync(RecordTable records, RoleKeeper &roles, PeerNode &peers,
                        std::vector<Endpoint> seeds, ConfigReplica::Settings settings)
-    : m_platform(std::move(platform)), m_roles(roles), m_peers(peers), m_seeds(std::move(seeds)),
+    : m_records(std::move(records)), m_roles(roles), m_peers(peers), m_seeds(std::move(seeds)),
       m_replica(settings), m_random(std::random_device()())
 {
 }
@@ -34,7 +34,7 @@
 {
     while (!m_isStopping) {
         const auto before = m_replica.version();
-        const auto pulled = co_await pullConfig(m_platform, m_replica);
+        const auto pulled = co_await pullConfig(m_records, m_replica);
         if (!pulled)
             log::debug("table service not read", { { "cause", pulled.error().message } });
         noteMembers();
@@ -181,7 +181,7 @@
         co_return;
     delta.author = "withdrawal";
     delta.change = ChangeId(randomHex(IdBytes));
-    (void)co_await publishConfig(m_platform, m_replica.lines(), m_replica.version(),
+    (void)co_await publishConfig(m_records, m_replica.lines(), m_replica.version(),
                                  std::move(delta), BootClock::now() + PollEvery);
 }
 
--- a/programs/controller/configsync.h
+++ b/programs/controller/configsync.h
@@ -3,7 +3,7 @@
 #include "config/configreplica.h"
 #include "controller/rolekeeper.h"
 #include "peer/peernode.h"
-#include "platform/configstore.h"
+#include "records/configstore.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -19,8 +19,8 @@
 {
 public:
     /// \param seeds controllers to ask when the table service has not named any
-    ConfigSync(PlatformClient platform, RoleKeeper &roles, PeerNode &peers,
-               std::vector<Endpoint> seeds, ConfigReplica::Settings settings);
+    ConfigSync(RecordTable records, RoleKeeper &roles, PeerNode &peers, std::vector<Endpoint> seeds,
+               ConfigReplica::Settings settings);
 
     /// Polls until stop() is called.
     boost::asio::awaitable<void> run();
@@ -41,7 +41,7 @@
     void noteMembers();
     [[nodiscard]] std::vector<Endpoint> peerAddresses() const;
 
-    PlatformClient m_platform;
+    RecordTable m_records;
     RoleKeeper &m_roles;
     PeerNode &m_peers;
     std::vector<Endpoint> m_seeds;
--- a/programs/controller/daemon.cpp
+++ b/programs/controller/daemon.cpp
@@ -31,13 +31,13 @@
 Result<Endpoint> Daemon::start()
 {
     BOOST_OUTCOME_TRY(auto address, m_peers.listen(m_settings.listen));
-    const PlatformClient platform(m_settings.platform);
+    const RecordTable records(m_settings.platform);
     const Member self { m_settings.vm, IncarnationId(randomHex(IdBytes)), address };
-    m_roles.emplace(platform, self, m_settings.lease, [this] { return wantedRoles(); });
-    m_config.emplace(platform, *m_roles, m_peers, m_settings.seeds, m_settings.config);
+    m_roles.emplace(records, self, m_settings.lease, [this] { return wantedRoles(); });
+    m_config.emplace(records, *m_roles, m_peers, m_settings.seeds, m_settings.config);
     m_rates.emplace([this](const RoleId &role, TimePoint now) { return m_roles->held(role, now); },
                     m_settings.rate);
-    m_placement.emplace(m_context.get_executor(), platform, *m_roles, m_settings.placement);
+    m_placement.emplace(m_context.get_executor(), records, *m_roles, m_settings.placement);
     asio::co_spawn(m_context, m_roles->run(), asio::detached);
     asio::co_spawn(m_context, m_config->run(), asio::detached);
     asio::co_spawn(m_context, m_placement->run(), asio::detached);
--- a/programs/controller/placementservice.cpp
+++ b/programs/controller/placementservice.cpp
@@ -2,7 +2,7 @@
 
 #include "core/digest.h"
 #include "core/log.h"
-#include "platform/rows.h"
+#include "records/rows.h"
 #include "target/targetclient.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -39,9 +39,9 @@
 
 } // namespace
 
-PlacementService::PlacementService(asio::any_io_executor executor, PlatformClient platform,
+PlacementService::PlacementService(asio::any_io_executor executor, RecordTable records,
                                    const RoleKeeper &roles, LoadPlanner::Settings settings)
-    : m_executor(std::move(executor)), m_platform(std::move(platform)), m_roles(roles),
+    : m_executor(std::move(executor)), m_records(std::move(records)), m_roles(roles),
       m_settings(settings), m_changed(m_executor)
 {
 }
@@ -106,10 +106,10 @@
 
 asio::awaitable<bool> PlacementService::readRows(Shard &shard)
 {
-    const auto ledgers = co_await m_platform.range(std::string(rows::TargetPrefix));
+    const auto ledgers = co_await m_records.range(std::string(rows::TargetPrefix));
     if (!ledgers)
         co_return false;
-    const auto places = co_await m_platform.range(std::string(rows::ReplicaPrefix));
+    const auto places = co_await m_records.range(std::string(rows::ReplicaPrefix));
     if (!places)
         co_return false;
     for (const auto &row : ledgers.value())
@@ -170,7 +170,7 @@
     transaction.mutations = { { targetKey, rows::encode(change.ledger, id) },
                               { replicaKey, rows::encode(change.places, id) } };
     const auto outcome =
-            co_await m_platform.commit(std::move(transaction), BootClock::now() + CommitTime);
+            co_await m_records.commit(std::move(transaction), BootClock::now() + CommitTime);
     const auto *committed = outcome ? std::get_if<Committed>(&outcome.value()) : nullptr;
     if (committed == nullptr) {
         shard.planner.noteConflict(change);
--- a/programs/controller/placementservice.h
+++ b/programs/controller/placementservice.h
@@ -4,7 +4,7 @@
 #include "io/notifier.h"
 #include "peer/messages.h"
 #include "placement/planner.h"
-#include "platform/table.h"
+#include "records/table.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -21,7 +21,7 @@
 class PlacementService
 {
 public:
-    PlacementService(boost::asio::any_io_executor executor, PlatformClient platform,
+    PlacementService(boost::asio::any_io_executor executor, RecordTable records,
                      const RoleKeeper &roles, LoadPlanner::Settings settings);
 
     /// Plans, commits and orders until stop() is called.
@@ -60,7 +60,7 @@
                                         TimePoint now) const;
 
     boost::asio::any_io_executor m_executor;
-    PlatformClient m_platform;
+    RecordTable m_records;
     const RoleKeeper &m_roles;
     LoadPlanner::Settings m_settings;
     std::shared_ptr<const RuleSet> m_rules = std::make_shared<const RuleSet>();
--- a/programs/controller/rolekeeper.cpp
+++ b/programs/controller/rolekeeper.cpp
@@ -3,7 +3,7 @@
 #include "core/digest.h"
 #include "core/log.h"
 #include "io/notifier.h"
-#include "platform/rows.h"
+#include "records/rows.h"
 
 #include <utility>
 
@@ -43,9 +43,8 @@
 
 } // namespace
 
-RoleKeeper::RoleKeeper(PlatformClient platform, Member self, LeaseSettings settings,
-                       WantedRoles wanted)
-    : m_platform(std::move(platform)), m_self(std::move(self)), m_settings(settings),
+RoleKeeper::RoleKeeper(RecordTable records, Member self, LeaseSettings settings, WantedRoles wanted)
+    : m_records(std::move(records)), m_self(std::move(self)), m_settings(settings),
       m_wanted(std::move(wanted)), m_lease(settings), m_table(m_self, settings)
 {
 }
@@ -100,7 +99,7 @@
 
 asio::awaitable<void> RoleKeeper::resolveLostRenewal()
 {
-    const auto row = co_await m_platform.get(rows::memberKey(m_self));
+    const auto row = co_await m_records.get(rows::memberKey(m_self));
     if (!row)
         co_return;
     const auto &found = row.value();
@@ -125,7 +124,7 @@
                               { { key, rows::encode(MemberRow { m_self, 0, m_entry }, change) } } };
     const auto sentAt = BootClock::now();
     m_lease.renewalSent(sentAt);
-    const auto outcome = co_await m_platform.commit(std::move(transaction), sentAt + CommitTime);
+    const auto outcome = co_await m_records.commit(std::move(transaction), sentAt + CommitTime);
     if (!outcome) {
         m_lease.renewalFailed();
         m_lostRenewal = change;
@@ -155,7 +154,7 @@
 
 asio::awaitable<void> RoleKeeper::readRoles()
 {
-    const auto roles = co_await m_platform.range(std::string(rows::RolePrefix));
+    const auto roles = co_await m_records.range(std::string(rows::RolePrefix));
     if (!roles)
         co_return;
     m_table.noteRoles(decodeRows<RoleRow>(roles.value(), rows::decodeRole));
@@ -164,7 +163,7 @@
 
 asio::awaitable<void> RoleKeeper::readMembers()
 {
-    const auto members = co_await m_platform.range(std::string(rows::MemberPrefix));
+    const auto members = co_await m_records.range(std::string(rows::MemberPrefix));
     if (members)
         m_table.noteMembers(decodeRows<MemberRow>(members.value(), rows::decodeMember),
                             BootClock::now());
@@ -172,7 +171,7 @@
 
 asio::awaitable<void> RoleKeeper::readVms()
 {
-    const auto vms = co_await m_platform.listVms();
+    const auto vms = co_await m_records.listVms();
     if (!vms)
         co_return;
     m_listedVms.clear();
@@ -206,7 +205,7 @@
             transaction.mutations.push_back({ memberKey, std::nullopt });
     }
     const auto outcome =
-            co_await m_platform.commit(std::move(transaction), BootClock::now() + CommitTime);
+            co_await m_records.commit(std::move(transaction), BootClock::now() + CommitTime);
     if (!outcome)
         co_return;
     const auto *committed = std::get_if<Committed>(&outcome.value());
@@ -225,7 +224,7 @@
         Transaction transaction { newChange(),
                                   { { key, row.version } },
                                   { { key, std::nullopt } } };
-        (void)co_await m_platform.commitOnce(std::move(transaction));
+        (void)co_await m_records.commitOnce(std::move(transaction));
     }
 }
 
@@ -242,7 +241,7 @@
                                 { rows::memberKey(m_self), m_memberVersion } },
                               { { key, rows::encode(next, change) } } };
     const auto outcome =
-            co_await m_platform.commit(std::move(transaction), BootClock::now() + CommitTime);
+            co_await m_records.commit(std::move(transaction), BootClock::now() + CommitTime);
     co_return outcome &&std::holds_alternative<Committed>(outcome.value());
 }
 
@@ -266,7 +265,7 @@
     Transaction transaction { newChange(),
                               { { key, m_memberVersion } },
                               { { key, std::nullopt } } };
-    (void)co_await m_platform.commitOnce(std::move(transaction));
+    (void)co_await m_records.commitOnce(std::move(transaction));
 }
 
 } // namespace bluebell::controller
--- a/programs/controller/rolekeeper.h
+++ b/programs/controller/rolekeeper.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "membership/roles.h"
-#include "platform/table.h"
+#include "records/table.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -22,7 +22,7 @@
 public:
     using WantedRoles = std::function<std::set<RoleId>()>;
 
-    RoleKeeper(PlatformClient platform, Member self, LeaseSettings settings, WantedRoles wanted);
+    RoleKeeper(RecordTable records, Member self, LeaseSettings settings, WantedRoles wanted);
 
     /// Renews, reads and claims until stop() is called.
     boost::asio::awaitable<void> run();
@@ -60,7 +60,7 @@
     /// Starts anew under another incarnation, after the old one was fenced.
     void reincarnate();
 
-    PlatformClient m_platform;
+    RecordTable m_records;
     Member m_self;
     LeaseSettings m_settings;
     WantedRoles m_wanted;
--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -3,9 +3,9 @@
 #include "core/digest.h"
 #include "io/notifier.h"
 #include "peer/peernode.h"
-#include "platform/configstore.h"
-#include "platform/rows.h"
 #include "rate/shares.h"
+#include "records/configstore.h"
+#include "records/rows.h"
 #include "rules/parser.h"
 
 #include <boost/asio/this_coro.hpp>
@@ -127,7 +127,7 @@
 {
 public:
     Tool(asio::any_io_executor executor, Options options)
-        : m_options(std::move(options)), m_platform(m_options.platform),
+        : m_options(std::move(options)), m_records(m_options.platform),
           m_peers(std::move(executor), {})
     {
     }
@@ -154,13 +154,13 @@
     asio::awaitable<std::vector<Endpoint>> controllers();
 
     Options m_options;
-    PlatformClient m_platform;
+    RecordTable m_records;
     PeerNode m_peers;
 };
 
 asio::awaitable<bool> Tool::pull(ConfigReplica &replica)
 {
-    const auto pulled = co_await pullConfig(m_platform, replica);
+    const auto pulled = co_await pullConfig(m_records, replica);
     if (pulled)
         co_return true;
     printError("the table service gave no answer: " + pulled.error().message);
@@ -185,7 +185,7 @@
 asio::awaitable<std::vector<Member>> Tool::members()
 {
     std::vector<Member> members;
-    const auto found = co_await m_platform.range(std::string(rows::MemberPrefix));
+    const auto found = co_await m_records.range(std::string(rows::MemberPrefix));
     if (!found)
         co_return members;
     for (const auto &row : found.value())
@@ -269,7 +269,7 @@
     delta.author = m_options.author;
     delta.change = ChangeId(randomHex(IdBytes));
     const auto change = delta.change.value();
-    const auto outcome = co_await publishConfig(m_platform, replica.lines(), file.base,
+    const auto outcome = co_await publishConfig(m_records, replica.lines(), file.base,
                                                 std::move(delta), BootClock::now() + CommitTime);
     if (!outcome) {
         const bool isNotRun = outcome.error().execution == Execution::NotRun;
--- a/programs/entry/daemon.cpp
+++ b/programs/entry/daemon.cpp
@@ -61,13 +61,13 @@
 Result<Endpoint> Daemon::start()
 {
     BOOST_OUTCOME_TRY(auto address, m_server.listen(m_settings.listen));
-    const PlatformClient platform(m_settings.platform);
+    const RecordTable records(m_settings.platform);
     m_config.emplace(m_peers, m_settings.controllers,
                      EntryAddress { m_settings.vm, address, false }, m_settings.config);
     m_gate.emplace(m_peers, *m_config, m_settings.vm.value() + '/' + randomHex(IdBytes));
     m_dispatcher.emplace(m_context.get_executor(), m_peers, *m_config, m_metrics, m_settings.vm);
     m_chat.emplace(*m_config, *m_dispatcher, *m_gate, m_metrics);
-    m_service.emplace(*m_config, platform, *m_gate, m_metrics);
+    m_service.emplace(*m_config, records, *m_gate, m_metrics);
     m_filters = { makeIdentityFilter(*m_config), makePermissionFilter(*m_config),
                   makeRateFilter(*m_gate) };
     asio::co_spawn(m_context, m_config->run(), asio::detached);
--- a/programs/entry/servicehandler.cpp
+++ b/programs/entry/servicehandler.cpp
@@ -2,7 +2,7 @@
 
 #include "core/digest.h"
 #include "core/log.h"
-#include "platform/rows.h"
+#include "records/rows.h"
 #include "target/targetclient.h"
 
 #include <algorithm>
@@ -49,9 +49,9 @@
 
 } // namespace
 
-ServiceHandler::ServiceHandler(const ConfigView &config, PlatformClient platform, RateGate &gate,
+ServiceHandler::ServiceHandler(const ConfigView &config, RecordTable records, RateGate &gate,
                                Metrics &metrics)
-    : m_config(config), m_platform(std::move(platform)), m_gate(gate), m_metrics(metrics),
+    : m_config(config), m_records(std::move(records)), m_gate(gate), m_metrics(metrics),
       m_claims(LongestRun), m_budget(RetryBudget::Settings {})
 {
 }
@@ -143,12 +143,12 @@
                               { { rowKey, 0 } },
                               { { rowKey, rows::encode(record, flow.claim()) } } };
     const auto outcome =
-            co_await m_platform.commit(std::move(transaction), BootClock::now() + ClaimTime);
+            co_await m_records.commit(std::move(transaction), BootClock::now() + ClaimTime);
     if (!outcome)
         co_return flow.claimFailed(outcome.error());
     if (std::holds_alternative<Committed>(outcome.value()))
         co_return flow.claimInserted(BootClock::now());
-    const auto row = co_await m_platform.get(rowKey);
+    const auto row = co_await m_records.get(rowKey);
     if (!row || !row.value())
         co_return flow.claimFailed(row ? makeError(ErrorCode::Unavailable, "the claim is in flux")
                                        : row.error());
@@ -178,7 +178,7 @@
 asio::awaitable<OrderAction> ServiceHandler::releaseClaim(OrderFlow &flow, std::string rowKey)
 {
     const auto deadline = BootClock::now() + ClaimTime;
-    const auto row = co_await m_platform.get(rowKey);
+    const auto row = co_await m_records.get(rowKey);
     if (!row)
         co_return flow.released(false);
     const bool isOwn =
@@ -188,7 +188,7 @@
     Transaction transaction { ChangeId(randomHex(IdBytes)),
                               { { rowKey, row.value()->version } },
                               { { rowKey, std::nullopt } } };
-    const auto outcome = co_await m_platform.commit(std::move(transaction), deadline);
+    const auto outcome = co_await m_records.commit(std::move(transaction), deadline);
     co_return flow.released(outcome && std::holds_alternative<Committed>(outcome.value()));
 }
 
@@ -197,12 +197,12 @@
 {
     const auto deadline = BootClock::now() + RecordTime;
     const ChangeId change(randomHex(IdBytes));
-    const auto row = co_await m_platform.get(rowKey);
+    const auto row = co_await m_records.get(rowKey);
     if (row && row.value()) {
         Transaction transaction { change,
                                   { { rowKey, row.value()->version } },
                                   { { rowKey, rows::encode(record, change) } } };
-        const auto outcome = co_await m_platform.commit(std::move(transaction), deadline);
+        const auto outcome = co_await m_records.commit(std::move(transaction), deadline);
         if (!outcome)
             log::warning("answer of a call not recorded; repeats hear that its outcome is unknown",
                          { { "cause", outcome.error().message } });
--- a/programs/entry/servicehandler.h
+++ b/programs/entry/servicehandler.h
@@ -5,7 +5,7 @@
 #include "http/server.h"
 #include "metrics/metrics.h"
 #include "orders/orderflow.h"
-#include "platform/table.h"
+#include "records/table.h"
 #include "routing/router.h"
 #include "streams/streamassembler.h"
 
@@ -17,8 +17,7 @@
 class ServiceHandler
 {
 public:
-    ServiceHandler(const ConfigView &config, PlatformClient platform, RateGate &gate,
-                   Metrics &metrics);
+    ServiceHandler(const ConfigView &config, RecordTable records, RateGate &gate, Metrics &metrics);
 
     /// Serves a request that has passed the filters.
     boost::asio::awaitable<void> serve(RequestContext &context, const HttpRequest &request,
@@ -38,7 +37,7 @@
     [[nodiscard]] std::vector<Endpoint> targetsOf(const RequestContext &context) const;
 
     const ConfigView &m_config;
-    PlatformClient m_platform;
+    RecordTable m_records;
     RateGate &m_gate;
     Metrics &m_metrics;
     ClaimWatch m_claims;
--- a/programs/gateway/conductor.cpp
+++ b/programs/gateway/conductor.cpp
@@ -135,8 +135,8 @@
 {
     auto &leadership = m_state.leadership;
     const auto now = BootClock::now();
-    platform::ConditionalWrite write { RoleTable, RoleKey, encode(leadership.record(now)),
-                                       leadership.version() };
+    platform::Transact write { { { RoleTable, RoleKey, leadership.version() } },
+                               { { RoleTable, RoleKey, encode(leadership.record(now)) } } };
     leadership.writeSent(now);
     const auto outcome = co_await m_store.write(std::move(write), StoreTimeout);
     const auto *written = outcome ? std::get_if<platform::Written>(&outcome.value()) : nullptr;
--- a/programs/standin/platformserver.cpp
+++ b/programs/standin/platformserver.cpp
@@ -2,57 +2,99 @@
 
 #include "standin/common.h"
 
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace asio = boost::asio;
 using nlohmann::json;
 
 namespace bluebell::standin {
 namespace {
 
-constexpr std::string_view ObjectPrefix = "/v1/objects/";
+using platform::FollowRows;
+using platform::GetObject;
+using platform::PutObject;
+using platform::ReadRows;
+using platform::StoreCall;
+using platform::StoreSnapshot;
+using platform::Transact;
+
 constexpr HttpLimits Limits { .bodyBytes = 16U << 20U };
 
-json toJson(const Row &row)
+HttpResponse bodyOnly(std::string body)
 {
-    return { { "key", row.key }, { "value", row.value }, { "version", row.version } };
+    HttpResponse response;
+    response.body = std::move(body);
+    return response;
 }
 
 } // namespace
 
 PlatformServer::PlatformServer(asio::io_context &context, PlatformLimits limits)
-    : m_context(context), m_limits(limits),
+    : m_context(context), m_limits(limits), m_changed(context.get_executor()),
       m_server(context, Limits, [this](const HttpRequest &request, HttpResponder &responder) {
           return handle(request, responder);
       })
 {
 }
 
+void PlatformServer::put(const std::string &table, const std::string &key, std::string value)
+{
+    m_rows[{ table, key }] = { std::move(value), ++m_version, false };
+    m_changed.notify();
+}
+
+void PlatformServer::remove(const std::string &table, const std::string &key)
+{
+    m_rows[{ table, key }] = { {}, ++m_version, true };
+    m_changed.notify();
+}
+
+void PlatformServer::setVm(const VmId &vm, VmState state)
+{
+    put(std::string(VmTable), vm.value(),
+        state == VmState::Leaving ? std::string(LeavingVm) : std::string("live"));
+}
+
+void PlatformServer::compact()
+{
+    std::erase_if(m_rows, [](const auto &it) { return it.second.isDeleted; });
+    m_oldest = ++m_version;
+    m_changed.notify();
+}
+
+std::string PlatformServer::value(const std::string &table, const std::string &key) const
+{
+    const auto it = m_rows.find({ table, key });
+    return it == m_rows.end() ? std::string() : it->second.value;
+}
+
 asio::awaitable<void> PlatformServer::handle(const HttpRequest &request, HttpResponder &responder)
 {
     if (pathOf(request.path) == "/control") {
         (void)co_await responder.send(control(request.body));
         co_return;
     }
-    const auto faults = m_faults;
-    asio::steady_timer timer(m_context);
-    if (faults.silent) {
-        timer.expires_after(std::chrono::hours(1));
-        co_await timer.async_wait(asio::use_awaitable);
-    }
-    if (faults.delay > Duration::zero()) {
-        timer.expires_after(faults.delay);
-        co_await timer.async_wait(asio::use_awaitable);
+    if (m_faults.silent)
+        co_await sleepFor(std::chrono::hours(1));
+    if (m_faults.delay > Duration::zero())
+        co_await sleepFor(m_faults.delay);
+    const auto call = platform::decodeCall(request);
+    if (!call) {
+        (void)co_await responder.send(errorText(400, call.error().message));
+        co_return;
     }
-    if (faults.outage) {
+    if (const auto *follow = std::get_if<FollowRows>(&call.value()))
+        co_await awaitChange(*follow);
+    if (m_faults.outage) {
         (void)co_await responder.send(errorText(503, "outage"));
         co_return;
     }
-    auto response = answer(request);
-    const bool isCommit = pathOf(request.path) == "/v1/table/commit" && response.status == 200;
-    if (isCommit && m_faults.lostReplies > 0) {
+    auto response =
+            takeRate(request.method != "GET") ? answer(call.value()) : errorText(429, "rate");
+    const bool isWritten = std::holds_alternative<Transact>(call.value()) && response.status == 200;
+    if (isWritten && m_faults.lostReplies > 0) {
         --m_faults.lostReplies;
         co_return;
     }
@@ -60,12 +102,22 @@
     (void)co_await responder.send(std::move(response));
 }
 
-bool PlatformServer::takeRate(std::deque<TimePoint> &calls, std::uint32_t limit)
+asio::awaitable<void> PlatformServer::awaitChange(const FollowRows &call)
+{
+    const auto end = BootClock::now() + call.wait;
+    while (!m_faults.outage && call.after >= m_oldest
+           && changesAfter(call.table, call.after).rows.empty() && BootClock::now() < end)
+        co_await m_changed.wait(std::max<Duration>(end - BootClock::now(), Duration(1)));
+}
+
+bool PlatformServer::takeRate(bool isWrite)
 {
+    auto &calls = isWrite ? m_writes : m_reads;
+    ++(isWrite ? m_usage.writes : m_usage.reads);
     const auto now = BootClock::now();
     while (!calls.empty() && now - calls.front() >= std::chrono::seconds(1))
         calls.pop_front();
-    if (calls.size() >= limit) {
+    if (calls.size() >= (isWrite ? m_limits.writesPerSecond : m_limits.readsPerSecond)) {
         ++m_usage.refused;
         return false;
     }
@@ -73,92 +125,78 @@
     return true;
 }
 
-HttpResponse PlatformServer::answer(const HttpRequest &request)
+HttpResponse PlatformServer::answer(const StoreCall &call)
 {
-    const auto path = pathOf(request.path);
-    const bool isWrite = request.method != "GET";
-    ++(isWrite ? m_usage.writes : m_usage.reads);
-    const bool mayPass = isWrite ? takeRate(m_writes, m_limits.writesPerSecond)
-                                 : takeRate(m_reads, m_limits.readsPerSecond);
-    if (!mayPass)
-        return errorText(429, "rate");
-    if (path == "/v1/table/row")
-        return getRow(queryOf(request.path, "key"));
-    if (path == "/v1/table/range")
-        return getRange(queryOf(request.path, "prefix"), queryOf(request.path, "after"));
-    if (path == "/v1/table/commit")
-        return commit(request.body);
-    if (path == "/v1/vms")
-        return vms(request);
-    if (path.starts_with(ObjectPrefix))
-        return object(request, std::string(path.substr(ObjectPrefix.size())));
-    return errorText(404, "no such call");
-}
-
-HttpResponse PlatformServer::getRow(const std::string &key) const
-{
-    const auto it = m_rows.find(key);
-    if (it == m_rows.end())
-        return errorText(404, "absent");
-    return jsonResponse(200, toJson(it->second));
-}
-
-HttpResponse PlatformServer::getRange(const std::string &prefix, const std::string &after) const
-{
-    json found = json::array();
-    for (auto it = m_rows.lower_bound(std::max(prefix, after)); it != m_rows.end(); ++it) {
-        if (!it->first.starts_with(prefix))
+    return std::visit([this](const auto &it) { return answerTo(it); }, call);
+}
+
+HttpResponse PlatformServer::answerTo(const ReadRows &call) const
+{
+    StoreSnapshot snapshot;
+    snapshot.version = m_version;
+    for (auto it = m_rows.lower_bound({ call.table, call.from });
+         it != m_rows.end() && it->first.first == call.table; ++it) {
+        const auto &[id, row] = *it;
+        if (!call.to.empty() && id.second >= call.to)
+            break;
+        if (row.isDeleted)
+            continue;
+        if (snapshot.rows.size() == call.limit) {
+            snapshot.hasMore = true;
             break;
-        if (it->first > after)
-            found.push_back(toJson(it->second));
+        }
+        snapshot.rows.push_back({ id.first, id.second, row.value, row.version, false });
     }
-    return jsonResponse(200, { { "rows", std::move(found) } });
+    return bodyOnly(encodeSnapshot(snapshot));
 }
 
-HttpResponse PlatformServer::commit(const std::string &body)
+StoreSnapshot PlatformServer::changesAfter(const std::string &table, RowVersion after) const
 {
-    const auto it = json::parse(body, nullptr, false);
-    if (it.is_discarded())
-        return errorText(400, "not JSON");
-    for (const auto &condition : it.at("conditions")) {
-        const auto row = m_rows.find(condition.at("key").get<std::string>());
-        const auto version = row == m_rows.end() ? 0 : row->second.version;
-        if (version != condition.at("version").get<RowVersion>())
-            return errorText(409, "conflict");
-    }
+    StoreSnapshot snapshot;
+    snapshot.version = m_version;
+    for (const auto &[id, row] : m_rows)
+        if (id.first == table && row.version > after)
+            snapshot.rows.push_back({ id.first, id.second, row.value, row.version, row.isDeleted });
+    std::sort(snapshot.rows.begin(), snapshot.rows.end(),
+              [](const auto &a, const auto &b) { return a.version < b.version; });
+    return snapshot;
+}
+
+HttpResponse PlatformServer::answerTo(const FollowRows &call) const
+{
+    if (call.after < m_oldest)
+        return errorText(410, "the history is not kept any more");
+    return bodyOnly(encodeSnapshot(changesAfter(call.table, call.after)));
+}
+
+RowVersion PlatformServer::versionOf(const RowId &id) const
+{
+    const auto it = m_rows.find(id);
+    return it == m_rows.end() || it->second.isDeleted ? 0 : it->second.version;
+}
+
+HttpResponse PlatformServer::answerTo(const Transact &call)
+{
+    for (const auto &it : call.conditions)
+        if (versionOf({ it.table, it.key }) != it.version)
+            return errorText(412, "a condition does not hold");
     ++m_version;
-    for (const auto &mutation : it.at("mutations")) {
-        const auto key = mutation.at("key").get<std::string>();
-        if (mutation.at("value").is_null())
-            m_rows.erase(key);
-        else
-            m_rows[key] = Row { key, mutation.at("value").get<std::string>(), m_version };
-    }
-    return jsonResponse(200, { { "version", m_version } });
+    for (const auto &it : call.changes)
+        m_rows[{ it.table, it.key }] = { it.value.value_or(""), m_version, !it.value };
+    m_changed.notify();
+    return bodyOnly(platform::encodeWritten(m_version));
 }
 
-HttpResponse PlatformServer::object(const HttpRequest &request, const std::string &name)
+HttpResponse PlatformServer::answerTo(const PutObject &call)
 {
-    if (request.method == "PUT") {
-        m_objects[name] = request.body;
-        return jsonResponse(200, json::object());
-    }
-    const auto it = m_objects.find(name);
-    if (it == m_objects.end())
-        return errorText(404, "absent");
-    HttpResponse response;
-    response.body = it->second;
-    return response;
+    m_objects[call.name] = call.value;
+    return bodyOnly("{}");
 }
 
-HttpResponse PlatformServer::vms(const HttpRequest &request)
+HttpResponse PlatformServer::answerTo(const GetObject &call) const
 {
-    (void)request;
-    json list = json::array();
-    for (const auto &[vm, state] : m_vms)
-        list.push_back({ { "id", vm.value() },
-                         { "state", state == VmState::Leaving ? "leaving" : "live" } });
-    return jsonResponse(200, { { "vms", std::move(list) } });
+    const auto it = m_objects.find(call.name);
+    return it == m_objects.end() ? errorText(404, "absent") : bodyOnly(it->second);
 }
 
 HttpResponse PlatformServer::control(const std::string &body)
@@ -176,7 +214,7 @@
     for (const auto &vm : it.value("leaving_vms", json::array()))
         setVm(VmId(vm.get<std::string>()), VmState::Leaving);
     for (const auto &vm : it.value("gone_vms", json::array()))
-        removeVm(VmId(vm.get<std::string>()));
+        remove(std::string(VmTable), vm.get<std::string>());
     return jsonResponse(200,
                         { { "reads", m_usage.reads },
                           { "writes", m_usage.writes },
--- a/src/platform/configstore.cpp
+++ b/src/records/configstore.cpp
@@ -1,6 +1,6 @@
-#include "platform/configstore.h"
+#include "records/configstore.h"
 
-#include "platform/rows.h"
+#include "records/rows.h"
 
 #include <utility>
 
@@ -19,9 +19,9 @@
     RowVersion version = 0;
 };
 
-asio::awaitable<Result<Head>> readHead(PlatformClient &platform)
+asio::awaitable<Result<Head>> readHead(RecordTable &records)
 {
-    auto row = co_await platform.get(std::string(rows::ConfigHead));
+    auto row = co_await records.get(std::string(rows::ConfigHead));
     if (!row)
         co_return row.error();
     if (!row.value())
@@ -32,10 +32,10 @@
     co_return Head { head.value(), row.value()->version };
 }
 
-asio::awaitable<Result<void>> pullSnapshot(PlatformClient &platform, ConfigReplica &replica,
+asio::awaitable<Result<void>> pullSnapshot(RecordTable &records, ConfigReplica &replica,
                                            ConfigVersion version)
 {
-    auto object = co_await platform.getObject(rows::snapshotName(version));
+    auto object = co_await records.getObject(rows::snapshotName(version));
     if (!object)
         co_return object.error();
     auto snapshot = rows::decodeSnapshot(object.value());
@@ -44,10 +44,10 @@
     co_return replica.install(snapshot.value());
 }
 
-asio::awaitable<Result<void>> pullDeltas(PlatformClient &platform, ConfigReplica &replica)
+asio::awaitable<Result<void>> pullDeltas(RecordTable &records, ConfigReplica &replica)
 {
-    auto found = co_await platform.range(std::string(rows::ConfigLogPrefix),
-                                         rows::configLogKey(replica.version()));
+    auto found = co_await records.range(std::string(rows::ConfigLogPrefix),
+                                        rows::configLogKey(replica.version()));
     if (!found)
         co_return found.error();
     std::vector<ConfigDelta> deltas;
@@ -62,20 +62,20 @@
 
 } // namespace
 
-asio::awaitable<Result<void>> pullConfig(PlatformClient &platform, ConfigReplica &replica)
+asio::awaitable<Result<void>> pullConfig(RecordTable &records, ConfigReplica &replica)
 {
     const auto sentAt = BootClock::now();
-    auto head = co_await readHead(platform);
+    auto head = co_await readHead(records);
     if (!head)
         co_return head.error();
     const auto &row = head.value().row;
     if (row.snapshot > replica.version() && row.snapshot > 0) {
-        auto pulled = co_await pullSnapshot(platform, replica, row.snapshot);
+        auto pulled = co_await pullSnapshot(records, replica, row.snapshot);
         if (!pulled)
             co_return pulled;
     }
     if (row.version > replica.version()) {
-        auto pulled = co_await pullDeltas(platform, replica);
+        auto pulled = co_await pullDeltas(records, replica);
         if (!pulled)
             co_return pulled;
     }
@@ -83,11 +83,11 @@
     co_return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-asio::awaitable<Result<PublishOutcome>> publishConfig(PlatformClient &platform,
+asio::awaitable<Result<PublishOutcome>> publishConfig(RecordTable &records,
                                                       const LineSet &baseLines, ConfigVersion base,
                                                       ConfigDelta delta, TimePoint deadline)
 {
-    auto head = co_await readHead(platform);
+    auto head = co_await readHead(records);
     if (!head)
         co_return head.error();
     if (head.value().row.version != base)
@@ -96,7 +96,7 @@
     auto snapshot = head.value().row.snapshot;
     if (base >= snapshot + SnapshotInterval) {
         const auto object = rows::encode(ConfigSnapshot { base, baseLines });
-        if (const auto put = co_await platform.putObject(rows::snapshotName(base), object); put)
+        if (const auto put = co_await records.putObject(rows::snapshotName(base), object); put)
             snapshot = base;
     }
     const std::string headKey(rows::ConfigHead);
@@ -107,12 +107,12 @@
         { { logKey, rows::encode(delta) },
           { headKey, rows::encode(rows::ConfigHeadRow { delta.version, snapshot }, delta.change) } }
     };
-    auto outcome = co_await platform.commit(std::move(transaction), deadline);
+    auto outcome = co_await records.commit(std::move(transaction), deadline);
     if (!outcome)
         co_return outcome.error();
     if (std::holds_alternative<Committed>(outcome.value()))
         co_return PublishOutcome(Published { delta.version });
-    auto now = co_await readHead(platform);
+    auto now = co_await readHead(records);
     co_return PublishOutcome(Superseded { now ? now.value().row.version : base + 1 });
 }
 
--- a/src/platform/configstore.h
+++ b/src/records/configstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "config/configreplica.h"
-#include "platform/table.h"
+#include "records/table.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -29,7 +29,7 @@
 /// Reads the newest version into `replica`.
 ///
 /// \returns an error when the table service gave no answer; the replica then stays as it was
-[[nodiscard]] boost::asio::awaitable<Result<void>> pullConfig(PlatformClient &platform,
+[[nodiscard]] boost::asio::awaitable<Result<void>> pullConfig(RecordTable &records,
                                                               ConfigReplica &replica);
 
 /// Commits `delta` on top of version `base`.
@@ -38,7 +38,7 @@
 ///
 /// \returns the outcome; an error while it could not be found out
 [[nodiscard]] boost::asio::awaitable<Result<PublishOutcome>>
-publishConfig(PlatformClient &platform, const LineSet &baseLines, ConfigVersion base,
-              ConfigDelta delta, TimePoint deadline);
+publishConfig(RecordTable &records, const LineSet &baseLines, ConfigVersion base, ConfigDelta delta,
+              TimePoint deadline);
 
 } // namespace bluebell
--- a/src/platform/rows.cpp
+++ b/src/records/rows.cpp
@@ -1,4 +1,4 @@
-#include "platform/rows.h"
+#include "records/rows.h"
 
 #include <fmt/core.h>
 #include <nlohmann/json.hpp>
--- a/src/platform/rows.h
+++ b/src/records/rows.h
@@ -9,7 +9,7 @@
 #include <string>
 
 /// \file
-/// Keys and values of the rows that the system keeps in the table service.
+/// Keys and values of the rows that a site of our own keeps.
 ///
 /// Values are JSON objects; each holds the id of the change that wrote it.
 
--- /dev/null
+++ b/src/records/table.cpp
@@ -0,0 +1,141 @@
+#include "records/table.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace bluebell {
+namespace {
+
+const std::string Table = "bluebell-records";
+constexpr Duration RetryPause = std::chrono::milliseconds(100);
+
+Row rowOf(platform::StoreRow it)
+{
+    return { std::move(it.key), std::move(it.value), it.version };
+}
+
+/// \returns the least text that is greater than all that begin with `prefix`
+std::string endOf(std::string prefix)
+{
+    if (!prefix.empty())
+        ++prefix.back();
+    return prefix;
+}
+
+RowVersion conditionOf(const Transaction &it, const std::string &key)
+{
+    for (const auto &condition : it.conditions)
+        if (condition.key == key)
+            return condition.version;
+    return 0;
+}
+
+/// A read that was not answered has changed nothing.
+Error readFailed(Error error)
+{
+    error.execution = Execution::NotRun;
+    return error;
+}
+
+} // namespace
+
+asio::awaitable<Result<std::optional<Row>>> RecordTable::get(std::string key)
+{
+    auto found = co_await m_store.read(Table, m_timeout, key, key + '\x01');
+    if (!found)
+        co_return readFailed(std::move(found.error()));
+    auto &rows = found.value().rows;
+    if (rows.empty())
+        co_return std::optional<Row>();
+    co_return std::optional<Row>(rowOf(std::move(rows.front())));
+}
+
+asio::awaitable<Result<std::vector<Row>>> RecordTable::range(std::string prefix, std::string after)
+{
+    const auto from = after.empty() ? prefix : after + '\x01';
+    auto found = co_await m_store.read(Table, m_timeout, from, endOf(prefix));
+    if (!found)
+        co_return readFailed(std::move(found.error()));
+    std::vector<Row> rows;
+    for (auto &it : found.value().rows)
+        rows.push_back(rowOf(std::move(it)));
+    co_return rows;
+}
+
+asio::awaitable<Result<CommitOutcome>> RecordTable::commitOnce(Transaction it)
+{
+    platform::Transact transaction;
+    for (auto &condition : it.conditions)
+        transaction.conditions.push_back({ Table, std::move(condition.key), condition.version });
+    for (auto &mutation : it.mutations)
+        transaction.changes.push_back(
+                { Table, std::move(mutation.key), std::move(mutation.value) });
+    auto outcome = co_await m_store.write(std::move(transaction), m_timeout);
+    if (!outcome)
+        co_return outcome.error();
+    if (const auto *written = std::get_if<platform::Written>(&outcome.value()))
+        co_return CommitOutcome(Committed { written->version });
+    co_return CommitOutcome(Conflicted {});
+}
+
+asio::awaitable<Result<CommitOutcome>> RecordTable::commit(Transaction it, TimePoint deadline)
+{
+    const auto key = it.mutations.front().key;
+    const bool writesValue = it.mutations.front().value.has_value();
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    bool maybeCommitted = false;
+    for (;;) {
+        auto outcome = co_await commitOnce(it);
+        const bool isSettled =
+                outcome && (std::holds_alternative<Committed>(outcome.value()) || !maybeCommitted);
+        if (isSettled)
+            co_return outcome;
+        maybeCommitted = maybeCommitted
+                || (!outcome && outcome.error().execution == Execution::OutcomeUnknown);
+        const auto row = co_await get(key);
+        if (row && row.value() && row.value()->value.find(it.change.value()) != std::string::npos)
+            co_return CommitOutcome(Committed { row.value()->version });
+        if (row && !writesValue && !row.value())
+            co_return CommitOutcome(Committed { 0 });
+        if (row) {
+            const auto version = row.value() ? row.value()->version : 0;
+            if (version != conditionOf(it, key) || outcome)
+                co_return CommitOutcome(Conflicted {});
+        }
+        if (BootClock::now() >= deadline)
+            co_return Error { ErrorCode::Unavailable, "the platform did not answer in time",
+                              maybeCommitted ? Execution::OutcomeUnknown : Execution::NotRun,
+                              std::nullopt };
+        timer.expires_after(RetryPause);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<Result<void>> RecordTable::putObject(std::string name, std::string value)
+{
+    co_return co_await m_store.putObject(std::move(name), std::move(value), m_timeout);
+}
+
+asio::awaitable<Result<std::string>> RecordTable::getObject(std::string name)
+{
+    co_return co_await m_store.getObject(std::move(name), m_timeout);
+}
+
+asio::awaitable<Result<std::vector<ListedVm>>> RecordTable::listVms()
+{
+    auto found = co_await m_store.read(std::string(VmTable), m_timeout);
+    if (!found)
+        co_return readFailed(std::move(found.error()));
+    std::vector<ListedVm> vms;
+    for (auto &it : found.value().rows)
+        vms.push_back({ VmId(std::move(it.key)),
+                        it.value == LeavingVm ? VmState::Leaving : VmState::Live });
+    co_return vms;
+}
+
+} // namespace bluebell
--- a/src/platform/table.h
+++ b/src/records/table.h
@@ -1,19 +1,20 @@
 #pragma once
 
-#include "core/endpoint.h"
 #include "core/ids.h"
 #include "core/result.h"
 #include "membership/lease.h"
+#include "platform/store.h"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
 /// \file
-/// The platform's table service, object store and VM list, as narrowly as they are used.
+/// The rows and objects of a site of our own, and its list of VMs, in the platform's store.
 
 namespace bluebell {
 
@@ -58,6 +59,11 @@
 {
 };
 
+/// Table in which the operators list the VMs.
+inline constexpr std::string_view VmTable = "vms";
+/// Value of the row of a VM that is about to be taken away.
+inline constexpr std::string_view LeavingVm = "leaving";
+
 using CommitOutcome = std::variant<Committed, Conflicted>;
 
 enum class VmState : std::uint8_t {
@@ -72,14 +78,15 @@
     VmState state = VmState::Live;
 };
 
-/// Client of the platform's services, over HTTP.
+/// Keeps the rows in one table of the store, each under its key, and finds out what became of
+/// transactions whose answer was lost.
 ///
-/// Errors carry NotRun when the service cannot have acted, and OutcomeUnknown otherwise.
-class PlatformClient
+/// Errors carry NotRun when the store cannot have acted, and OutcomeUnknown otherwise.
+class RecordTable
 {
 public:
-    explicit PlatformClient(Endpoint endpoint, Duration timeout = std::chrono::seconds(2))
-        : m_endpoint(std::move(endpoint)), m_timeout(timeout)
+    explicit RecordTable(Endpoint endpoint, Duration timeout = std::chrono::seconds(2))
+        : m_store(std::move(endpoint)), m_timeout(timeout)
     {
     }
 
@@ -106,10 +113,11 @@
                                                                  std::string value);
     [[nodiscard]] boost::asio::awaitable<Result<std::string>> getObject(std::string name);
 
+    /// Reads the operators' table of VMs: a row each, whose value is its state.
     [[nodiscard]] boost::asio::awaitable<Result<std::vector<ListedVm>>> listVms();
 
 private:
-    Endpoint m_endpoint;
+    platform::Store m_store;
     Duration m_timeout;
 };
 
--- a/tests/platformstandin.cpp
+++ b/tests/platformstandin.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <openssl/evp.h>
 
 #include <utility>
 
@@ -15,37 +14,6 @@
 
 using nlohmann::json;
 
-std::string toBase64(const std::string &bytes)
-{
-    std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    const auto n = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()),
-                                   reinterpret_cast<const unsigned char *>(bytes.data()),
-                                   static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(n));
-    return text;
-}
-
-std::string fromBase64(const std::string &text)
-{
-    std::string bytes(text.size(), '\0');
-    auto n = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
-                             reinterpret_cast<const unsigned char *>(text.data()),
-                             static_cast<int>(text.size()));
-    for (auto it = text.rbegin(); it != text.rend() && *it == '=' && n > 0; ++it)
-        --n;
-    bytes.resize(static_cast<std::size_t>(std::max(n, 0)));
-    return bytes;
-}
-
-std::string queryValue(const std::string &path, const std::string &name)
-{
-    auto from = path.find(name + "=");
-    if (from == std::string::npos)
-        return {};
-    from += name.size() + 1;
-    return path.substr(from, path.find('&', from) - from);
-}
-
 HttpResponse statusOnly(unsigned status)
 {
     HttpResponse response;
@@ -56,118 +24,8 @@
 
 } // namespace
 
-StoreStandIn::StoreStandIn(asio::io_context &context)
-    : m_server(context, HttpLimits(),
-               [this](const HttpRequest &request, HttpResponder &responder) {
-                   return answer(request, responder);
-               }),
-      m_changed(context.get_executor())
-{
-}
-
-Endpoint StoreStandIn::listen()
-{
-    return m_server.listen({ "127.0.0.1", 0 }).value();
-}
-
-void StoreStandIn::put(const std::string &table, const std::string &key, const std::string &value)
-{
-    m_rows[{ table, key }] = { value, ++m_version, false };
-    m_changed.notify();
-}
-
-void StoreStandIn::remove(const std::string &table, const std::string &key)
-{
-    m_rows[{ table, key }] = { {}, ++m_version, true };
-    m_changed.notify();
-}
-
-void StoreStandIn::compact()
-{
-    std::erase_if(m_rows, [](const auto &it) { return it.second.isDeleted; });
-    m_oldest = ++m_version;
-    m_changed.notify();
-}
-
-std::string StoreStandIn::value(const std::string &table, const std::string &key) const
-{
-    const auto it = m_rows.find({ table, key });
-    return it == m_rows.end() || it->second.isDeleted ? std::string() : it->second.value;
-}
-
-json StoreStandIn::rowsSince(const std::string &table, std::uint64_t after, bool withDeleted) const
-{
-    auto rows = json::array();
-    for (const auto &[key, row] : m_rows) {
-        if (key.first != table || row.version <= after || (row.isDeleted && !withDeleted))
-            continue;
-        json it = { { "Table", table },
-                    { "part", "" },
-                    { "Key", key.second },
-                    { "Value", toBase64(row.value) },
-                    { "Ver", row.version } };
-        if (row.isDeleted)
-            it["Deleted"] = true;
-        rows.push_back(std::move(it));
-    }
-    return rows;
-}
-
-HttpResponse StoreStandIn::transact(const std::string &text)
-{
-    const auto body = json::parse(text);
-    for (const auto &it : body["Expected"]) {
-        const auto row = m_rows.find({ it["Table"], it["Key"] });
-        const auto version = row == m_rows.end() || row->second.isDeleted ? 0 : row->second.version;
-        if (version != it["Ver"].get<std::uint64_t>())
-            return statusOnly(412);
-    }
-    for (const auto &it : body["SetKeys"])
-        put(it["Table"], it["Key"], fromBase64(it["Value"]));
-    for (const auto &it : body["Remove"])
-        remove(it["Table"], it["Key"]);
-    auto response = statusOnly(200);
-    response.body = json { { "Ver", m_version }, { "NowMs", 1 } }.dump();
-    return response;
-}
-
-asio::awaitable<void> StoreStandIn::answer(const HttpRequest &request, HttpResponder &responder)
-{
-    ++calls;
-    auto response = statusOnly(503);
-    const auto table = queryValue(request.path, "Table");
-    if (isDown) {
-        // Nothing is done.
-    } else if (request.path.starts_with("/-/rows-tx")) {
-        response = transact(request.body);
-        if (losesAnswers)
-            co_return;
-    } else if (request.path.starts_with("/-/rows-get")) {
-        response = statusOnly(200);
-        response.body = json {
-            { "Rows", rowsSince(table, 0, false) },
-            { "HasMore", false },
-            { "Ver", m_version },
-            { "NowMs", 1 }
-        }.dump();
-    } else if (request.path.starts_with("/-/rows-feed")) {
-        const auto after = std::stoull(queryValue(request.path, "after"));
-        const auto wait = std::chrono::milliseconds(std::stoi(queryValue(request.path, "WaitMs")));
-        const auto end = BootClock::now() + wait;
-        while (!isDown && after >= m_oldest && rowsSince(table, after, true).empty()
-               && BootClock::now() < end)
-            co_await m_changed.wait(std::max<Duration>(end - BootClock::now(), Duration(1)));
-        response = statusOnly(isDown ? 503 : after < m_oldest ? 410 : 200);
-        if (response.status == 200)
-            response.body = json {
-                { "Rows", rowsSince(table, after, true) }, { "Ver", m_version }, { "NowMs", 1 }
-            }.dump();
-    }
-    (void)co_await responder.send(std::move(response));
-}
-
-TargetStandIn::TargetStandIn(asio::io_context &context, StoreStandIn &store, std::string id,
-                             std::string service)
+TargetStandIn::TargetStandIn(asio::io_context &context, standin::PlatformServer &store,
+                             std::string id, std::string service)
     : m_context(context), m_store(store), m_id(std::move(id)), m_service(std::move(service)),
       m_server(std::make_unique<HttpServer>(
               context, HttpLimits(), [this](const HttpRequest &request, HttpResponder &responder) {
--- a/tests/platformstandin.h
+++ b/tests/platformstandin.h
@@ -4,62 +4,21 @@
 #include "core/time.h"
 #include "http/server.h"
 #include "io/notifier.h"
+#include "standin/platformserver.h"
 
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
 /// \file
-/// Stand-ins that speak the users' platform's published protocol: its store, engines and plain
-/// services.
+/// Stand-ins of engines and plain services that speak the users' platform's published protocol.
 
 namespace bluebell::testing {
 
-/// The platform's store: rows with versions, a feed, transactions under conditions.
-class StoreStandIn
-{
-public:
-    explicit StoreStandIn(boost::asio::io_context &context);
-
-    Endpoint listen();
-    void put(const std::string &table, const std::string &key, const std::string &value);
-    void remove(const std::string &table, const std::string &key);
-    /// Forgets the history, so that every feed must read anew.
-    void compact();
-    /// \returns the value of a row, or an empty string
-    [[nodiscard]] std::string value(const std::string &table, const std::string &key) const;
-
-    /// Answers every call with 503 while set.
-    bool isDown = false;
-    /// Performs writes, but does not answer them, while set.
-    bool losesAnswers = false;
-    std::size_t calls = 0;
-
-private:
-    struct Row
-    {
-        std::string value;
-        std::uint64_t version = 0;
-        bool isDeleted = false;
-    };
-    using Key = std::pair<std::string, std::string>;
-
-    boost::asio::awaitable<void> answer(const HttpRequest &request, HttpResponder &responder);
-    nlohmann::json rowsSince(const std::string &table, std::uint64_t after, bool withDeleted) const;
-    HttpResponse transact(const std::string &body);
-
-    HttpServer m_server;
-    Notifier m_changed;
-    std::map<Key, Row> m_rows;
-    std::uint64_t m_version = 1;
-    std::uint64_t m_oldest = 0;
-};
-
 /// How a target treats the requests that it gets.
 struct TargetBehaviour
 {
@@ -80,7 +39,7 @@
 class TargetStandIn
 {
 public:
-    TargetStandIn(boost::asio::io_context &context, StoreStandIn &store, std::string id,
+    TargetStandIn(boost::asio::io_context &context, standin::PlatformServer &store, std::string id,
                   std::string service);
 
     Endpoint listen();
@@ -112,7 +71,7 @@
     [[nodiscard]] nlohmann::json state() const;
 
     boost::asio::io_context &m_context;
-    StoreStandIn &m_store;
+    standin::PlatformServer &m_store;
     std::string m_id;
     std::string m_service;
     std::unique_ptr<HttpServer> m_server;
--- a/tests/tst_adapter_gateway.cpp
+++ b/tests/tst_adapter_gateway.cpp
@@ -40,6 +40,8 @@
     return it;
 }
 
+constexpr standin::PlatformLimits StoreLimits { .readsPerSecond = 10000, .writesPerSecond = 2000 };
+
 /// A gateway with an event loop of its own, so that it can be frozen.
 struct GatewayProcess
 {
@@ -57,7 +59,11 @@
 class GatewayTest : public ::testing::Test
 {
 protected:
-    GatewayTest() : store(context), storeAddress(store.listen()) { config(siteConfig(1)); }
+    GatewayTest()
+        : store(context, StoreLimits), storeAddress(store.listen({ "127.0.0.1", 0 }).value())
+    {
+        config(siteConfig(1));
+    }
 
     void config(const nlohmann::json &it) { store.put("op", "config", it.dump()); }
 
@@ -178,7 +184,7 @@
     }
 
     asio::io_context context;
-    StoreStandIn store;
+    standin::PlatformServer store;
     Endpoint storeAddress;
     std::vector<std::unique_ptr<TargetStandIn>> targets;
     std::vector<gateway::GatewaySettings> settings;
@@ -456,10 +462,10 @@
     addTarget("p1", "plain");
     addGateway("vm-1");
     ASSERT_TRUE(awaitReady(0));
-    store.isDown = true;
+    store.faults().outage = true;
     run(1500ms);
     EXPECT_EQ(ask(0, "/order/x"), 200U);
-    store.isDown = false;
+    store.faults().outage = false;
     auto next = siteConfig(2);
     next["Routes"][3]["Prefix"] = "/new/";
     config(next);
@@ -485,10 +491,10 @@
     addGateway("vm-1");
     ASSERT_TRUE(awaitReady(0));
     run(900ms);
-    store.isDown = true;
+    store.faults().outage = true;
     run(3500ms);
     store.remove("servers", "p1");
-    store.isDown = false;
+    store.faults().outage = false;
     run(700ms);
     EXPECT_EQ(ask(0, "/order/x"), 200U);
     run(2500ms);
