Explain a request from the daemons' logs, and tell when a VM stood still

A refusal by rate did not say what it was decided by, and the metrics had no time to the first token.

Change: core/clockwatch compares three clocks each half second; the gateway logs "the VM stood still", "the daemon was held up", "the time of day jumped". `bluebell-ctl explain request ID [FILE...]` puts a request's story together: its own lines, orders for its model, what was learnt of its target, moves of the role, and troubles of its daemon. Refusals by rate say the level and the daemons heard. Histograms of the first event, of pauses and of the wait for a target.

Ruled out: a line a second with all clocks (sixty times the lines for the same finding).

--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -1,6 +1,7 @@
 #include "ctl/commands.h"
 
 #include "core/digest.h"
+#include "ctl/requeststory.h"
 #include "io/notifier.h"
 #include "peer/peernode.h"
 #include "rate/shares.h"
@@ -15,6 +16,8 @@
 #include <algorithm>
 #include <cstdio>
 #include <fstream>
+#include <iostream>
+#include <iterator>
 #include <set>
 #include <sstream>
 #include <utility>
@@ -453,6 +456,45 @@
     co_return ExitCode::Success;
 }
 
+/// Reads the daemons' logs, or standard input when no file is named.
+std::optional<LogText> readLogs(const std::vector<std::string> &paths)
+{
+    if (paths.empty())
+        return readLog(std::cin, {});
+    LogText all;
+    for (const auto &path : paths) {
+        std::ifstream in(path);
+        if (!in) {
+            printError("cannot read '" + path + "'");
+            return std::nullopt;
+        }
+        auto log = readLog(in, path);
+        std::move(log.lines.begin(), log.lines.end(), std::back_inserter(all.lines));
+        all.unreadable += log.unreadable;
+    }
+    return all;
+}
+
+ExitCode explainRequest(const std::string &request, const std::vector<std::string> &paths)
+{
+    const auto log = readLogs(paths);
+    if (!log)
+        return ExitCode::Usage;
+    if (log->unreadable > 0)
+        printError(fmt::format("{} lines are no log lines", log->unreadable));
+    const auto story = requestStory(log->lines, request);
+    const auto last = std::find_if(story.rbegin(), story.rend(),
+                                   [&](const auto &it) { return it.field("request") == request; });
+    if (last == story.rend()) {
+        printError(
+                fmt::format("none of {} lines names the request '{}'", log->lines.size(), request));
+        return ExitCode::Invalid;
+    }
+    for (const auto &it : story)
+        fmt::print("{}\n", toText(it, last->at));
+    return ExitCode::Success;
+}
+
 } // namespace
 
 std::string usage()
@@ -466,6 +508,9 @@
            "  key withdraw KEY        withdraw a key, given itself or as its digest\n"
            "  status                  daemons, rates, models and targets\n"
            "  explain ORG MODEL       why a request would be admitted or refused\n"
+           "  explain request ID [FILE...]\n"
+           "                          what became of a request, by the daemons' logs or standard "
+           "input\n"
            "  drain ADDRESS           stop a controller gracefully\n"
            "'bluebell-ctl --help' lists the options.\n"
            "exit codes: 0 done, 1 faults or not found, 2 usage, 3 not in force everywhere,\n"
@@ -493,6 +538,9 @@
         co_return co_await tool.withdrawKey(words[2]);
     if (is("status", 1))
         co_return co_await tool.status();
+    const bool isStory = words.size() >= 3 && words[0] == "explain" && words[1] == "request";
+    if (isStory)
+        co_return explainRequest(words[2], { words.begin() + 3, words.end() });
     if (is("explain", 3))
         co_return co_await tool.explain(words[1], words[2]);
     if (is("drain", 2))
--- /dev/null
+++ b/programs/ctl/requeststory.cpp
@@ -0,0 +1,165 @@
+#include "ctl/requeststory.h"
+
+#include <fmt/core.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <ctime>
+#include <iomanip>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace bluebell::ctl {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using Time = std::chrono::system_clock::time_point;
+
+/// How long before a request arrived its cause may lie.
+constexpr auto TimeBefore = std::chrono::seconds(10);
+/// Clocks of daemons may differ by this much.
+constexpr auto ClockAllowance = milliseconds(500);
+const std::string RequestMessage = "request";
+
+/// Messages that belong to every request of the daemon that wrote them.
+const std::set<std::string> DaemonMessages { "store lost",
+                                             "store regained",
+                                             "the VM stood still",
+                                             "the daemon was held up",
+                                             "the time of day jumped",
+                                             "stop requested",
+                                             "stopped",
+                                             "started",
+                                             "configuration in force",
+                                             "configuration refused",
+                                             "configuration taken from a peer",
+                                             "log lines left out" };
+/// Messages that concern all daemons.
+const std::set<std::string> FleetMessages { "role gained", "role lost" };
+
+Result<Time> parseTime(const std::string &text)
+{
+    std::tm parts {};
+    int fraction = 0;
+    std::istringstream in(text);
+    char dot = 0;
+    in >> std::get_time(&parts, "%Y-%m-%dT%H:%M:%S") >> dot >> fraction;
+    if (in.fail() || dot != '.')
+        return makeError(ErrorCode::InvalidArgument, "'" + text + "' is no time");
+    return std::chrono::system_clock::from_time_t(timegm(&parts)) + milliseconds(fraction);
+}
+
+std::string modelOf(const std::string &replica)
+{
+    return replica.substr(0, replica.find(':'));
+}
+
+/// What the lines of one request say of it.
+struct Attempt
+{
+    std::string source;
+    std::string target;
+    std::string model;
+    Time begin;
+    Time end;
+};
+
+Attempt attemptOf(const LogLine &line)
+{
+    const auto took = milliseconds(std::strtoll(line.field("ms").c_str(), nullptr, 10));
+    return { line.source, line.field("target"), modelOf(line.field("replica")), line.at - took,
+             line.at };
+}
+
+bool concerns(const LogLine &line, const Attempt &it)
+{
+    if (line.at < it.begin - TimeBefore || line.at > it.end + ClockAllowance)
+        return false;
+    if (FleetMessages.contains(line.message))
+        return true;
+    if (line.source == it.source && DaemonMessages.contains(line.message))
+        return true;
+    if (line.message == RequestMessage)
+        return false;
+    if (!it.model.empty() && modelOf(line.field("replica")) == it.model)
+        return true;
+    return !it.target.empty() && line.field("target") == it.target && line.message != "order";
+}
+
+} // namespace
+
+std::string LogLine::field(const std::string &name) const
+{
+    const auto it = fields.find(name);
+    return it == fields.end() ? std::string() : it->second;
+}
+
+Result<LogLine> parseLogLine(std::string_view text, const std::string &source)
+{
+    const auto brace = std::min(text.find('{'), text.size());
+    const auto object = json::parse(text.substr(brace), nullptr, false);
+    if (!object.is_object())
+        return makeError(ErrorCode::InvalidArgument, "the line is no JSON object");
+    LogLine line;
+    for (const auto &[name, value] : object.items())
+        line.fields[name] = value.is_string() ? value.get<std::string>() : value.dump();
+    BOOST_OUTCOME_TRY(line.at, parseTime(line.field("time")));
+    line.message = line.field("message");
+    for (const auto *name : { "time", "message", "level", "program" })
+        line.fields.erase(name);
+    // A collector may have put its own time and the daemon's name before the line.
+    std::istringstream prefix { std::string(text.substr(0, brace)) };
+    std::string word;
+    line.source = source;
+    while (prefix >> word)
+        if (word.find_first_not_of("0123456789.-+:TZ") != std::string::npos)
+            line.source += (line.source.empty() ? "" : " ") + word;
+    return line;
+}
+
+LogText readLog(std::istream &in, const std::string &source)
+{
+    LogText log;
+    std::string text;
+    while (std::getline(in, text)) {
+        if (text.find_first_not_of(" \t\r") == std::string::npos)
+            continue;
+        if (auto line = parseLogLine(text, source))
+            log.lines.push_back(std::move(line.value()));
+        else
+            ++log.unreadable;
+    }
+    return log;
+}
+
+std::vector<LogLine> requestStory(const std::vector<LogLine> &lines, const std::string &request)
+{
+    std::vector<Attempt> attempts;
+    for (const auto &line : lines)
+        if (line.message == RequestMessage && line.field("request") == request)
+            attempts.push_back(attemptOf(line));
+    std::vector<LogLine> story;
+    for (const auto &line : lines) {
+        const bool isConcerned = std::any_of(attempts.begin(), attempts.end(),
+                                             [&](const Attempt &it) { return concerns(line, it); });
+        if (line.field("request") == request || isConcerned)
+            story.push_back(line);
+    }
+    std::stable_sort(story.begin(), story.end(),
+                     [](const auto &a, const auto &b) { return a.at < b.at; });
+    return story;
+}
+
+std::string toText(const LogLine &line, Time end)
+{
+    const auto offset = std::chrono::duration<double>(line.at - end).count();
+    auto text = fmt::format("{:+9.3f} s  {:<24} {}", offset, line.source, line.message);
+    for (const auto &[name, value] : line.fields)
+        if (!value.empty())
+            text += fmt::format("  {}={}", name, value);
+    return text;
+}
+
+} // namespace bluebell::ctl
--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -1,5 +1,6 @@
 #include "gateway/daemon.h"
 
+#include "core/clockwatch.h"
 #include "core/log.h"
 #include "platform/requests.h"
 
@@ -27,6 +28,8 @@
 /// Before the forced end of a stop.
 constexpr Duration StopMargin = milliseconds(400);
 constexpr Duration StopTick = milliseconds(50);
+/// Between two looks at the clocks.
+constexpr Duration ClockTick = milliseconds(500);
 /// Time to read a request beyond the bound on its head.
 constexpr Duration BodyTime = std::chrono::seconds(10);
 
@@ -37,6 +40,19 @@
     return it;
 }
 
+std::string_view messageOf(ClockEventKind kind)
+{
+    switch (kind) {
+    case ClockEventKind::StoodStill:
+        return "the VM stood still";
+    case ClockEventKind::HeldUp:
+        return "the daemon was held up";
+    case ClockEventKind::TimeOfDayJumped:
+        break;
+    }
+    return "the time of day jumped";
+}
+
 HttpLimits callerLimits(const CallerLimits &limits)
 {
     HttpLimits it;
@@ -84,6 +100,7 @@
     m_watch.start();
     m_conductor.start();
     asio::co_spawn(m_context, sendStatuses(), asio::detached);
+    asio::co_spawn(m_context, watchClocks(), asio::detached);
     log::info("started",
               { { "vm", m_state.settings.vm.value() },
                 { "incarnation", m_state.incarnation.value() },
@@ -168,6 +185,17 @@
     }
 }
 
+asio::awaitable<void> Daemon::watchClocks()
+{
+    ClockWatch watch(ClockTick);
+    for (;;) {
+        for (const auto &it : watch.note(ClockReading::now()))
+            log::warning(messageOf(it.kind),
+                         { { "ms", std::to_string(toMilliseconds(it.by).count()) } });
+        co_await sleepFor(ClockTick);
+    }
+}
+
 void Daemon::requestStop()
 {
     if (m_state.stopRequestedAt) {
--- a/programs/gateway/daemon.h
+++ b/programs/gateway/daemon.h
@@ -37,6 +37,8 @@
     boost::asio::awaitable<void> answerControl(const HttpRequest &request,
                                                HttpResponder &responder);
     boost::asio::awaitable<void> sendStatuses();
+    /// Says when the VM stood still or the time of day jumped.
+    boost::asio::awaitable<void> watchClocks();
     boost::asio::awaitable<void> stop();
     void noteConfig();
 
--- a/programs/gateway/relay.cpp
+++ b/programs/gateway/relay.cpp
@@ -4,6 +4,8 @@
 #include "core/log.h"
 #include "platform/requests.h"
 
+#include <fmt/core.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -47,6 +49,14 @@
     return Error { code, std::move(message), Execution::OutcomeUnknown, std::nullopt };
 }
 
+std::string toText(const std::optional<RateFacts> &facts)
+{
+    if (!facts)
+        return {};
+    return fmt::format("wanted {}, level {}, daemons heard {} of {}", facts->wanted, facts->level,
+                       facts->heard, facts->daemons);
+}
+
 } // namespace
 
 Result<void> Relay::identify(RequestContext &it) const
@@ -89,9 +99,12 @@
     const auto tokens =
             organisation->countsTokens ? it.caller.tokens.value_or(organisation->plainTokens) : 1;
     auto &rate = m_state.rateOf(*organisation, now);
-    rate.setFleet(m_state.fleet.size(), m_state.fleet.heardCount(now), now);
-    if (const auto wait = rate.admit(tokens, now))
+    const auto heard = m_state.fleet.heardCount(now);
+    rate.setFleet(m_state.fleet.size(), heard, now);
+    if (const auto wait = rate.admit(tokens, now)) {
+        it.rateFacts = RateFacts { tokens, rate.level(now), m_state.fleet.size(), heard };
         return notRun(ErrorCode::RateLimited, "the organisation's rate is used up", *wait);
+    }
     it.reserved = tokens;
     if (rate.isScarce(now))
         m_state.statusDue.notify();
@@ -339,6 +352,7 @@
         const bool isSent = co_await responder.write(std::move(events));
         if (!isSent)
             co_return AttemptResult { AttemptOutcome::Lost, {} };
+        notePiece(it);
     }
     if (it.events.hasRest())
         co_return AttemptResult { AttemptOutcome::Failed,
@@ -459,6 +473,17 @@
     }
 }
 
+void Relay::notePiece(RequestContext &it)
+{
+    const auto now = BootClock::now();
+    const MetricLabels labels { it.organisation, ClassId(it.route->name), {} };
+    if (it.lastPieceAt)
+        m_state.metrics.observe("bluebell_event_gap_seconds", labels, now - *it.lastPieceAt);
+    else
+        m_state.metrics.observe("bluebell_first_event_seconds", labels, now - it.receivedAt);
+    it.lastPieceAt = now;
+}
+
 void Relay::record(const RequestContext &it, const Result<void> &result)
 {
     const auto outcome =
@@ -468,6 +493,7 @@
                                 outcome };
     m_state.metrics.count("bluebell_requests_total", labels);
     m_state.metrics.observe("bluebell_request_seconds", labels, taken);
+    m_state.metrics.observe("bluebell_target_wait_seconds", labels, it.waited);
     log::info("request",
               { { "request", it.caller.attempt.value() },
                 { "organisation", it.organisation.value() },
@@ -480,6 +506,7 @@
                 { "config", std::to_string(it.index ? it.index->version() : 0) },
                 { "outcome", outcome },
                 { "cause", result ? std::string() : result.error().message },
+                { "rate", toText(it.rateFacts) },
                 { "execution",
                   result ? std::string() : std::string(toString(result.error().execution)) },
                 { "retry_after_ms",
--- a/programs/gateway/relay.h
+++ b/programs/gateway/relay.h
@@ -18,6 +18,16 @@
 
 namespace bluebell::gateway {
 
+/// What one daemon knew of an organisation's bucket when it refused a request.
+struct RateFacts
+{
+    Tokens wanted = 0;
+    Tokens level = 0;
+    /// Daemons by their rows, and those whose counts arrive.
+    std::size_t daemons = 0;
+    std::size_t heard = 0;
+};
+
 /// One request on its way through the filters.
 struct RequestContext
 {
@@ -38,6 +48,8 @@
     bool isKeyWithdrawn = false;
     /// Tokens taken from the organisation's rate.
     Tokens reserved = 0;
+    /// What a refusal by the rate was decided by.
+    std::optional<RateFacts> rateFacts;
     /// Targets that have begun to run the request.
     std::uint32_t runs = 0;
     /// Targets that the request has been sent to.
@@ -47,6 +59,8 @@
     Duration waited {};
     /// Whether the head of the answer has gone to the caller.
     bool hasBegun = false;
+    /// When the newest piece of a stream has gone to the caller.
+    std::optional<TimePoint> lastPieceAt;
     /// Whole events that have gone to the caller.
     EventSplitter events;
     TargetId lastTarget;
@@ -112,6 +126,8 @@
     [[nodiscard]] TargetNeed needOf(const RequestContext &it) const;
     [[nodiscard]] WaitFacts waitFacts(const RequestContext &it, TimePoint now) const;
     [[nodiscard]] Duration answerTimeout(const RequestContext &it, TimePoint now) const;
+    /// Observes the time to the first piece of a stream and the pauses after it.
+    void notePiece(RequestContext &it);
     void record(const RequestContext &it, const Result<void> &result);
 
     SiteState &m_state;
--- a/src/bluebell.h
+++ b/src/bluebell.h
@@ -4,6 +4,7 @@
 /// All decisions of bluebellwalk: deterministic objects without sockets, threads or a clock.
 
 // Names, time and errors.
+#include "core/clockwatch.h"
 #include "core/digest.h"
 #include "core/endpoint.h"
 #include "core/ids.h"
