Tell changes of what engines hold, and demand to the holder alone

Cause: every status of the holder held all that all engines hold, and went to every daemon at each order, report and outcome; every request that began to wait told all daemons. A request also copied the whole map each time it looked for a target, and the selector looked up every daemon's count for every target.

Change: PlacementLog and PlacementView number the changes; a message tells those of the last second, and a daemon that missed more asks for all. Demand and requests by model go to the holder only. The pace of statuses follows the fleet's size from 16 daemons on. The selector keeps one sum of the others' counts.

--- a/programs/gateway/conductor.cpp
+++ b/programs/gateway/conductor.cpp
@@ -156,6 +156,7 @@
     if (isHolder) {
         // What another holder did meanwhile is told by the targets' reports.
         m_state.planner = SwapPlanner();
+        m_state.placement = PlacementLog();
         if (m_state.index)
             noteConfig();
     }
@@ -190,9 +191,12 @@
     planner.noteDemand(m_state.settings.vm, m_state.demand.demand(now), m_state.inFlight(), now);
     for (const auto &it : planner.reportsDue(now))
         asio::co_spawn(m_context, fetchReport(it), asio::detached);
-    if (!m_state.leadership.mayOrder(now))
+    if (!m_state.leadership.mayOrder(now)) {
+        m_state.notePlacement(now);
         return;
+    }
     const auto orders = planner.plan(now);
+    m_state.notePlacement(now);
     for (const auto &it : orders)
         asio::co_spawn(m_context, sendOrder(it), asio::detached);
     if (!orders.empty())
@@ -216,6 +220,7 @@
                 { "sequence", std::to_string(order.expectedSequence) },
                 { "outcome", std::string(nameOf(outcome)) } });
     m_state.planner.noteOutcome(order, outcome, BootClock::now());
+    m_state.notePlacement(BootClock::now());
     m_state.announce();
 }
 
@@ -227,6 +232,7 @@
     const auto report = co_await platform::fetchReport(*target, ReportTimeout);
     if (report) {
         m_state.planner.noteReport(id, report.value().born, report.value().state, BootClock::now());
+        m_state.notePlacement(BootClock::now());
         m_state.announce();
     } else {
         m_state.planner.noteReportFailed(id);
--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clockwatch.h"
 #include "core/log.h"
+#include "peer/statuscodec.h"
 #include "platform/requests.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -17,10 +18,6 @@
 
 using std::chrono::milliseconds;
 
-/// Between two statuses while nothing has changed.
-constexpr Duration StatusEvery = milliseconds(200);
-/// Changes within this time go out together.
-constexpr Duration StatusGather = milliseconds(4);
 /// How long callers may keep an answer about addresses.
 constexpr Duration HoldTime = milliseconds(1000);
 /// Some callers keep an answer this many times as long.
@@ -28,6 +25,8 @@
 /// Before the forced end of a stop.
 constexpr Duration StopMargin = milliseconds(400);
 constexpr Duration StopTick = milliseconds(50);
+/// Requests that begin to wait within this time are told to the holder of the role together.
+constexpr Duration DemandGather = milliseconds(4);
 /// Between two looks at the clocks.
 constexpr Duration ClockTick = milliseconds(500);
 /// Time to read a request beyond the bound on its head.
@@ -100,6 +99,7 @@
     m_watch.start();
     m_conductor.start();
     asio::co_spawn(m_context, sendStatuses(), asio::detached);
+    asio::co_spawn(m_context, sendDemand(), asio::detached);
     asio::co_spawn(m_context, watchClocks(), asio::detached);
     log::info("started",
               { { "vm", m_state.settings.vm.value() },
@@ -166,6 +166,8 @@
         response.body = m_state.configText;
     else if (request.path == "/peer/targets")
         response.body = m_watch.entriesForPeers();
+    else if (request.path == "/peer/placement")
+        response.body = encode(m_state.wholeStatus(BootClock::now()));
     else if (request.path == "/metrics") {
         response.contentType = "text/plain; version=0.0.4";
         response.body = m_state.metrics.exposition();
@@ -178,10 +180,30 @@
 {
     for (;;) {
         const auto now = BootClock::now();
-        m_link.send(m_state.fleet.peers(), m_state.status(now));
-        co_await sleepFor(StatusGather);
-        co_await m_state.statusDue.wait(StatusEvery);
-        co_await sleepFor(StatusGather);
+        m_state.notePace();
+        const auto pace = m_state.fleet.pace();
+        const auto holder = m_state.fleet.holderMember(now);
+        auto others = m_state.fleet.peers();
+        if (holder) {
+            std::erase(others, holder->peers);
+            m_link.send({ holder->peers }, m_state.status(StatusAudience::Holder, now));
+        }
+        m_link.send(others, m_state.status(StatusAudience::Others, now));
+        co_await sleepFor(pace.gather);
+        co_await m_state.statusDue.wait(pace.every);
+        co_await sleepFor(pace.gather);
+    }
+}
+
+asio::awaitable<void> Daemon::sendDemand()
+{
+    constexpr Duration Unlimited = std::chrono::hours(1);
+    for (;;) {
+        co_await m_state.demandDue.wait(Unlimited);
+        co_await sleepFor(DemandGather);
+        const auto now = BootClock::now();
+        if (const auto holder = m_state.fleet.holderMember(now))
+            m_link.send({ holder->peers }, m_state.status(StatusAudience::Holder, now));
     }
 }
 
--- a/programs/gateway/daemon.h
+++ b/programs/gateway/daemon.h
@@ -37,6 +37,8 @@
     boost::asio::awaitable<void> answerControl(const HttpRequest &request,
                                                HttpResponder &responder);
     boost::asio::awaitable<void> sendStatuses();
+    /// Tells the holder of the role at once that requests wait.
+    boost::asio::awaitable<void> sendDemand();
     /// Says when the VM stood still or the time of day jumped.
     boost::asio::awaitable<void> watchClocks();
     boost::asio::awaitable<void> stop();
--- a/programs/gateway/relay.cpp
+++ b/programs/gateway/relay.cpp
@@ -155,10 +155,8 @@
             break;
         }
         auto need = needOf(it);
-        const auto residents =
-                need.key ? m_state.residents(now) : std::map<TargetId, std::set<ReplicaKey>>();
         const auto &targets = m_state.registry.targets();
-        if (auto chosen = m_state.selector.choose(need, targets, residents, now)) {
+        if (auto chosen = m_state.selector.choose(need, targets, m_state.residents(now), now)) {
             result = std::move(*chosen);
             break;
         }
@@ -167,7 +165,7 @@
         if (need.key && !wait) {
             wait = m_state.demand.startWait(it.service->name, *need.key, urgencyOf(it.priority),
                                             now);
-            m_state.announce();
+            m_state.announceDemand();
         }
         if (const auto verdict = decideWait(waitFacts(it, now), now);
             verdict.refuseWithRetryAfter) {
--- a/programs/gateway/sitestate.cpp
+++ b/programs/gateway/sitestate.cpp
@@ -36,7 +36,7 @@
     : settings(std::move(given)), incarnation(randomHex(8)), startedAt(BootClock::now()),
       fleet(selfOf(settings, incarnation)), selector(settings.dataCentre, settings.vm.value()),
       leadership(settings.vm, incarnation, leadershipOf(settings)), changed(executor),
-      statusDue(executor)
+      statusDue(executor), demandDue(executor)
 {
 }
 
@@ -49,17 +49,17 @@
     leadership.setTurn(settings.leaseTime + TurnAllowance);
 }
 
-std::map<TargetId, std::set<ReplicaKey>> SiteState::residents(TimePoint now) const
+const Residents &SiteState::residents(TimePoint now) const
 {
     if (leadership.isHolder(now))
-        return planner.residents();
+        return placement.residents();
     if (const auto *told = fleet.residents(now))
         return *told;
-    std::map<TargetId, std::set<ReplicaKey>> all;
+    m_entryResidents.clear();
     for (const auto &[id, it] : registry.targets())
         if (it.engine)
-            all.emplace(id, it.engine->resident);
-    return all;
+            m_entryResidents.emplace(id, it.engine->resident);
+    return m_entryResidents;
 }
 
 std::optional<TimePoint> SiteState::readyAt(const ServiceId &service, const ModelId &model,
@@ -81,7 +81,7 @@
     return all;
 }
 
-DaemonStatus SiteState::status(TimePoint now)
+DaemonStatus SiteState::status(StatusAudience audience, TimePoint now)
 {
     DaemonStatus it;
     it.vm = settings.vm;
@@ -91,18 +91,42 @@
     it.configVersion = index ? index->version() : 0;
     it.registryVersion = registryVersion;
     it.storeSilence = now - storeAnsweredAt;
-    it.demand = demand.demand(now);
-    it.inFlight = inFlight();
+    it.tellsDemand = audience == StatusAudience::Holder;
+    if (it.tellsDemand) {
+        it.demand = demand.demand(now);
+        it.inFlight = inFlight();
+    } else {
+        std::map<TargetId, std::uint32_t> counts;
+        for (const auto &[key, count] : selector.inFlight())
+            counts[key.first] += count;
+        for (const auto &[target, count] : counts)
+            it.inFlight.push_back({ target, {}, count });
+    }
     for (auto &[organisation, rate] : rates)
         it.rates.push_back({ organisation, rate.admitted(), rate.level(now) });
     if (leadership.isHolder(now)) {
         it.leaderEpoch = leadership.epoch();
-        it.residents = planner.residents();
+        it.placement = placement.news(now);
         it.estimates = planner.estimates(now);
     }
     return it;
 }
 
+DaemonStatus SiteState::wholeStatus(TimePoint now)
+{
+    auto it = status(StatusAudience::Others, now);
+    if (it.leaderEpoch > 0)
+        it.placement = placement.whole();
+    return it;
+}
+
+void SiteState::notePace()
+{
+    const auto pace = fleet.pace();
+    planner.setDemandLifetime(pace.validFor);
+    selector.setOthersLifetime(pace.validFor);
+}
+
 SharedRate &SiteState::rateOf(const SiteOrganisation &organisation, TimePoint now)
 {
     const auto [it, isNew] = rates.try_emplace(organisation.name, *organisation.limit, now);
@@ -134,13 +158,19 @@
     }
     if (told.leaderEpoch > 0)
         leadership.noteHolderHeard(now);
-    if (leadership.isHolder(now))
+    if (leadership.isHolder(now) && told.tellsDemand)
         planner.noteDemand(told.vm, told.demand, told.inFlight, now);
     const bool isNews = told.leaderEpoch > 0 || leadership.isHolder(now);
     if (isNews)
         changed.notify();
 }
 
+void SiteState::announceDemand()
+{
+    changed.notify();
+    demandDue.notify();
+}
+
 void SiteState::announce()
 {
     changed.notify();
--- a/programs/gateway/sitestate.h
+++ b/programs/gateway/sitestate.h
@@ -23,6 +23,13 @@
 
 namespace bluebell::gateway {
 
+/// Whom a status is for.
+enum class StatusAudience : std::uint8_t {
+    /// The holder of the role that gives orders, who needs the demand.
+    Holder,
+    Others,
+};
+
 struct SiteState
 {
     SiteState(const boost::asio::any_io_executor &executor, GatewaySettings given);
@@ -45,6 +52,8 @@
     std::map<ServiceId, RetryBudget> retryBudgets;
     Leadership leadership;
     SwapPlanner planner;
+    /// What engines hold, while this daemon holds the role that gives orders.
+    PlacementLog placement;
     Metrics metrics;
     /// When the store last answered a read of configuration or targets.
     TimePoint storeAnsweredAt;
@@ -52,29 +61,45 @@
     std::optional<TimePoint> stopRequestedAt;
     /// Wakes requests that wait for a target and the driver of the planner.
     Notifier changed;
-    /// Wakes the sender of statuses.
+    /// Wakes the sender of statuses to all.
     Notifier statusDue;
+    /// Wakes the sender of statuses to the holder of the role.
+    Notifier demandDue;
 
     /// Puts changed settings into force; addresses to listen on need a restart.
     void noteSettings(const GatewaySettings &changed);
     /// \returns whether callers may be sent here
     [[nodiscard]] bool isReady() const noexcept { return index && !stopRequestedAt; }
     /// \returns what engines hold, as the holder of the role or else the engines themselves tell it
-    [[nodiscard]] std::map<TargetId, std::set<ReplicaKey>> residents(TimePoint now) const;
+    ///
+    /// The reference is good until the next event.
+    [[nodiscard]] const Residents &residents(TimePoint now) const;
     /// \returns when a model can serve that is not there yet, if the holder of the role knows
     [[nodiscard]] std::optional<TimePoint> readyAt(const ServiceId &service, const ModelId &model,
                                                    TimePoint now) const;
     /// \returns the state that the other daemons are told
-    [[nodiscard]] DaemonStatus status(TimePoint now);
+    [[nodiscard]] DaemonStatus status(StatusAudience audience, TimePoint now);
+    /// \returns the state with all that engines hold, for a daemon that has missed changes
+    [[nodiscard]] DaemonStatus wholeStatus(TimePoint now);
     /// \returns what this daemon has under way at engines
     [[nodiscard]] std::vector<ModelInFlight> inFlight() const;
     /// \returns the bucket of an organisation that has a limit
     [[nodiscard]] SharedRate &rateOf(const SiteOrganisation &organisation, TimePoint now);
     [[nodiscard]] RetryBudget &retryBudgetOf(const ServiceId &service);
+    /// Takes in what the planner, which this daemon drives, now knows of the engines.
+    void notePlacement(TimePoint now) { placement.note(planner.residents(), now); }
+    /// Puts the pace of statuses into force that the number of daemons asks for.
+    void notePace();
     /// Takes in another daemon's status.
     void noteStatus(const DaemonStatus &told, TimePoint now);
     /// Wakes whoever waits for targets, and tells the other daemons soon.
     void announce();
+    /// Wakes the planner, here or at the holder of the role.
+    void announceDemand();
+
+private:
+    /// What the engines' entries tell, while nobody holds the role.
+    mutable Residents m_entryResidents;
 };
 
 } // namespace bluebell::gateway
--- a/programs/gateway/storewatch.cpp
+++ b/programs/gateway/storewatch.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "http/client.h"
+#include "peer/statuscodec.h"
 #include "platform/documents.h"
 #include "platform/names.h"
 
@@ -336,6 +337,8 @@
         const auto version = m_state.index ? m_state.index->version() : 0;
         if (auto peer = m_state.fleet.peerWithConfig(version, now))
             co_await askForConfig(std::move(*peer));
+        if (auto peer = m_state.fleet.peerWithPlacement(now))
+            co_await askForPlacement(std::move(*peer));
         if (now - m_state.storeAnsweredAt < StoreSilence)
             continue;
         if (auto peer = m_state.fleet.peerWithRegistry(m_state.registryVersion, now))
@@ -355,6 +358,19 @@
         log::info("configuration taken from a peer", { { "vm", peer.vm.value() } });
 }
 
+asio::awaitable<void> StoreWatch::askForPlacement(FleetMember peer)
+{
+    const auto text = co_await askPeer(peer.control, "/peer/placement");
+    const auto status = text ? decodeStatus(text.value()) : Result<DaemonStatus>(text.error());
+    if (!status) {
+        log::warning("placement not got from the holder of the role",
+                     { { "vm", peer.vm.value() }, { "cause", status.error().message } });
+        co_return;
+    }
+    m_state.fleet.notePlacement(status.value());
+    m_state.changed.notify();
+}
+
 std::string StoreWatch::entriesForPeers() const
 {
     json body = { { "version", m_state.registryVersion }, { "entries", json::object() } };
@@ -369,8 +385,12 @@
     if (!text)
         co_return;
     const auto body = json::parse(text.value(), nullptr, false);
-    if (!body.is_object() || !body.contains("version") || !body.contains("entries"))
+    const bool isWellFormed = body.is_object() && body.contains("entries")
+            && body.value("version", json()).is_number_unsigned();
+    if (!isWellFormed) {
+        log::warning("entries of a peer are malformed", { { "vm", peer.vm.value() } });
         co_return;
+    }
     const auto version = body["version"].get<RowVersion>();
     if (version <= m_state.registryVersion)
         co_return;
--- a/programs/gateway/storewatch.h
+++ b/programs/gateway/storewatch.h
@@ -43,6 +43,8 @@
     boost::asio::awaitable<void> askPeers();
     boost::asio::awaitable<void> askForConfig(FleetMember peer);
     boost::asio::awaitable<void> askForEntries(FleetMember peer);
+    /// Asks the holder of the role what all engines hold.
+    boost::asio::awaitable<void> askForPlacement(FleetMember peer);
     boost::asio::awaitable<void> keepRegistered();
     boost::asio::awaitable<void> removeGoneMembers();
 
--- a/src/bluebell.h
+++ b/src/bluebell.h
@@ -24,6 +24,7 @@
 #include "membership/leadership.h"
 #include "membership/lease.h"
 #include "membership/roles.h"
+#include "membership/statuspace.h"
 
 // Requests.
 #include "orders/orderflow.h"
@@ -42,5 +43,6 @@
 // Loads and memory.
 #include "placement/demandboard.h"
 #include "placement/ledger.h"
+#include "placement/placementnews.h"
 #include "placement/planner.h"
 #include "placement/swapplanner.h"
--- a/src/membership/daemonstatus.h
+++ b/src/membership/daemonstatus.h
@@ -3,11 +3,10 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "membership/roles.h"
+#include "placement/placementnews.h"
 #include "placement/swapplanner.h"
 #include "site/siteconfig.h"
 
-#include <map>
-#include <set>
 #include <vector>
 
 /// \file
@@ -40,11 +39,14 @@
     Duration storeSilence {};
     /// Fencing number while the daemon holds the role that gives orders; else 0.
     Epoch leaderEpoch = 0;
+    /// Whether the demand is told, and what is under way by model; the holder of the role needs it.
+    bool tellsDemand = false;
     std::vector<ModelDemand> demand;
+    /// Without the demand, one entry a target with an empty model.
     std::vector<ModelInFlight> inFlight;
     std::vector<RateCount> rates;
     /// What engines hold; only told by the holder of the role.
-    std::map<TargetId, std::set<ReplicaKey>> residents;
+    PlacementNews placement;
     /// When models that are being loaded can serve; only told by the holder of the role.
     std::vector<LoadEstimate> estimates;
 };
--- a/src/membership/fleet.cpp
+++ b/src/membership/fleet.cpp
@@ -43,16 +43,25 @@
         return false;
     const auto it = m_heard.find(status.vm);
     if (it != m_heard.end() && it->second.status.incarnation != status.incarnation
-        && now - it->second.at < HeardTime && status.uptime > it->second.status.uptime)
+        && now - it->second.at < pace().heardFor && status.uptime > it->second.status.uptime)
         return false;
-    m_heard.insert_or_assign(status.vm, Heard { status, now });
+    notePlacement(status);
+    auto &heard = m_heard[status.vm];
+    heard = { status, now };
+    heard.status.placement = {};
     return true;
 }
 
+void Fleet::notePlacement(const DaemonStatus &status)
+{
+    if (status.leaderEpoch > 0)
+        m_placement.take(status.incarnation, status.leaderEpoch, status.placement);
+}
+
 bool Fleet::isHeard(const VmId &vm, TimePoint now) const
 {
     const auto it = m_heard.find(vm);
-    return it != m_heard.end() && now - it->second.at < HeardTime;
+    return it != m_heard.end() && now - it->second.at < pace().heardFor;
 }
 
 std::vector<Endpoint> Fleet::peers() const
@@ -124,7 +133,7 @@
 {
     const Heard *best = nullptr;
     for (const auto &[vm, it] : m_heard) {
-        if (now - it.at >= HeardTime || it.status.leaderEpoch == 0)
+        if (now - it.at >= pace().heardFor || it.status.leaderEpoch == 0)
             continue;
         if (!best || it.status.leaderEpoch > best->status.leaderEpoch)
             best = &it;
@@ -132,10 +141,21 @@
     return best;
 }
 
-const std::map<TargetId, std::set<ReplicaKey>> *Fleet::residents(TimePoint now) const
+std::optional<FleetMember> Fleet::holderMember(TimePoint now) const
 {
     const auto *told = holder(now);
-    return told ? &told->status.residents : nullptr;
+    const auto it = told ? m_members.find(told->status.vm) : m_members.end();
+    return it == m_members.end() ? std::nullopt : std::optional(it->second.member);
+}
+
+std::optional<FleetMember> Fleet::peerWithPlacement(TimePoint now) const
+{
+    return m_placement.isIncomplete() ? holderMember(now) : std::nullopt;
+}
+
+const Residents *Fleet::residents(TimePoint now) const
+{
+    return holder(now) && m_placement.isUsable() ? &m_placement.residents() : nullptr;
 }
 
 std::optional<TimePoint> Fleet::readyAt(const ServiceId &service, const ModelId &model,
--- a/src/membership/fleet.h
+++ b/src/membership/fleet.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 #include "membership/daemonstatus.h"
+#include "membership/statuspace.h"
 
 #include <map>
 #include <optional>
@@ -33,8 +34,6 @@
 class Fleet
 {
 public:
-    /// A daemon counts as heard from for this time after its last status.
-    static constexpr Duration HeardTime = std::chrono::milliseconds(900);
     /// The row of a daemon may be removed when nothing was heard from it for this time.
     static constexpr Duration GoneTime = std::chrono::seconds(20);
 
@@ -50,6 +49,8 @@
     ///
     /// \returns false when it is from this daemon itself or from an older incarnation
     bool noteStatus(const DaemonStatus &status, TimePoint now);
+    /// Takes in what the holder of the role tells of the engines.
+    void notePlacement(const DaemonStatus &status);
 
     // Questions.
 
@@ -60,6 +61,8 @@
     ///
     /// \param selfIsReady whether this daemon takes callers; it is named alone when nobody else is
     [[nodiscard]] std::vector<Endpoint> callerAddresses(bool selfIsReady, TimePoint now) const;
+    /// \returns how often daemons of a fleet of this size tell of themselves
+    [[nodiscard]] StatusPace pace() const noexcept { return statusPaceOf(size()); }
     /// \returns all daemons, this one among them
     [[nodiscard]] std::size_t size() const noexcept { return m_members.size() + 1; }
     /// \returns the daemons that are heard from, this one among them
@@ -72,8 +75,12 @@
     /// \returns a daemon whose store answered within the last second and that has newer entries
     [[nodiscard]] std::optional<FleetMember> peerWithRegistry(RowVersion version,
                                                               TimePoint now) const;
+    /// \returns the holder of the role, if it was heard from lately
+    [[nodiscard]] std::optional<FleetMember> holderMember(TimePoint now) const;
+    /// \returns the holder of the role if it has to be asked what all engines hold
+    [[nodiscard]] std::optional<FleetMember> peerWithPlacement(TimePoint now) const;
     /// \returns what engines hold, if the holder of the role was heard from lately
-    [[nodiscard]] const std::map<TargetId, std::set<ReplicaKey>> *residents(TimePoint now) const;
+    [[nodiscard]] const Residents *residents(TimePoint now) const;
     /// \returns when a model can serve, if the holder of the role was heard from lately and knows
     [[nodiscard]] std::optional<TimePoint> readyAt(const ServiceId &service, const ModelId &model,
                                                    TimePoint now) const;
@@ -99,6 +106,7 @@
     FleetMember m_self;
     std::map<VmId, Known> m_members;
     std::map<VmId, Heard> m_heard;
+    PlacementView m_placement;
 };
 
 } // namespace bluebell
--- a/src/peer/statuscodec.cpp
+++ b/src/peer/statuscodec.cpp
@@ -71,8 +71,7 @@
     }
 }
 
-void writeResidents(const std::map<TargetId, std::set<ReplicaKey>> &residents,
-                    wire::Status::Builder out)
+void writeResidents(const Residents &residents, wire::Status::Builder out)
 {
     auto list = out.initResidents(static_cast<unsigned>(residents.size()));
     unsigned n = 0;
@@ -117,6 +116,9 @@
     status.registryVersion = in.getRegistryVersion();
     status.storeSilence = milliseconds(in.getStoreSilenceMs());
     status.leaderEpoch = in.getLeaderEpoch();
+    status.tellsDemand = in.getTellsDemand();
+    status.placement.base = in.getPlacementBase();
+    status.placement.number = in.getPlacementNumber();
     for (const auto it : in.getDemand())
         status.demand.push_back({ ServiceId(text(it.getService())),
                                   keyOf(it.getModel(), it.getAdapter()), it.getWaiting(),
@@ -132,7 +134,7 @@
         status.estimates.push_back({ ServiceId(text(it.getService())), ModelId(text(it.getModel())),
                                      milliseconds(it.getReadyInMs()) });
     for (const auto it : in.getResidents()) {
-        auto &keys = status.residents[TargetId(text(it.getTarget()))];
+        auto &keys = status.placement.changed[TargetId(text(it.getTarget()))];
         for (const auto replica : it.getReplicas()) {
             const ModelId model(text(replica.getModel()));
             keys.insert({ model, AdapterId() });
@@ -160,7 +162,10 @@
     writeDemand(status.demand, out);
     writeInFlight(status.inFlight, out);
     writeRates(status.rates, out);
-    writeResidents(status.residents, out);
+    writeResidents(status.placement.changed, out);
+    out.setPlacementBase(status.placement.base);
+    out.setPlacementNumber(status.placement.number);
+    out.setTellsDemand(status.tellsDemand);
     writeEstimates(status.estimates, out);
     const auto words = capnp::messageToFlatArray(message);
     const auto bytes = words.asBytes();
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -11,8 +11,6 @@
 
 using std::chrono::milliseconds;
 
-/// A daemon's demand that was not renewed within this time is forgotten.
-constexpr Duration DemandLifetime = milliseconds(1200);
 /// An order that was not answered in time is repeated after this time.
 constexpr Duration RepeatAfter = milliseconds(50);
 /// Time that an adapter takes, with allowance for others on their way.
@@ -301,9 +299,9 @@
     return due;
 }
 
-std::map<TargetId, std::set<ReplicaKey>> SwapPlanner::residents() const
+Residents SwapPlanner::residents() const
 {
-    std::map<TargetId, std::set<ReplicaKey>> all;
+    Residents all;
     for (const auto &[id, it] : m_targets) {
         auto &keys = all[id];
         keys = it.engine.resident;
@@ -320,7 +318,7 @@
 
 void SwapPlanner::gather(TimePoint now)
 {
-    std::erase_if(m_demand, [&](const auto &it) { return now - it.second.at > DemandLifetime; });
+    std::erase_if(m_demand, [&](const auto &it) { return now - it.second.at > m_demandLifetime; });
     std::map<std::pair<ServiceId, ReplicaKey>, Wanted> sum;
     m_inFlight.clear();
     m_load.clear();
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "placement/ledger.h"
+#include "placement/placementnews.h"
 #include "site/siteconfig.h"
 #include "site/targetregistry.h"
 
@@ -103,6 +104,8 @@
     void noteDemand(const VmId &vm, std::vector<ModelDemand> demand,
                     std::vector<ModelInFlight> inFlight, TimePoint now);
     void noteOutcome(const PlacementOrder &order, OrderOutcome outcome, TimePoint now);
+    /// Sets how long a daemon's demand counts that is not renewed.
+    void setDemandLifetime(Duration lifetime) { m_demandLifetime = lifetime; }
 
     // Decisions.
 
@@ -114,7 +117,7 @@
     // Questions.
 
     /// \returns what can serve requests at each target, without what is about to leave
-    [[nodiscard]] std::map<TargetId, std::set<ReplicaKey>> residents() const;
+    [[nodiscard]] Residents residents() const;
     /// \returns when the models can serve that are being loaded
     [[nodiscard]] std::vector<LoadEstimate> estimates(TimePoint now) const;
 
@@ -238,6 +241,7 @@
     std::map<ServiceId, Service> m_services;
     std::map<TargetId, TargetState> m_targets;
     std::map<VmId, VmDemand> m_demand;
+    Duration m_demandLifetime = std::chrono::milliseconds(1400);
     std::vector<Wanted> m_wanted;
     std::map<std::pair<TargetId, ModelId>, std::uint32_t> m_inFlight;
     std::map<TargetId, std::uint32_t> m_load;
--- a/src/routing/targetselector.cpp
+++ b/src/routing/targetselector.cpp
@@ -10,8 +10,6 @@
 
 using std::chrono::milliseconds;
 
-/// Another daemon's counts that were not renewed within this time are forgotten.
-constexpr Duration OthersLifetime = milliseconds(1500);
 /// How long a target is left alone after its first broken exchange; doubles up to LongestAlone.
 constexpr Duration ShortestAlone = milliseconds(300);
 constexpr Duration LongestAlone = milliseconds(2000);
@@ -79,11 +77,36 @@
     std::erase_if(m_absentUntil, [&](const auto &it) { return it.second < now; });
 }
 
+void TargetSelector::takeOut(const std::map<TargetId, std::uint32_t> &counts)
+{
+    for (const auto &[target, count] : counts) {
+        const auto it = m_othersSum.find(target);
+        it->second -= count;
+        if (it->second == 0)
+            m_othersSum.erase(it);
+    }
+}
+
 void TargetSelector::noteOthers(const VmId &vm, std::map<TargetId, std::uint32_t> counts,
                                 TimePoint now)
 {
-    m_others[vm] = { std::move(counts), now };
-    std::erase_if(m_others, [&](const auto &it) { return now - it.second.at > OthersLifetime; });
+    std::erase_if(counts, [](const auto &it) { return it.second == 0; });
+    for (const auto &[target, count] : counts)
+        m_othersSum[target] += count;
+    auto &others = m_others[vm];
+    takeOut(others.counts);
+    others = { std::move(counts), now };
+    forgetSilent(now);
+}
+
+void TargetSelector::forgetSilent(TimePoint now)
+{
+    std::erase_if(m_others, [&](const auto &it) {
+        const bool isOld = now - it.second.at > m_othersLifetime;
+        if (isOld)
+            takeOut(it.second.counts);
+        return isOld;
+    });
 }
 
 void TargetSelector::forgetAllBut(const std::map<TargetId, TargetEntry> &targets)
@@ -93,24 +116,20 @@
     });
 }
 
-std::uint32_t TargetSelector::load(const TargetId &target, TimePoint now) const
+std::uint32_t TargetSelector::load(const TargetId &target) const
 {
     std::uint32_t n = 0;
     if (const auto it = m_standing.find(target); it != m_standing.end())
         n += it->second.own;
-    for (const auto &[vm, others] : m_others) {
-        if (now - others.at > OthersLifetime)
-            continue;
-        if (const auto it = others.counts.find(target); it != others.counts.end())
-            n += it->second;
-    }
+    if (const auto it = m_othersSum.find(target); it != m_othersSum.end())
+        n += it->second;
     return n;
 }
 
 double TargetSelector::score(const TargetEntry &target, TimePoint now) const
 {
     const auto slots = static_cast<double>(std::max<std::uint32_t>(target.slots, 1));
-    double cost = load(target.id, now) / slots;
+    double cost = load(target.id) / slots;
     if (target.dataCentre != m_own)
         cost += DistanceCost;
     const auto place = static_cast<double>(rendezvousScore(m_salt, target.id.value()) % 1000);
@@ -123,11 +142,11 @@
     return cost;
 }
 
-std::optional<TargetId>
-TargetSelector::choose(const TargetNeed &need, const std::map<TargetId, TargetEntry> &targets,
-                       const std::map<TargetId, std::set<ReplicaKey>> &residents,
-                       TimePoint now) const
+std::optional<TargetId> TargetSelector::choose(const TargetNeed &need,
+                                               const std::map<TargetId, TargetEntry> &targets,
+                                               const Residents &residents, TimePoint now)
 {
+    forgetSilent(now);
     std::optional<TargetId> best;
     double bestScore = 0;
     for (const auto &[id, target] : targets) {
--- a/src/routing/targetselector.h
+++ b/src/routing/targetselector.h
@@ -2,7 +2,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
-#include "placement/ledger.h"
+#include "placement/placementnews.h"
 #include "site/targetregistry.h"
 
 #include <cstdint>
@@ -60,18 +60,20 @@
     void noteAbsent(const TargetId &target, const ReplicaKey &key, TimePoint now);
     /// Notes how many requests another daemon has at the targets.
     void noteOthers(const VmId &vm, std::map<TargetId, std::uint32_t> counts, TimePoint now);
+    /// Sets how long another daemon's counts are taken in that are not renewed.
+    void setOthersLifetime(Duration lifetime) { m_othersLifetime = lifetime; }
     void forgetAllBut(const std::map<TargetId, TargetEntry> &targets);
 
     // Questions.
 
     /// \param residents what each engine holds
     /// \returns the best usable target, or nothing
-    [[nodiscard]] std::optional<TargetId>
-    choose(const TargetNeed &need, const std::map<TargetId, TargetEntry> &targets,
-           const std::map<TargetId, std::set<ReplicaKey>> &residents, TimePoint now) const;
+    [[nodiscard]] std::optional<TargetId> choose(const TargetNeed &need,
+                                                 const std::map<TargetId, TargetEntry> &targets,
+                                                 const Residents &residents, TimePoint now);
 
     /// \returns requests under way at `target` from this daemon and the others
-    [[nodiscard]] std::uint32_t load(const TargetId &target, TimePoint now) const;
+    [[nodiscard]] std::uint32_t load(const TargetId &target) const;
     [[nodiscard]] const std::map<std::pair<TargetId, ReplicaKey>, std::uint32_t> &
     inFlight() const noexcept
     {
@@ -101,7 +103,14 @@
     DataCentreId m_own;
     std::string m_salt;
     std::map<TargetId, Standing> m_standing;
+    /// Forgets the counts of daemons that have not renewed them.
+    void forgetSilent(TimePoint now);
+    void takeOut(const std::map<TargetId, std::uint32_t> &counts);
+
     std::map<VmId, Others> m_others;
+    /// Sum of all others' counts.
+    std::map<TargetId, std::uint32_t> m_othersSum;
+    Duration m_othersLifetime = std::chrono::milliseconds(1400);
     std::map<std::pair<TargetId, ReplicaKey>, std::uint32_t> m_inFlight;
     std::map<std::pair<TargetId, ReplicaKey>, TimePoint> m_absentUntil;
 };
--- a/tests/tst_adapter_platform.cpp
+++ b/tests/tst_adapter_platform.cpp
@@ -261,8 +261,11 @@
     it.demand = { { ServiceId("s"), { ModelId("m"), AdapterId("a") }, 3, 27.5, 40ms, 1.5 } };
     it.inFlight = { { TargetId("t"), { ModelId("m"), AdapterId() }, 4 } };
     it.rates = { { OrganisationId("o"), 100, -5 } };
-    it.residents[TargetId("t")] = { { ModelId("m"), AdapterId() },
-                                    { ModelId("m"), AdapterId("a") } };
+    it.tellsDemand = true;
+    it.placement = { 3,
+                     5,
+                     { { TargetId("t"),
+                         { { ModelId("m"), AdapterId() }, { ModelId("m"), AdapterId("a") } } } } };
     it.estimates = { { ServiceId("s"), ModelId("n"), 2s } };
     const auto back = decodeStatus(encode(it));
     ASSERT_TRUE(back);
@@ -276,7 +279,10 @@
     EXPECT_EQ(out.demand[0].oldestWait, 40ms);
     EXPECT_EQ(out.inFlight[0].count, 4U);
     EXPECT_EQ(out.rates[0].level, -5);
-    EXPECT_EQ(out.residents, it.residents);
+    EXPECT_TRUE(out.tellsDemand);
+    EXPECT_EQ(out.placement.base, 3U);
+    EXPECT_EQ(out.placement.number, 5U);
+    EXPECT_EQ(out.placement.changed, it.placement.changed);
     EXPECT_EQ(out.estimates[0].readyIn, 2s);
 }
 
--- a/tests/tst_fleet.cpp
+++ b/tests/tst_fleet.cpp
@@ -75,7 +75,7 @@
     auto b = status("b");
     b.configVersion = 5;
     b.leaderEpoch = 3;
-    b.residents[TargetId("t")].insert({ ModelId("m"), AdapterId() });
+    b.placement = { 0, 1, { { TargetId("t"), { { ModelId("m"), AdapterId() } } } } };
     b.estimates.push_back({ ServiceId("s"), ModelId("n"), 2s });
     auto c = status("c");
     c.configVersion = 7;
@@ -89,6 +89,39 @@
     EXPECT_FALSE(fleet.readyAt(ServiceId("s"), ModelId("x"), Start));
 }
 
+TEST(Fleet, AsksTheHolderForWhatItMissed)
+{
+    Fleet fleet(member("a"));
+    fleet.replaceMembers({ member("b") }, Start);
+    auto b = status("b");
+    b.leaderEpoch = 3;
+    b.placement = { 7, 8, { { TargetId("t"), { { ModelId("m"), AdapterId() } } } } };
+    fleet.noteStatus(b, Start);
+    EXPECT_EQ(fleet.residents(Start), nullptr);
+    ASSERT_TRUE(fleet.peerWithPlacement(Start));
+    EXPECT_EQ(fleet.peerWithPlacement(Start)->vm, VmId("b"));
+    b.placement.base = 0;
+    fleet.notePlacement(b);
+    ASSERT_NE(fleet.residents(Start), nullptr);
+    EXPECT_FALSE(fleet.peerWithPlacement(Start));
+    EXPECT_EQ(fleet.holderMember(Start)->vm, VmId("b"));
+    EXPECT_FALSE(fleet.holderMember(Start + 5s));
+}
+
+TEST(StatusPace, WhatADaemonReceivesDoesNotGrowWithTheFleet)
+{
+    const auto small = statusPaceOf(8);
+    EXPECT_EQ(small.every, statusPaceOf(16).every);
+    for (const std::size_t n : { 16U, 60U, 84U, 400U }) {
+        const auto pace = statusPaceOf(n);
+        const auto received = static_cast<double>(n) / toSeconds(pace.every);
+        EXPECT_LE(received, 16 / toSeconds(small.every) * 1.01) << n;
+        // Four statuses in a row may be lost before a daemon counts as silent.
+        EXPECT_GT(pace.heardFor, 4 * pace.every);
+        EXPECT_GT(pace.validFor, pace.heardFor);
+    }
+}
+
 TEST(Fleet, ASilentMemberIsGoneAfterAWhile)
 {
     Fleet fleet(member("a"));
--- /dev/null
+++ b/tests/tst_placementnews.cpp
@@ -0,0 +1,138 @@
+#include "placement/placementnews.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+using namespace bluebell;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start { 100s };
+const IncarnationId Holder("holder");
+
+std::set<ReplicaKey> models(const std::vector<int> &numbers)
+{
+    std::set<ReplicaKey> keys;
+    for (const auto n : numbers)
+        keys.insert({ ModelId("m" + std::to_string(n)), AdapterId() });
+    return keys;
+}
+
+TargetId target(int n)
+{
+    return TargetId("t" + std::to_string(n));
+}
+
+} // namespace
+
+TEST(PlacementNews, TheFirstMessagesTellEverything)
+{
+    PlacementLog log;
+    log.note({ { target(1), models({ 1 }) }, { target(2), models({ 2, 3 }) } }, Start);
+    PlacementView view;
+    EXPECT_FALSE(view.isUsable());
+    view.take(Holder, 1, log.news(Start));
+    EXPECT_FALSE(view.isIncomplete());
+    EXPECT_EQ(view.residents(), log.residents());
+}
+
+TEST(PlacementNews, LaterMessagesTellOnlyWhatChanged)
+{
+    PlacementLog log;
+    log.note({ { target(1), models({ 1 }) }, { target(2), models({ 2 }) } }, Start);
+    log.note({ { target(1), models({ 1 }) }, { target(2), models({ 3 }) } }, Start + 5s);
+    const auto news = log.news(Start + 5s);
+    EXPECT_EQ(news.changed.size(), 1U);
+    EXPECT_TRUE(log.news(Start + 10s).changed.empty());
+    EXPECT_EQ(log.news(Start + 10s).number, news.number);
+}
+
+TEST(PlacementNews, ALostMessageIsMadeUpForByTheNext)
+{
+    PlacementLog log;
+    PlacementView view;
+    log.note({ { target(1), models({ 1 }) } }, Start);
+    view.take(Holder, 1, log.news(Start));
+    log.note({ { target(1), models({ 2 }) } }, Start + 2s);
+    (void)log.news(Start + 2s);
+    log.note({ { target(1), models({ 2 }) }, { target(2), models({ 4 }) } }, Start + 2500ms);
+    view.take(Holder, 1, log.news(Start + 2500ms));
+    EXPECT_FALSE(view.isIncomplete());
+    EXPECT_EQ(view.residents(), log.residents());
+}
+
+TEST(PlacementNews, AfterALongSilenceEverythingIsAskedFor)
+{
+    PlacementLog log;
+    PlacementView view;
+    log.note({ { target(1), models({ 1 }) }, { target(2), models({ 2 }) } }, Start);
+    view.take(Holder, 1, log.news(Start));
+    log.note({ { target(2), models({ 2 }) } }, Start + 2s);
+    log.note({ { target(2), models({ 5 }) } }, Start + 8s);
+    view.take(Holder, 1, log.news(Start + 8s));
+    EXPECT_TRUE(view.isIncomplete());
+    EXPECT_TRUE(view.isUsable());
+    EXPECT_EQ(view.residents().at(target(2)), models({ 5 }));
+    view.take(Holder, 1, log.whole());
+    EXPECT_FALSE(view.isIncomplete());
+    EXPECT_EQ(view.residents(), log.residents());
+}
+
+TEST(PlacementNews, AnotherHolderBeginsAnewAndAFormerOneIsNotHeard)
+{
+    PlacementLog former;
+    PlacementView view;
+    former.note({ { target(1), models({ 1 }) }, { target(2), models({ 2 }) } }, Start);
+    view.take(Holder, 1, former.news(Start));
+    PlacementLog log;
+    log.note({ { target(1), models({ 7 }) } }, Start + 3s);
+    view.take(IncarnationId("successor"), 2, log.news(Start + 3s));
+    EXPECT_EQ(view.residents(), log.residents());
+    former.note({ { target(1), models({ 9 }) } }, Start + 4s);
+    view.take(Holder, 1, former.news(Start + 4s));
+    EXPECT_EQ(view.residents(), log.residents());
+}
+
+/// Messages are lost, late and in another order; whoever believes to know all must know all.
+TEST(PlacementNews, RandomLossNeverLeavesAWrongWhole)
+{
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        std::mt19937 random(seed);
+        PlacementLog log;
+        PlacementView view;
+        std::vector<PlacementNews> onTheWay;
+        std::map<std::uint64_t, Residents> history;
+        auto now = Start;
+        for (int step = 0; step < 300; ++step) {
+            now += std::chrono::milliseconds(random() % 400);
+            auto residents = log.residents();
+            const auto id = target(static_cast<int>(random() % 5));
+            if (random() % 8 == 0)
+                residents.erase(id);
+            else if (random() % 2 == 0)
+                residents[id] = models({ static_cast<int>(random() % 9) });
+            log.note(residents, now);
+            history[log.whole().number] = log.residents();
+            if (random() % 3 != 0)
+                onTheWay.push_back(log.news(now));
+            if (view.isIncomplete() && random() % 4 == 0)
+                onTheWay.push_back(log.whole());
+            while (!onTheWay.empty() && random() % 3 != 0) {
+                const auto at = onTheWay.begin()
+                        + static_cast<std::ptrdiff_t>(random()
+                                                      % std::min<std::size_t>(onTheWay.size(), 2));
+                view.take(Holder, 1, *at);
+                const auto number = at->number;
+                onTheWay.erase(at);
+                if (view.isIncomplete() || number == 0)
+                    continue;
+                const bool isKnownState =
+                        std::any_of(history.begin(), history.end(),
+                                    [&](const auto &it) { return it.second == view.residents(); });
+                ASSERT_TRUE(isKnownState) << "seed " << seed << " step " << step;
+            }
+        }
+    }
+}
