Keep the books of one engine apart from the choice, and call feeds less often in a large fleet

Also a change of what engines hold was repeated in every message for a second, 10 to 25 times at the orders' rate.

Change: the holder tells of itself each 200 ms in any fleet; the targets' feed is called at 0.4 of the time in which a draining target must be left alone (800 ms today, 650 before); the configuration's feed is held longer in a fleet of more than 16, where whoever learns of a version tells all. A change is told in four messages.

Tests: those of the changes told, adapted to messages in place of a time; all pass.

--- a/programs/gateway/conductor.cpp
+++ b/programs/gateway/conductor.cpp
@@ -192,11 +192,11 @@
     for (const auto &it : planner.reportsDue(now))
         asio::co_spawn(m_context, fetchReport(it), asio::detached);
     if (!m_state.leadership.mayOrder(now)) {
-        m_state.notePlacement(now);
+        m_state.notePlacement();
         return;
     }
     const auto orders = planner.plan(now);
-    m_state.notePlacement(now);
+    m_state.notePlacement();
     for (const auto &it : orders)
         asio::co_spawn(m_context, sendOrder(it), asio::detached);
     if (!orders.empty())
@@ -220,7 +220,7 @@
                 { "sequence", std::to_string(order.expectedSequence) },
                 { "outcome", std::string(nameOf(outcome)) } });
     m_state.planner.noteOutcome(order, outcome, BootClock::now());
-    m_state.notePlacement(BootClock::now());
+    m_state.notePlacement();
     m_state.announce();
 }
 
@@ -232,7 +232,7 @@
     const auto report = co_await platform::fetchReport(*target, ReportTimeout);
     if (report) {
         m_state.planner.noteReport(id, report.value().born, report.value().state, BootClock::now());
-        m_state.notePlacement(BootClock::now());
+        m_state.notePlacement();
         m_state.announce();
     } else {
         m_state.planner.noteReportFailed(id);
--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -190,7 +190,8 @@
         }
         m_link.send(others, m_state.status(StatusAudience::Others, now));
         co_await sleepFor(pace.gather);
-        co_await m_state.statusDue.wait(pace.every);
+        const bool isHolder = m_state.leadership.isHolder(now);
+        co_await m_state.statusDue.wait(isHolder ? pace.holderEvery : pace.every);
         co_await sleepFor(pace.gather);
     }
 }
--- a/programs/gateway/settings.h
+++ b/programs/gateway/settings.h
@@ -29,6 +29,8 @@
     Endpoint store;
     /// From the request to stop until the process is killed.
     Duration stopTime = std::chrono::seconds(8);
+    /// Time within which a draining target must get no more requests.
+    Duration drainTime = std::chrono::seconds(2);
     /// Time that must pass between orders of two holders of the role that gives them.
     Duration leaseTime = std::chrono::seconds(3);
     /// The longest time that a caller is told to keep an answer about addresses.
--- a/programs/gateway/sitestate.cpp
+++ b/programs/gateway/sitestate.cpp
@@ -46,6 +46,7 @@
     settings.stopTime = changed.stopTime;
     settings.leaseTime = changed.leaseTime;
     settings.longestHold = changed.longestHold;
+    settings.drainTime = changed.drainTime;
     leadership.setTurn(settings.leaseTime + TurnAllowance);
 }
 
@@ -81,7 +82,7 @@
     return all;
 }
 
-DaemonStatus SiteState::status(StatusAudience audience, TimePoint now)
+DaemonStatus SiteState::statusWithoutPlacement(StatusAudience audience, TimePoint now)
 {
     DaemonStatus it;
     it.vm = settings.vm;
@@ -106,15 +107,22 @@
         it.rates.push_back({ organisation, rate.admitted(), rate.level(now) });
     if (leadership.isHolder(now)) {
         it.leaderEpoch = leadership.epoch();
-        it.placement = placement.news(now);
         it.estimates = planner.estimates(now);
     }
     return it;
 }
 
+DaemonStatus SiteState::status(StatusAudience audience, TimePoint now)
+{
+    auto it = statusWithoutPlacement(audience, now);
+    if (it.leaderEpoch > 0 && audience == StatusAudience::Others)
+        it.placement = placement.nextNews();
+    return it;
+}
+
 DaemonStatus SiteState::wholeStatus(TimePoint now)
 {
-    auto it = status(StatusAudience::Others, now);
+    auto it = statusWithoutPlacement(StatusAudience::Others, now);
     if (it.leaderEpoch > 0)
         it.placement = placement.whole();
     return it;
--- a/programs/gateway/sitestate.h
+++ b/programs/gateway/sitestate.h
@@ -77,7 +77,7 @@
     /// \returns when a model can serve that is not there yet, if the holder of the role knows
     [[nodiscard]] std::optional<TimePoint> readyAt(const ServiceId &service, const ModelId &model,
                                                    TimePoint now) const;
-    /// \returns the state that the other daemons are told
+    /// \returns the state that is told next; to be called once for each message to all others
     [[nodiscard]] DaemonStatus status(StatusAudience audience, TimePoint now);
     /// \returns the state with all that engines hold, for a daemon that has missed changes
     [[nodiscard]] DaemonStatus wholeStatus(TimePoint now);
@@ -87,7 +87,7 @@
     [[nodiscard]] SharedRate &rateOf(const SiteOrganisation &organisation, TimePoint now);
     [[nodiscard]] RetryBudget &retryBudgetOf(const ServiceId &service);
     /// Takes in what the planner, which this daemon drives, now knows of the engines.
-    void notePlacement(TimePoint now) { placement.note(planner.residents(), now); }
+    void notePlacement() { placement.note(planner.residents()); }
     /// Puts the pace of statuses into force that the number of daemons asks for.
     void notePace();
     /// Takes in another daemon's status.
@@ -98,6 +98,8 @@
     void announceDemand();
 
 private:
+    [[nodiscard]] DaemonStatus statusWithoutPlacement(StatusAudience audience, TimePoint now);
+
     /// What the engines' entries tell, while nobody holds the role.
     mutable Residents m_entryResidents;
 };
--- a/programs/gateway/storewatch.cpp
+++ b/programs/gateway/storewatch.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -25,10 +26,14 @@
 
 /// A feed is asked again this often, so that a connection that went silent is found out.
 constexpr Duration ConfigWait = milliseconds(2000);
+/// In a large fleet each daemon asks less often: whoever learns first of a configuration tells all.
+constexpr Duration LongestConfigWait = milliseconds(10000);
+constexpr std::size_t SmallFleet = 16;
 constexpr Duration TargetWait = milliseconds(1500);
 constexpr Duration MemberWait = milliseconds(8000);
-/// Between two calls for the targets' entries, which change with every heartbeat that tells more.
-constexpr Duration TargetPace = milliseconds(650);
+/// Time between two calls for the targets' entries, as a part of the time in which a draining one
+/// must get no more requests; the entries change with every heartbeat.
+constexpr double TargetPacePart = 0.4;
 constexpr Duration MemberPace = milliseconds(100);
 constexpr Duration ReadTimeout = milliseconds(1200);
 constexpr Duration PauseAfterFailure = milliseconds(200);
@@ -129,17 +134,33 @@
     const auto spawn = [this](asio::awaitable<void> work) {
         asio::co_spawn(m_context, std::move(work), asio::detached);
     };
-    spawn(follow(std::string(names::OperatorTable), ConfigWait, Duration::zero(), operatorRows,
-                 operatorRows));
-    spawn(follow(std::string(names::ServerTable), TargetWait, TargetPace, allEntries,
-                 changedEntries));
-    spawn(follow(MemberTable, MemberWait, MemberPace, allMembers, changedMembers));
+    const auto configPace = [this] {
+        return FeedPace { configWait(), Duration::zero() };
+    };
+    const auto targetPace = [this] {
+        const auto part =
+                std::chrono::duration_cast<Duration>(m_state.settings.drainTime * TargetPacePart);
+        return FeedPace { TargetWait, part };
+    };
+    const auto memberPace = [] {
+        return FeedPace { MemberWait, MemberPace };
+    };
+    spawn(follow(std::string(names::OperatorTable), configPace, operatorRows, operatorRows));
+    spawn(follow(std::string(names::ServerTable), targetPace, allEntries, changedEntries));
+    spawn(follow(MemberTable, memberPace, allMembers, changedMembers));
     spawn(keepRegistered());
     spawn(askPeers());
     spawn(removeGoneMembers());
 }
 
-asio::awaitable<void> StoreWatch::follow(std::string table, Duration wait, Duration pace,
+Duration StoreWatch::configWait() const
+{
+    const auto size = std::max(m_state.fleet.size(), SmallFleet);
+    const auto wait = ConfigWait * static_cast<std::int64_t>(size) / SmallFleet;
+    return std::min<Duration>(wait, LongestConfigWait);
+}
+
+asio::awaitable<void> StoreWatch::follow(std::string table, std::function<FeedPace()> paceNow,
                                          RowsHandler whole, RowsHandler changes)
 {
     std::optional<RowVersion> version;
@@ -167,7 +188,8 @@
             version = snapshot.value().version;
             whole(snapshot.value().rows, *version);
         }
-        auto outcome = co_await m_store.changes(table, *version, wait);
+        const auto pace = paceNow();
+        auto outcome = co_await m_store.changes(table, *version, pace.wait);
         if (!outcome) {
             noteFailure(outcome.error());
             co_await sleepFor(PauseAfterFailure);
@@ -181,8 +203,8 @@
             log::info("history lost, table read anew", { { "table", table } });
             version.reset();
         }
-        if (pace > Duration::zero())
-            co_await sleepFor(pace);
+        if (pace.between > Duration::zero())
+            co_await sleepFor(pace.between);
     }
 }
 
--- a/programs/gateway/storewatch.h
+++ b/programs/gateway/storewatch.h
@@ -33,13 +33,23 @@
 private:
     using RowsHandler = std::function<void(const std::vector<platform::StoreRow> &, RowVersion)>;
 
+    /// How often a feed is called.
+    struct FeedPace
+    {
+        /// The longest time that the store holds a call.
+        Duration wait {};
+        /// The shortest time between two calls.
+        Duration between {};
+    };
+
     /// Follows one table for ever.
     ///
+    /// \param paceNow asked before each call
     /// \param whole takes in all rows of the table
     /// \param changes takes in changed rows
-    /// \param pace the shortest time between two calls
-    boost::asio::awaitable<void> follow(std::string table, Duration wait, Duration pace,
+    boost::asio::awaitable<void> follow(std::string table, std::function<FeedPace()> paceNow,
                                         RowsHandler whole, RowsHandler changes);
+    [[nodiscard]] Duration configWait() const;
     boost::asio::awaitable<void> askPeers();
     boost::asio::awaitable<void> askForConfig(FleetMember peer);
     boost::asio::awaitable<void> askForEntries(FleetMember peer);
--- a/src/bluebell.h
+++ b/src/bluebell.h
@@ -42,7 +42,10 @@
 
 // Loads and memory.
 #include "placement/demandboard.h"
+#include "placement/enginetrack.h"
 #include "placement/ledger.h"
+#include "placement/modeldemand.h"
 #include "placement/placementnews.h"
+#include "placement/placementorder.h"
 #include "placement/planner.h"
 #include "placement/swapplanner.h"
--- a/src/membership/daemonstatus.h
+++ b/src/membership/daemonstatus.h
@@ -3,8 +3,8 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "membership/roles.h"
+#include "placement/modeldemand.h"
 #include "placement/placementnews.h"
-#include "placement/swapplanner.h"
 #include "site/siteconfig.h"
 
 #include <vector>
--- a/src/membership/statuspace.cpp
+++ b/src/membership/statuspace.cpp
@@ -26,6 +26,7 @@
     };
     StatusPace pace;
     pace.every = stretched(ShortestPeriod);
+    pace.holderEvery = ShortestPeriod;
     pace.gather = stretched(ShortestGather);
     pace.heardFor = std::chrono::duration_cast<Duration>(pace.every * PeriodsHeard);
     pace.validFor = pace.every * PeriodsValid;
--- a/src/membership/statuspace.h
+++ b/src/membership/statuspace.h
@@ -13,6 +13,8 @@
 {
     /// Between two statuses while nothing has changed.
     Duration every {};
+    /// The same at the holder of the role that gives orders, whose silence must be noticed soon.
+    Duration holderEvery {};
     /// Changes within this time go out together.
     Duration gather {};
     /// A daemon counts as heard from for this time after its last status.
--- a/src/placement/demandboard.h
+++ b/src/placement/demandboard.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/time.h"
-#include "placement/swapplanner.h"
+#include "placement/modeldemand.h"
 
 #include <cstdint>
 #include <map>
--- a/src/placement/placementnews.cpp
+++ b/src/placement/placementnews.cpp
@@ -1,16 +1,17 @@
 #include "placement/placementnews.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace bluebell {
 
-void PlacementLog::note(Residents residents, TimePoint now)
+void PlacementLog::note(Residents residents)
 {
     const auto next = m_number + 1;
-    bool hasChanged = false;
     const auto noteChange = [&](const TargetId &target) {
         m_changedAt[target] = next;
-        hasChanged = true;
+        m_number = next;
     };
     for (const auto &[target, keys] : residents) {
         const auto known = m_residents.find(target);
@@ -21,40 +22,26 @@
         if (!residents.contains(target))
             noteChange(target);
     m_residents = std::move(residents);
-    if (hasChanged) {
-        m_number = next;
-        m_recent.emplace_back(next, now);
-    }
-    while (!m_recent.empty() && now - m_recent.front().second > ToldFor) {
-        const auto number = m_recent.front().first;
-        m_recent.pop_front();
-        std::erase_if(m_changedAt, [&](const auto &it) {
-            return it.second <= number && !m_residents.contains(it.first);
-        });
-    }
 }
 
-PlacementNews PlacementLog::newsAfter(std::uint64_t base) const
+PlacementNews PlacementLog::nextNews()
 {
+    // What the first messages tell of goes on from nothing, so they tell everything.
+    const auto base = m_told.size() < TimesTold ? 0 : m_told.front();
+    m_told.push_back(m_number);
+    if (m_told.size() > TimesTold)
+        m_told.pop_front();
     PlacementNews news { base, m_number, {} };
-    for (const auto &[target, number] : m_changedAt) {
-        if (number <= base)
-            continue;
-        const auto it = m_residents.find(target);
-        news.changed[target] = it == m_residents.end() ? std::set<ReplicaKey>() : it->second;
+    for (auto it = m_changedAt.begin(); it != m_changedAt.end();) {
+        const auto held = m_residents.find(it->first);
+        const bool hasLeft = held == m_residents.end();
+        if (it->second > base)
+            news.changed[it->first] = hasLeft ? std::set<ReplicaKey>() : held->second;
+        it = hasLeft && it->second <= base ? m_changedAt.erase(it) : std::next(it);
     }
     return news;
 }
 
-PlacementNews PlacementLog::news(TimePoint now) const
-{
-    auto base = m_number;
-    for (const auto &[number, at] : m_recent)
-        if (now - at <= ToldFor)
-            base = std::min(base, number - 1);
-    return newsAfter(base);
-}
-
 PlacementNews PlacementLog::whole() const
 {
     return { 0, m_number, m_residents };
--- a/src/placement/placementnews.h
+++ b/src/placement/placementnews.h
@@ -1,14 +1,13 @@
 #pragma once
 
 #include "core/ids.h"
-#include "core/time.h"
 #include "placement/ledger.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <set>
-#include <utility>
 
 /// \file
 /// What engines hold, told by the holder of the role as changes.
@@ -29,36 +28,37 @@
     Residents changed;
 };
 
-/// The holder's side: numbers the changes, and tells those of the last while in every message, so
-/// that a lost message is made up for by the next.
+/// The holder's side: numbers the changes, and tells each in several messages, so that a lost
+/// message is made up for by the next.
 class PlacementLog
 {
 public:
-    /// Changes are told for this time.
-    static constexpr Duration ToldFor = std::chrono::seconds(1);
+    /// Messages in which a change is told.
+    static constexpr std::size_t TimesTold = 4;
 
     // Events.
 
     /// Takes in what targets hold now.
-    void note(Residents residents, TimePoint now);
+    void note(Residents residents);
+
+    // Actions.
+
+    /// \returns the changes for the next message to all
+    [[nodiscard]] PlacementNews nextNews();
 
     // Questions.
 
     [[nodiscard]] const Residents &residents() const noexcept { return m_residents; }
-    /// \returns the changes of the last while
-    [[nodiscard]] PlacementNews news(TimePoint now) const;
     /// \returns everything
     [[nodiscard]] PlacementNews whole() const;
 
 private:
-    [[nodiscard]] PlacementNews newsAfter(std::uint64_t base) const;
-
     Residents m_residents;
     std::uint64_t m_number = 0;
     /// Number of the last change of each target, also of those that have left lately.
     std::map<TargetId, std::uint64_t> m_changedAt;
-    /// Numbers that are still told, with their times.
-    std::deque<std::pair<std::uint64_t, TimePoint>> m_recent;
+    /// Numbers of the latest messages, the oldest first.
+    std::deque<std::uint64_t> m_told;
 };
 
 /// The other daemons' side: puts the changes together.
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -11,8 +11,6 @@
 
 using std::chrono::milliseconds;
 
-/// An order that was not answered in time is repeated after this time.
-constexpr Duration RepeatAfter = milliseconds(50);
 /// Time that an adapter takes, with allowance for others on their way.
 constexpr Duration AdapterLoad = milliseconds(15);
 /// Time that an unload takes when nothing runs.
@@ -21,22 +19,8 @@
 constexpr Duration EvictionCost = milliseconds(200);
 /// Added to the time of a load, so that it has ended for certain.
 constexpr Duration EndAllowance = milliseconds(15);
-/// A report tells the state of this time ago at the latest.
-constexpr Duration ReportLag = milliseconds(200);
 /// Added to an unload that must wait for running requests.
 constexpr Duration RunningWait = milliseconds(1000);
-/// Between two reports while nothing is awaited.
-constexpr Duration IdleReportEvery = std::chrono::seconds(3);
-/// Between two reports of a target that should serve what is waited for.
-constexpr Duration CheckEvery = milliseconds(300);
-/// Reports in a row that did not come, after which a target counts as away.
-constexpr unsigned MissedReportsOfAway = 2;
-/// Between two reports while an order is awaited.
-constexpr Duration ReportEvery = milliseconds(60);
-/// How long an adapter may be used after it was told to leave before it is told again.
-constexpr Duration LongestAdapterUse = std::chrono::seconds(10);
-/// After a refusal or a failed connection.
-constexpr Duration PauseAfterFailure = milliseconds(500);
 /// Loads from the weight store that run at full speed together.
 constexpr std::size_t FullSpeedLoads = 4;
 /// Window over which the weight store counts the beginning of loads.
@@ -58,11 +42,6 @@
 
 } // namespace
 
-double urgencyOf(int priority)
-{
-    return std::pow(3.0, 2 - std::clamp(priority, 0, 4));
-}
-
 double SwapPlanner::Wanted::pressure() const
 {
     return urgency * (1.0 + toSeconds(oldestWait));
@@ -88,213 +67,50 @@
     return it == engine->models.end() ? nullptr : &it->second;
 }
 
-Megabytes SwapPlanner::sizeOf(const ServiceId &service, const ReplicaKey &key) const
-{
-    // A model that the configuration does not name any more still holds memory; no load fits then.
-    const auto *spec = specOf(service, key.model);
-    if (!spec)
-        return std::numeric_limits<Megabytes>::infinity();
-    return key.adapter.isEmpty() ? spec->weights : spec->adapterWeights;
-}
-
 void SwapPlanner::noteTargets(const std::map<TargetId, TargetEntry> &targets, TimePoint now)
 {
-    std::erase_if(m_targets, [&](const auto &it) { return !targets.contains(it.first); });
-    for (const auto &[id, entry] : targets) {
-        if (!entry.engine)
-            continue;
-        auto [it, isNew] = m_targets.try_emplace(id);
-        auto &state = it->second;
-        if (isNew || state.entry.born != entry.born) {
-            state = TargetState {};
-            state.engine = *entry.engine;
-            state.reportAt = now;
-        }
-        state.entry = entry;
-    }
+    std::erase_if(m_engines, [&](const auto &it) { return !targets.contains(it.first); });
+    for (const auto &[id, entry] : targets)
+        if (entry.engine)
+            m_engines[id].noteEntry(entry, now);
 }
 
 void SwapPlanner::noteReport(const TargetId &target, std::uint64_t born, const EngineState &state,
                              TimePoint now)
 {
-    const auto it = m_targets.find(target);
-    if (it == m_targets.end() || (born != 0 && it->second.entry.born != born))
-        return;
-    it->second.reportAt.reset();
-    it->second.reportedAt = now;
-    it->second.missedReports = 0;
-    it->second.isKnown = true;
-    applyState(it->second, state, now);
+    const auto it = m_engines.find(target);
+    if (it != m_engines.end() && (born == 0 || it->second.entry().born == born))
+        it->second.noteReport(state, now);
 }
 
 void SwapPlanner::noteReportFailed(const TargetId &target)
 {
-    if (const auto it = m_targets.find(target); it != m_targets.end())
-        ++it->second.missedReports;
-}
-
-void SwapPlanner::applyState(TargetState &it, const EngineState &state, TimePoint now)
-{
-    if (state.sequence < it.engine.sequence)
-        return;
-    it.engine.inMemory = state.inMemory;
-    it.engine.onDisk = state.onDisk;
-    if (!it.pending) {
-        settle(it, state, now);
-        return;
-    }
-    const auto &order = it.pending->order;
-    if (state.sequence <= order.expectedSequence)
-        return;
-    // The number has moved on: either this order or another one was accepted.
-    const bool isLoad = order.action == IntentAction::Load;
-    const bool isDone = state.resident.contains(order.key) == isLoad;
-    const bool isOther = state.sequence > order.expectedSequence + 1;
-    it.engine.sequence = state.sequence;
-    const bool isComing = isLoad && state.coming.contains(order.key);
-    if (isDone || isOther || (!state.isBusy && !isComing)) {
-        it.pending.reset();
-        settle(it, state, now);
-        return;
-    }
-    it.pending->phase = Phase::Carried;
-}
-
-void SwapPlanner::settle(TargetState &it, const EngineState &state, TimePoint now)
-{
-    it.engine = state;
-    it.leavingModel.clear();
-    std::erase_if(it.leavingAdapters, [&](const auto &leaving) {
-        return !state.resident.contains(leaving.first) || now >= leaving.second;
-    });
-    for (const auto &[key, until] : it.leavingAdapters)
-        it.engine.resident.erase(key);
-    if (state.isBusy)
-        it.reportAt = now + ReportEvery;
-    else if (!it.leavingAdapters.empty())
-        it.reportAt = now + CheckEvery;
+    if (const auto it = m_engines.find(target); it != m_engines.end())
+        it->second.noteReportFailed();
 }
 
 void SwapPlanner::noteDemand(const VmId &vm, std::vector<ModelDemand> demand,
                              std::vector<ModelInFlight> inFlight, TimePoint now)
 {
     for (const auto &it : inFlight)
-        if (const auto target = m_targets.find(it.target); target != m_targets.end())
-            target->second.lastUsed[it.key] = now;
+        if (const auto engine = m_engines.find(it.target); engine != m_engines.end())
+            engine->second.noteUse(it.key, now);
     m_demand[vm] = { std::move(demand), std::move(inFlight), now };
 }
 
-void SwapPlanner::finish(TargetState &it, TimePoint now)
-{
-    const auto &order = it.pending->order;
-    if (order.action == IntentAction::Load) {
-        it.engine.resident.insert(order.key);
-        it.engine.coming.erase(order.key);
-        it.lastUsed[order.key] = now;
-        if (order.key.adapter.isEmpty()) {
-            it.engine.onDisk.insert(order.key.model);
-            it.engine.inMemory.insert(order.key.model);
-        }
-    } else if (order.key.adapter.isEmpty()) {
-        const auto isOfModel = [&](const auto &key) {
-            return key.model == order.key.model;
-        };
-        for (const auto &key : it.engine.resident)
-            if (isOfModel(key))
-                it.leavingModel.insert(key);
-        for (const auto &[key, until] : it.leavingAdapters)
-            if (isOfModel(key))
-                it.leavingModel.insert(key);
-        std::erase_if(it.engine.resident, isOfModel);
-        std::erase_if(it.leavingAdapters,
-                      [&](const auto &leaving) { return isOfModel(leaving.first); });
-        // What was held before stays on the target's disk.
-        it.engine.onDisk.insert(order.key.model);
-    } else {
-        it.engine.resident.erase(order.key);
-    }
-    it.pending.reset();
-}
-
 void SwapPlanner::noteOutcome(const PlacementOrder &order, OrderOutcome outcome, TimePoint now)
 {
-    const auto found = m_targets.find(order.target);
-    if (found == m_targets.end() || found->second.entry.born != order.born)
-        return;
-    auto &it = found->second;
-    if (!it.pending || it.pending->order.expectedSequence != order.expectedSequence)
-        return;
-    switch (outcome) {
-    case OrderOutcome::Accepted:
-        noteAccepted(it, order, now);
-        break;
-    case OrderOutcome::Done:
-        // An adapter leaves at once, and that counts as an order.
-        if (order.action == IntentAction::Unload)
-            it.engine.sequence = std::max(it.engine.sequence, order.expectedSequence + 1);
-        finish(it, now);
-        break;
-    case OrderOutcome::Conflict:
-        if (it.pending->phase != Phase::Carried)
-            it.pending.reset();
-        it.reportAt = now;
-        it.pausedUntil = now + ReportEvery;
-        break;
-    case OrderOutcome::Refused:
-    case OrderOutcome::NotSent:
-        it.pending.reset();
-        it.pausedUntil = now + PauseAfterFailure;
-        it.reportAt = now + PauseAfterFailure;
-        break;
-    case OrderOutcome::Unknown:
-        it.pending->phase = Phase::Unknown;
-        it.pending->repeatAt = now + RepeatAfter;
-        it.reportAt = now;
-        break;
-    }
-}
-
-void SwapPlanner::noteAccepted(TargetState &it, const PlacementOrder &order, TimePoint now)
-{
-    it.engine.sequence = std::max(it.engine.sequence, order.expectedSequence + 1);
-    if (order.action == IntentAction::Unload && !order.key.adapter.isEmpty()) {
-        // One that leaves at once is answered as done; requests still use this one.
-        it.engine.resident.erase(order.key);
-        it.leavingAdapters[order.key] = now + LongestAdapterUse;
-        it.pending.reset();
-        it.reportAt = now + ReportLag;
-        return;
-    }
-    // The target carries out one model order at a time, so those before have ended.
-    if (order.key.adapter.isEmpty())
-        it.leavingModel.clear();
-    it.pending->phase = Phase::Carried;
-    it.pending->expectedEnd = now + it.pending->duration;
-    if (!it.pending->endsOnTime)
-        it.reportAt = it.pending->expectedEnd;
+    if (const auto it = m_engines.find(order.target); it != m_engines.end())
+        it->second.noteOutcome(order, outcome, now);
 }
 
 std::vector<TargetId> SwapPlanner::reportsDue(TimePoint now)
 {
     std::vector<TargetId> due;
-    for (auto &[id, it] : m_targets) {
-        // Reports lag; what takes a known time is done before one can tell. If it is not, the next
-        // order meets a conflict, and requests are told that they did not run.
-        if (it.pending && it.pending->phase == Phase::Carried && it.pending->endsOnTime
-            && now >= it.pending->expectedEnd) {
-            const bool isAdapter = !it.pending->order.key.adapter.isEmpty();
-            finish(it, now);
-            if (!isAdapter)
-                it.reportAt = now + ReportLag;
-        }
-        if (it.pending && it.pending->phase == Phase::Carried && !it.reportAt)
-            it.reportAt = std::max(now + ReportEvery, it.pending->expectedEnd);
-        if (!it.reportAt && now - it.reportedAt > IdleReportEvery)
-            it.reportAt = now;
-        if (it.reportAt && now >= *it.reportAt) {
+    for (auto &[id, it] : m_engines) {
+        it.noteTime(now);
+        if (it.takeReportDue(now))
             due.push_back(id);
-            it.reportAt = now + 5 * ReportEvery;
-        }
     }
     return due;
 }
@@ -302,17 +118,8 @@
 Residents SwapPlanner::residents() const
 {
     Residents all;
-    for (const auto &[id, it] : m_targets) {
-        auto &keys = all[id];
-        keys = it.engine.resident;
-        if (!it.pending || it.pending->order.action != IntentAction::Unload)
-            continue;
-        const auto &leaving = it.pending->order.key;
-        if (leaving.adapter.isEmpty())
-            std::erase_if(keys, [&](const auto &key) { return key.model == leaving.model; });
-        else
-            keys.erase(leaving);
-    }
+    for (const auto &[id, it] : m_engines)
+        all.emplace(id, it.serving());
     return all;
 }
 
@@ -345,88 +152,19 @@
               [](const auto &a, const auto &b) { return a.pressure() > b.pressure(); });
 }
 
-const SwapPlanner::Wanted *SwapPlanner::wantOf(const ServiceId &service,
-                                               const ReplicaKey &key) const
-{
-    const auto it = std::find_if(m_wanted.begin(), m_wanted.end(), [&](const auto &wanted) {
-        return wanted.service == service && wanted.key == key;
-    });
-    return it == m_wanted.end() ? nullptr : &*it;
-}
-
-bool SwapPlanner::isUsable(const TargetState &it, const ServiceId &service)
-{
-    return it.entry.service == service && !it.entry.isDraining
-            && it.missedReports < MissedReportsOfAway;
-}
-
-bool SwapPlanner::takesOrders(const TargetState &it, const ServiceId &service)
-{
-    // What a former holder's order loads holds memory, but is not listed before it is done.
-    const bool isOthersOrder = it.engine.isBusy && !it.pending;
-    return isUsable(it, service) && it.isKnown && !isOthersOrder;
-}
-
-Megabytes SwapPlanner::freeOf(const TargetState &it) const
-{
-    const auto *engine = engineOf(it.entry.service);
-    if (!engine)
-        return 0;
-    auto free = engine->weights;
-    for (const auto &key : it.engine.resident)
-        free -= sizeOf(it.entry.service, key);
-    if (it.pending && it.pending->order.action == IntentAction::Load
-        && !it.engine.resident.contains(it.pending->order.key))
-        free -= sizeOf(it.entry.service, it.pending->order.key);
-    for (const auto &key : it.engine.coming)
-        if (!it.engine.resident.contains(key))
-            free -= sizeOf(it.entry.service, key);
-    for (const auto &[key, until] : it.leavingAdapters)
-        free -= sizeOf(it.entry.service, key);
-    return free;
-}
-
-Megabytes SwapPlanner::freeForAdapters(const TargetState &it) const
-{
-    auto free = freeOf(it);
-    for (const auto &key : it.leavingModel)
-        free -= sizeOf(it.entry.service, key);
-    return free;
-}
-
-std::size_t SwapPlanner::adapterPlacesTaken(const TargetState &it)
-{
-    std::set<ReplicaKey> adapters;
-    for (const auto *keys : { &it.engine.resident, &it.engine.coming, &it.leavingModel })
-        for (const auto &key : *keys)
-            if (!key.adapter.isEmpty())
-                adapters.insert(key);
-    for (const auto &[key, until] : it.leavingAdapters)
-        adapters.insert(key);
-    return adapters.size();
-}
-
 std::size_t SwapPlanner::copiesOf(const ReplicaKey &key, const ServiceId &service) const
 {
     return static_cast<std::size_t>(
-            std::count_if(m_targets.begin(), m_targets.end(), [&](const auto &it) {
-                const auto &state = it.second;
-                const bool isLeaving = state.pending
-                        && state.pending->order.action == IntentAction::Unload
-                        && state.pending->order.key == key;
-                return isUsable(state, service) && state.engine.resident.contains(key)
-                        && !isLeaving;
+            std::count_if(m_engines.begin(), m_engines.end(), [&](const auto &it) {
+                return it.second.isUsable(service) && it.second.serves(key);
             }));
 }
 
 std::size_t SwapPlanner::comingOf(const ReplicaKey &key, const ServiceId &service) const
 {
     return static_cast<std::size_t>(
-            std::count_if(m_targets.begin(), m_targets.end(), [&](const auto &it) {
-                const auto &state = it.second;
-                return isUsable(state, service) && state.pending
-                        && state.pending->order.action == IntentAction::Load
-                        && state.pending->order.key == key;
+            std::count_if(m_engines.begin(), m_engines.end(), [&](const auto &it) {
+                return it.second.isUsable(service) && it.second.isLoading(key);
             }));
 }
 
@@ -450,9 +188,8 @@
 std::size_t SwapPlanner::storeLoadsUnderWay() const
 {
     return static_cast<std::size_t>(
-            std::count_if(m_targets.begin(), m_targets.end(), [](const auto &it) {
-                return it.second.pending && it.second.pending->isFromStore;
-            }));
+            std::count_if(m_engines.begin(), m_engines.end(),
+                          [](const auto &it) { return it.second.isLoadingFromStore(); }));
 }
 
 bool SwapPlanner::mayLoadFromStore(const EngineSpec &engine, TimePoint now) const
@@ -463,9 +200,9 @@
     return static_cast<double>(recent) + 1 <= std::max(allowed, 1.0);
 }
 
-double SwapPlanner::lossOf(const TargetState &it, const ReplicaKey &key) const
+double SwapPlanner::lossOf(const EngineTrack &it, const ReplicaKey &key) const
 {
-    const auto &service = it.entry.service;
+    const auto &service = it.entry().service;
     double perSecond = 0;
     double waiting = 0;
     for (const auto &wanted : m_wanted) {
@@ -475,54 +212,53 @@
         waiting += wanted.urgency;
     }
     const auto copies = copiesOf(key, service);
-    const auto running = inFlightAt(it.entry.id, key.model);
+    const auto running = inFlightAt(it.entry().id, key.model);
     // With the last copy, all requests of the time of a load are late.
     const auto missed = copies <= 1 ? 2.0 * perSecond + waiting : perSecond * 0.5;
     return missed * 2.0 + running * 1.5;
 }
 
-std::optional<std::vector<ReplicaKey>> SwapPlanner::victimsFor(const TargetState &it,
+std::optional<std::vector<ReplicaKey>> SwapPlanner::victimsFor(const EngineTrack &it,
                                                                Megabytes needed, double gain) const
 {
     std::vector<ReplicaKey> victims;
-    auto free = freeOf(it);
+    const auto *engine = engineOf(it.entry().service);
+    if (!engine)
+        return std::nullopt;
+    auto free = it.freeMemory(*engine);
     if (free >= needed)
         return victims;
     std::vector<std::pair<double, ReplicaKey>> order;
-    for (const auto &key : it.engine.resident)
+    for (const auto &key : it.state().resident)
         if (key.adapter.isEmpty())
             order.emplace_back(lossOf(it, key), key);
     std::sort(order.begin(), order.end(), [&](const auto &a, const auto &b) {
         if (a.first != b.first)
             return a.first < b.first;
-        const auto usedAt = [&](const ReplicaKey &key) {
-            const auto used = it.lastUsed.find(key);
-            return used == it.lastUsed.end() ? TimePoint() : used->second;
-        };
-        return usedAt(a.second) < usedAt(b.second);
+        return it.usedAt(a.second) < it.usedAt(b.second);
     });
     for (const auto &[loss, key] : order) {
         if (loss >= gain)
             break;
         victims.push_back(key);
-        for (const auto &held : it.engine.resident)
+        for (const auto &held : it.state().resident)
             if (held.model == key.model)
-                free += sizeOf(it.entry.service, held);
+                free += sizeOf(*engine, held);
         if (free >= needed)
             return victims;
     }
     return std::nullopt;
 }
 
-Duration SwapPlanner::loadTime(const TargetState &it, const ModelId &model, bool &isFromStore) const
+Duration SwapPlanner::loadTime(const EngineTrack &it, const ModelId &model, bool &isFromStore) const
 {
     isFromStore = false;
-    const auto *spec = specOf(it.entry.service, model);
+    const auto *spec = specOf(it.entry().service, model);
     if (!spec)
         return std::chrono::hours(1);
-    if (it.engine.inMemory.contains(model))
+    if (it.state().inMemory.contains(model))
         return spec->memoryLoad;
-    if (it.engine.onDisk.contains(model))
+    if (it.state().onDisk.contains(model))
         return spec->diskLoad;
     isFromStore = true;
     const auto n = storeLoadsUnderWay() + 1;
@@ -536,15 +272,17 @@
 {
     std::optional<Candidate> best;
     std::uint32_t bestLoad = 0;
-    const auto bytes = sizeOf(wanted.service, wanted.key);
-    for (const auto &[id, it] : m_targets) {
-        if (!takesOrders(it, wanted.service) || it.engine.resident.contains(wanted.key)
+    const auto *engine = engineOf(wanted.service);
+    if (!engine)
+        return best;
+    const auto bytes = sizeOf(*engine, wanted.key);
+    for (const auto &[id, it] : m_engines) {
+        if (!it.takesOrders(wanted.service) || it.state().resident.contains(wanted.key)
             || m_reserved.contains(id))
             continue;
         Candidate candidate { id, Duration::zero(), false, {} };
         candidate.readyIn = loadTime(it, wanted.key.model, candidate.isFromStore);
-        const auto freeAt = it.pending ? it.pending->expectedEnd : now;
-        candidate.readyIn += std::max({ freeAt - now, it.pausedUntil - now, Duration::zero() });
+        candidate.readyIn += it.freeIn(now);
         auto victims = victimsFor(it, bytes, wanted.pressure());
         if (!victims)
             continue;
@@ -561,37 +299,35 @@
     return best;
 }
 
-void SwapPlanner::order(TargetState &it, IntentAction action, const ReplicaKey &key, TimePoint now,
-                        std::vector<PlacementOrder> &orders)
-{
-    Pending pending;
-    pending.order = { it.entry.id, it.entry.born, action, key, it.engine.sequence };
-    if (!key.adapter.isEmpty()) {
-        pending.duration = AdapterLoad;
-        pending.endsOnTime = true;
-    } else if (action == IntentAction::Load) {
-        pending.duration = loadTime(it, key.model, pending.isFromStore) + EndAllowance;
-        pending.endsOnTime = !pending.isFromStore;
-        if (pending.isFromStore)
-            m_storeLoads.push_back(now);
-        while (m_storeLoads.size() > 1000)
-            m_storeLoads.pop_front();
-    } else {
-        const bool hasRunning = inFlightAt(it.entry.id, key.model) > 0;
-        pending.duration = UnloadTime + (hasRunning ? RunningWait : Duration::zero());
-        pending.endsOnTime = !hasRunning;
+void SwapPlanner::load(EngineTrack &it, const ReplicaKey &key, TimePoint now,
+                       std::vector<PlacementOrder> &orders)
+{
+    OrderTiming timing { AdapterLoad, false, true };
+    if (key.adapter.isEmpty()) {
+        timing.duration = loadTime(it, key.model, timing.isFromStore) + EndAllowance;
+        timing.endsOnTime = !timing.isFromStore;
     }
-    pending.expectedEnd = now + pending.duration;
-    orders.push_back(pending.order);
-    it.pending = std::move(pending);
+    if (timing.isFromStore)
+        m_storeLoads.push_back(now);
+    while (!m_storeLoads.empty() && now - m_storeLoads.front() > StoreWindow)
+        m_storeLoads.pop_front();
+    orders.push_back(it.give(IntentAction::Load, key, timing, now));
+}
+
+void SwapPlanner::unload(EngineTrack &it, const ReplicaKey &key, TimePoint now,
+                         std::vector<PlacementOrder> &orders)
+{
+    const bool hasRunning = inFlightAt(it.entry().id, key.model) > 0;
+    const auto wait = hasRunning ? RunningWait : Duration::zero();
+    const OrderTiming timing { UnloadTime + wait, false, !hasRunning };
+    orders.push_back(it.give(IntentAction::Unload, key, timing, now));
 }
 
 void SwapPlanner::checkHolders(const Wanted &wanted, TimePoint now)
 {
-    for (auto &[id, it] : m_targets)
-        if (it.engine.resident.contains(wanted.key) && !it.reportAt
-            && now - it.reportedAt > CheckEvery)
-            it.reportAt = now;
+    for (auto &[id, it] : m_engines)
+        if (it.state().resident.contains(wanted.key))
+            it.checkSoon(now);
 }
 
 void SwapPlanner::planAdapter(const Wanted &wanted, TimePoint now,
@@ -600,35 +336,22 @@
     const auto *engine = engineOf(wanted.service);
     if (!engine || isPlacedOrComing(wanted.key, wanted.service))
         return;
-    TargetState *best = nullptr;
-    for (auto &[id, it] : m_targets) {
-        if (!takesOrders(it, wanted.service) || it.pending || now < it.pausedUntil
-            || !it.engine.resident.contains({ wanted.key.model, AdapterId() }))
+    EngineTrack *best = nullptr;
+    for (auto &[id, it] : m_engines) {
+        if (!it.takesOrders(wanted.service) || !it.isFree(now)
+            || !it.state().resident.contains({ wanted.key.model, AdapterId() }))
             continue;
-        if (!best || loadOf(id) < loadOf(best->entry.id))
+        if (!best || loadOf(id) < loadOf(best->entry().id))
             best = &it;
     }
     if (!best)
         return;
-    std::vector<ReplicaKey> held;
-    for (const auto &key : best->engine.resident)
-        if (!key.adapter.isEmpty())
-            held.push_back(key);
-    if (adapterPlacesTaken(*best) < engine->adapterSlots
-        && freeForAdapters(*best) >= sizeOf(wanted.service, wanted.key)) {
-        order(*best, IntentAction::Load, wanted.key, now, orders);
-        return;
-    }
-    const auto usedAt = [&](const ReplicaKey &key) {
-        const auto used = best->lastUsed.find(key);
-        return used == best->lastUsed.end() ? TimePoint() : used->second;
-    };
-    const auto oldest =
-            std::min_element(held.begin(), held.end(),
-                             [&](const auto &a, const auto &b) { return usedAt(a) < usedAt(b); });
-    // What is leaving makes the place without another order.
-    if (oldest != held.end() && best->leavingModel.empty() && best->leavingAdapters.empty())
-        order(*best, IntentAction::Unload, *oldest, now, orders);
+    const bool hasPlace = best->adapterPlacesTaken() < engine->adapterSlots
+            && best->freeForAdapters(*engine) >= sizeOf(*engine, wanted.key);
+    if (hasPlace)
+        load(*best, wanted.key, now, orders);
+    else if (const auto idlest = best->idlestAdapter())
+        unload(*best, *idlest, now, orders);
 }
 
 void SwapPlanner::planModel(const Wanted &wanted, TimePoint now,
@@ -653,24 +376,22 @@
                                  std::vector<PlacementOrder> &orders)
 {
     m_reserved.insert(candidate.target);
-    auto &it = m_targets.at(candidate.target);
-    if (it.pending || now < it.pausedUntil)
+    auto &it = m_engines.at(candidate.target);
+    if (!it.isFree(now))
         return;
     if (candidate.victims.empty())
-        order(it, IntentAction::Load, key, now, orders);
+        load(it, key, now, orders);
     else
-        order(it, IntentAction::Unload, candidate.victims.front(), now, orders);
+        unload(it, candidate.victims.front(), now, orders);
 }
 
 std::vector<LoadEstimate> SwapPlanner::estimates(TimePoint now) const
 {
     std::vector<LoadEstimate> all;
-    for (const auto &[id, it] : m_targets) {
-        const bool isLoad = it.pending && it.pending->order.action == IntentAction::Load
-                && it.pending->order.key.adapter.isEmpty();
-        if (isLoad)
-            all.push_back({ it.entry.service, it.pending->order.key.model,
-                            std::max(it.pending->expectedEnd - now, Duration::zero()) });
+    for (const auto &[id, it] : m_engines) {
+        const auto *order = it.order();
+        if (order && order->action == IntentAction::Load && !order->isForAdapter())
+            all.push_back({ it.entry().service, order->key.model, it.timeLeft(now) });
     }
     return all;
 }
@@ -701,54 +422,49 @@
     }
 }
 
+std::set<ModelId> SwapPlanner::modelsAtHand(const ServiceId &service) const
+{
+    std::set<ModelId> models;
+    for (const auto &[id, it] : m_engines) {
+        if (!it.isUsable(service))
+            continue;
+        models.insert(it.state().inMemory.begin(), it.state().inMemory.end());
+        models.insert(it.state().onDisk.begin(), it.state().onDisk.end());
+        for (const auto &key : it.state().resident)
+            models.insert(key.model);
+        if (const auto *order = it.order())
+            models.insert(order->key.model);
+    }
+    return models;
+}
+
 void SwapPlanner::planPrefetch(TimePoint now, std::vector<PlacementOrder> &orders)
 {
     for (const auto &[service, spec] : m_services) {
         if (!spec.engine || storeLoadsUnderWay() >= PrefetchLoads
             || !mayLoadFromStore(*spec.engine, now))
             continue;
-        std::set<ModelId> atHand;
-        for (const auto &[id, it] : m_targets) {
-            if (!isUsable(it, service))
-                continue;
-            atHand.insert(it.engine.inMemory.begin(), it.engine.inMemory.end());
-            atHand.insert(it.engine.onDisk.begin(), it.engine.onDisk.end());
-            for (const auto &key : it.engine.resident)
-                atHand.insert(key.model);
-            if (it.pending)
-                atHand.insert(it.pending->order.key.model);
-        }
+        const auto atHand = modelsAtHand(service);
         const auto missing =
                 std::find_if(spec.engine->models.begin(), spec.engine->models.end(),
                              [&](const auto &model) { return !atHand.contains(model.first); });
         if (missing == spec.engine->models.end())
             continue;
-        TargetState *best = nullptr;
-        for (auto &[id, it] : m_targets) {
-            if (!takesOrders(it, service) || it.pending || now < it.pausedUntil
-                || m_reserved.contains(id)
+        EngineTrack *best = nullptr;
+        for (auto &[id, it] : m_engines) {
+            if (!it.takesOrders(service) || !it.isFree(now) || m_reserved.contains(id)
                 || !victimsFor(it, missing->second.weights, PrefetchGain))
                 continue;
-            if (!best || it.engine.onDisk.size() < best->engine.onDisk.size())
+            if (!best || it.state().onDisk.size() < best->state().onDisk.size())
                 best = &it;
         }
         if (!best)
             continue;
         const auto victims = *victimsFor(*best, missing->second.weights, PrefetchGain);
         if (victims.empty())
-            order(*best, IntentAction::Load, { missing->first, AdapterId() }, now, orders);
+            load(*best, { missing->first, AdapterId() }, now, orders);
         else
-            order(*best, IntentAction::Unload, victims.front(), now, orders);
-    }
-}
-
-void SwapPlanner::planRepeats(TimePoint now, std::vector<PlacementOrder> &orders)
-{
-    for (auto &[id, it] : m_targets) {
-        if (!it.pending || it.pending->phase != Phase::Unknown || now < it.pending->repeatAt)
-            continue;
-        it.pending->phase = Phase::Sent;
-        orders.push_back(it.pending->order);
+            unload(*best, victims.front(), now, orders);
     }
 }
 
@@ -757,7 +473,9 @@
     std::vector<PlacementOrder> orders;
     gather(now);
     m_reserved.clear();
-    planRepeats(now, orders);
+    for (auto &[id, it] : m_engines)
+        if (const auto repeat = it.takeRepeat(now))
+            orders.push_back(*repeat);
     const auto wanted = m_wanted;
     for (const auto &it : wanted) {
         if (it.waiting == 0)
--- a/tests/tst_adapter_gateway.cpp
+++ b/tests/tst_adapter_gateway.cpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <unistd.h>
 
 namespace asio = boost::asio;
 
@@ -19,12 +20,27 @@
 
 namespace {
 
-/// \returns a port of the loopback interface that nobody listens on
+/// \returns a port of the loopback interface that nobody listens on, another one each time
+///
+/// The system's own choice is not used: it may name a port twice, and hand it to a connection of
+/// another test before it is listened on.
 std::uint16_t freePort()
 {
+    constexpr int First = 20000;
+    constexpr int Last = 32000;
+    constexpr int PortsOfAProcess = 40;
+    static int next = First + ::getpid() * PortsOfAProcess % (Last - First);
     asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
-    return acceptor.local_endpoint().port();
+    for (;;) {
+        const auto port = static_cast<std::uint16_t>(next);
+        next = next + 1 < Last ? next + 1 : First;
+        asio::ip::tcp::acceptor acceptor(context);
+        boost::system::error_code ec;
+        acceptor.open(asio::ip::tcp::v4(), ec);
+        acceptor.bind({ asio::ip::make_address("127.0.0.1"), port }, ec);
+        if (!ec)
+            return port;
+    }
 }
 
 gateway::GatewaySettings settingsOf(const std::string &vm, const Endpoint &store)
--- a/tests/tst_placementnews.cpp
+++ b/tests/tst_placementnews.cpp
@@ -5,11 +5,9 @@
 #include <random>
 
 using namespace bluebell;
-using namespace std::chrono_literals;
 
 namespace {
 
-constexpr TimePoint Start { 100s };
 const IncarnationId Holder("holder");
 
 std::set<ReplicaKey> models(const std::vector<int> &numbers)
@@ -25,15 +23,22 @@
     return TargetId("t" + std::to_string(n));
 }
 
+/// Sends as many messages as tell of one change.
+void loseMessages(PlacementLog &log)
+{
+    for (std::size_t n = 0; n < PlacementLog::TimesTold; ++n)
+        (void)log.nextNews();
+}
+
 } // namespace
 
 TEST(PlacementNews, TheFirstMessagesTellEverything)
 {
     PlacementLog log;
-    log.note({ { target(1), models({ 1 }) }, { target(2), models({ 2, 3 }) } }, Start);
+    log.note({ { target(1), models({ 1 }) }, { target(2), models({ 2, 3 }) } });
     PlacementView view;
     EXPECT_FALSE(view.isUsable());
-    view.take(Holder, 1, log.news(Start));
+    view.take(Holder, 1, log.nextNews());
     EXPECT_FALSE(view.isIncomplete());
     EXPECT_EQ(view.residents(), log.residents());
 }
@@ -41,24 +46,26 @@
 TEST(PlacementNews, LaterMessagesTellOnlyWhatChanged)
 {
     PlacementLog log;
-    log.note({ { target(1), models({ 1 }) }, { target(2), models({ 2 }) } }, Start);
-    log.note({ { target(1), models({ 1 }) }, { target(2), models({ 3 }) } }, Start + 5s);
-    const auto news = log.news(Start + 5s);
+    log.note({ { target(1), models({ 1 }) }, { target(2), models({ 2 }) } });
+    loseMessages(log);
+    log.note({ { target(1), models({ 1 }) }, { target(2), models({ 3 }) } });
+    const auto news = log.nextNews();
     EXPECT_EQ(news.changed.size(), 1U);
-    EXPECT_TRUE(log.news(Start + 10s).changed.empty());
-    EXPECT_EQ(log.news(Start + 10s).number, news.number);
+    loseMessages(log);
+    EXPECT_TRUE(log.nextNews().changed.empty());
+    EXPECT_EQ(log.nextNews().number, news.number);
 }
 
 TEST(PlacementNews, ALostMessageIsMadeUpForByTheNext)
 {
     PlacementLog log;
     PlacementView view;
-    log.note({ { target(1), models({ 1 }) } }, Start);
-    view.take(Holder, 1, log.news(Start));
-    log.note({ { target(1), models({ 2 }) } }, Start + 2s);
-    (void)log.news(Start + 2s);
-    log.note({ { target(1), models({ 2 }) }, { target(2), models({ 4 }) } }, Start + 2500ms);
-    view.take(Holder, 1, log.news(Start + 2500ms));
+    log.note({ { target(1), models({ 1 }) } });
+    view.take(Holder, 1, log.nextNews());
+    log.note({ { target(1), models({ 2 }) } });
+    (void)log.nextNews();
+    log.note({ { target(1), models({ 2 }) }, { target(2), models({ 4 }) } });
+    view.take(Holder, 1, log.nextNews());
     EXPECT_FALSE(view.isIncomplete());
     EXPECT_EQ(view.residents(), log.residents());
 }
@@ -67,11 +74,12 @@
 {
     PlacementLog log;
     PlacementView view;
-    log.note({ { target(1), models({ 1 }) }, { target(2), models({ 2 }) } }, Start);
-    view.take(Holder, 1, log.news(Start));
-    log.note({ { target(2), models({ 2 }) } }, Start + 2s);
-    log.note({ { target(2), models({ 5 }) } }, Start + 8s);
-    view.take(Holder, 1, log.news(Start + 8s));
+    log.note({ { target(1), models({ 1 }) }, { target(2), models({ 2 }) } });
+    view.take(Holder, 1, log.nextNews());
+    log.note({ { target(2), models({ 2 }) } });
+    loseMessages(log);
+    log.note({ { target(2), models({ 5 }) } });
+    view.take(Holder, 1, log.nextNews());
     EXPECT_TRUE(view.isIncomplete());
     EXPECT_TRUE(view.isUsable());
     EXPECT_EQ(view.residents().at(target(2)), models({ 5 }));
@@ -84,14 +92,14 @@
 {
     PlacementLog former;
     PlacementView view;
-    former.note({ { target(1), models({ 1 }) }, { target(2), models({ 2 }) } }, Start);
-    view.take(Holder, 1, former.news(Start));
+    former.note({ { target(1), models({ 1 }) }, { target(2), models({ 2 }) } });
+    view.take(Holder, 1, former.nextNews());
     PlacementLog log;
-    log.note({ { target(1), models({ 7 }) } }, Start + 3s);
-    view.take(IncarnationId("successor"), 2, log.news(Start + 3s));
+    log.note({ { target(1), models({ 7 }) } });
+    view.take(IncarnationId("successor"), 2, log.nextNews());
     EXPECT_EQ(view.residents(), log.residents());
-    former.note({ { target(1), models({ 9 }) } }, Start + 4s);
-    view.take(Holder, 1, former.news(Start + 4s));
+    former.note({ { target(1), models({ 9 }) } });
+    view.take(Holder, 1, former.nextNews());
     EXPECT_EQ(view.residents(), log.residents());
 }
 
@@ -104,19 +112,17 @@
         PlacementView view;
         std::vector<PlacementNews> onTheWay;
         std::map<std::uint64_t, Residents> history;
-        auto now = Start;
         for (int step = 0; step < 300; ++step) {
-            now += std::chrono::milliseconds(random() % 400);
             auto residents = log.residents();
             const auto id = target(static_cast<int>(random() % 5));
             if (random() % 8 == 0)
                 residents.erase(id);
             else if (random() % 2 == 0)
                 residents[id] = models({ static_cast<int>(random() % 9) });
-            log.note(residents, now);
+            log.note(residents);
             history[log.whole().number] = log.residents();
             if (random() % 3 != 0)
-                onTheWay.push_back(log.news(now));
+                onTheWay.push_back(log.nextNews());
             if (view.isIncomplete() && random() % 4 == 0)
                 onTheWay.push_back(log.whole());
             while (!onTheWay.empty() && random() % 3 != 0) {
