Wait for an engine with a copy before a load from the weight store, and ask different peers

Change: a model that is waited for and that some engine has on disk takes no load from the store in the first 4 s. Peers with the newest version are chosen by rendezvous hashing; the configuration's feed is held 2.5 s at most, also in a large fleet. bluebell-experiment swaps plays the planner against loading on the least loaded engine.

--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -1,6 +1,7 @@
 #include "queue/requestqueue.h"
 #include "tests/placementworld.h"
 #include "tests/rateworld.h"
+#include "tests/swapworld.h"
 
 #include <fmt/core.h>
 
@@ -13,7 +14,7 @@
 /// \file
 /// Runs policies and their baselines on the same generated load, with virtual time.
 ///
-/// usage: bluebell-experiment rate|placement|queue [FIRST_SEED [SEEDS]]
+/// usage: bluebell-experiment rate|placement|queue|swaps [FIRST_SEED [SEEDS]]
 
 namespace {
 
@@ -229,6 +230,51 @@
     run("first come", QueueKind::FirstCome, 10);
 }
 
+void printSwaps(std::string_view policy, const std::vector<SwapReport> &reports)
+{
+    SwapReport sum;
+    for (const auto &it : reports) {
+        for (const auto &[total, part] :
+             { std::pair(&sum.chat, &it.chat), std::pair(&sum.rare, &it.rare) }) {
+            total->asked += part->asked;
+            total->onTime += part->onTime;
+            total->late += part->late;
+            total->gone += part->gone;
+        }
+        sum.orders += it.orders;
+        sum.storeLoads += it.storeLoads;
+        sum.overcommitted += it.overcommitted;
+    }
+    const auto share = [](int n, const CallerReport &of) {
+        return 100.0 * n / std::max(of.asked, 1);
+    };
+    fmt::print("  {:<14} chat on time {:5.1f}% gone {:4.1f}%  rare on time {:5.1f}% late {:4.1f}% "
+               "gone "
+               "{:4.1f}%  orders {:5} store loads {:4} overcommitted {}\n",
+               policy, share(sum.chat.onTime, sum.chat), share(sum.chat.gone, sum.chat),
+               share(sum.rare.onTime, sum.rare), share(sum.rare.late, sum.rare),
+               share(sum.rare.gone, sum.rare), sum.orders, sum.storeLoads, sum.overcommitted);
+}
+
+/// The loads of the users' platform: live chat on models that shift, rare models in bursts.
+void runSwaps(const Seeds &seeds)
+{
+    for (const double rarePerSecond : { 2.0, 4.47, 7.0 }) {
+        std::vector<SwapReport> planned;
+        std::vector<SwapReport> leastLoaded;
+        for (std::uint64_t n = 0; n < seeds.count; ++n) {
+            SwapWorldSettings settings;
+            settings.seed = static_cast<unsigned>(seeds.first + n);
+            settings.rarePerSecond = rarePerSecond;
+            planned.push_back(playPlanner(settings));
+            leastLoaded.push_back(playLeastLoaded(settings));
+        }
+        fmt::print("9 engines, 50 models, 29.6 chats/s, {} rare requests/s\n", rarePerSecond);
+        printSwaps("planner", planned);
+        printSwaps("least loaded", leastLoaded);
+    }
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -245,9 +291,11 @@
         runPlacements(seeds);
     else if (what == "queue")
         runQueues(seeds);
+    else if (what == "swaps")
+        runSwaps(seeds);
     else {
         fmt::print(stderr,
-                   "usage: bluebell-experiment rate|placement|queue [FIRST_SEED [SEEDS]]\n");
+                   "usage: bluebell-experiment rate|placement|queue|swaps [FIRST_SEED [SEEDS]]\n");
         return 2;
     }
     return 0;
--- a/programs/gateway/conductor.cpp
+++ b/programs/gateway/conductor.cpp
@@ -231,6 +231,12 @@
         co_return;
     const auto report = co_await platform::fetchReport(*target, ReportTimeout);
     if (report) {
+        log::debug("report",
+                   { { "target", id.value() },
+                     { "sequence", std::to_string(report.value().state.sequence) },
+                     { "busy", report.value().state.isBusy ? "true" : "false" },
+                     { "resident", std::to_string(report.value().state.resident.size()) },
+                     { "coming", std::to_string(report.value().state.coming.size()) } });
         m_state.planner.noteReport(id, report.value().born, report.value().state, BootClock::now());
         m_state.notePlacement();
         m_state.announce();
--- a/programs/gateway/storewatch.cpp
+++ b/programs/gateway/storewatch.cpp
@@ -27,7 +27,7 @@
 /// A feed is asked again this often, so that a connection that went silent is found out.
 constexpr Duration ConfigWait = milliseconds(2000);
 /// In a large fleet each daemon asks less often: whoever learns first of a configuration tells all.
-constexpr Duration LongestConfigWait = milliseconds(10000);
+constexpr Duration LongestConfigWait = milliseconds(2500);
 constexpr std::size_t SmallFleet = 16;
 constexpr Duration TargetWait = milliseconds(1500);
 constexpr Duration MemberWait = milliseconds(8000);
--- a/src/membership/fleet.cpp
+++ b/src/membership/fleet.cpp
@@ -1,5 +1,7 @@
 #include "membership/fleet.h"
 
+#include "core/digest.h"
+
 #include <utility>
 
 namespace bluebell {
@@ -102,31 +104,36 @@
     return all;
 }
 
-std::optional<FleetMember> Fleet::peerWithConfig(SiteVersion version, TimePoint now) const
+template<typename VersionOf>
+std::optional<FleetMember> Fleet::newestPeer(std::uint64_t version, TimePoint now,
+                                             VersionOf versionOf) const
 {
     std::optional<FleetMember> best;
+    std::uint64_t bestPlace = 0;
     for (const auto &[vm, it] : m_members) {
-        if (!isHeard(vm, now) || m_heard.at(vm).status.configVersion <= version)
+        if (!isHeard(vm, now))
+            continue;
+        const auto told = versionOf(m_heard.at(vm).status);
+        const auto place = rendezvousScore(m_self.vm.value(), vm.value());
+        if (told < version || (told == version && (!best || place < bestPlace)))
             continue;
-        version = m_heard.at(vm).status.configVersion;
+        version = told;
         best = it.member;
+        bestPlace = place;
     }
     return best;
 }
 
+std::optional<FleetMember> Fleet::peerWithConfig(SiteVersion version, TimePoint now) const
+{
+    return newestPeer(version, now, [](const auto &status) { return status.configVersion; });
+}
+
 std::optional<FleetMember> Fleet::peerWithRegistry(RowVersion version, TimePoint now) const
 {
-    std::optional<FleetMember> best;
-    for (const auto &[vm, it] : m_members) {
-        if (!isHeard(vm, now))
-            continue;
-        const auto &status = m_heard.at(vm).status;
-        if (status.storeSilence > FreshStore || status.registryVersion <= version)
-            continue;
-        version = status.registryVersion;
-        best = it.member;
-    }
-    return best;
+    return newestPeer(version, now, [](const auto &status) {
+        return status.storeSilence > FreshStore ? 0 : status.registryVersion;
+    });
 }
 
 const Fleet::Heard *Fleet::holder(TimePoint now) const
--- a/src/membership/fleet.h
+++ b/src/membership/fleet.h
@@ -99,6 +99,11 @@
         TimePoint since;
     };
 
+    /// \returns one of the peers with the newest version above `version`; each daemon prefers
+    /// another one, so that not all of them ask the same
+    template<typename VersionOf>
+    [[nodiscard]] std::optional<FleetMember> newestPeer(std::uint64_t version, TimePoint now,
+                                                        VersionOf versionOf) const;
     /// \returns what was heard last from the holder of the role, or null
     [[nodiscard]] const Heard *holder(TimePoint now) const;
     [[nodiscard]] bool isHeard(const VmId &vm, TimePoint now) const;
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -21,6 +21,9 @@
 constexpr Duration EndAllowance = milliseconds(15);
 /// Added to an unload that must wait for running requests.
 constexpr Duration RunningWait = milliseconds(1000);
+/// How long a model that is waited for waits for an engine with a copy of it to be free, before it
+/// takes one of the few loads from the weight store.
+constexpr Duration PatienceForCopy = milliseconds(4000);
 /// Loads from the weight store that run at full speed together.
 constexpr std::size_t FullSpeedLoads = 4;
 /// Window over which the weight store counts the beginning of loads.
@@ -267,6 +270,13 @@
     return std::chrono::duration_cast<Duration>(spec->storeLoad * slowdown);
 }
 
+bool SwapPlanner::isOnADisk(const ModelId &model, const ServiceId &service) const
+{
+    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto &it) {
+        return it.second.takesOrders(service) && it.second.state().onDisk.contains(model);
+    });
+}
+
 std::optional<SwapPlanner::Candidate> SwapPlanner::bestTarget(const Wanted &wanted,
                                                               TimePoint now) const
 {
@@ -276,12 +286,16 @@
     if (!engine)
         return best;
     const auto bytes = sizeOf(*engine, wanted.key);
+    const bool awaitsCopy = wanted.waiting > 0 && wanted.oldestWait < PatienceForCopy
+            && isOnADisk(wanted.key.model, wanted.service);
     for (const auto &[id, it] : m_engines) {
         if (!it.takesOrders(wanted.service) || it.state().resident.contains(wanted.key)
             || m_reserved.contains(id))
             continue;
         Candidate candidate { id, Duration::zero(), false, {} };
         candidate.readyIn = loadTime(it, wanted.key.model, candidate.isFromStore);
+        if (candidate.isFromStore && awaitsCopy)
+            continue;
         candidate.readyIn += it.freeIn(now);
         auto victims = victimsFor(it, bytes, wanted.pressure());
         if (!victims)
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -102,6 +102,8 @@
     /// \returns what has to leave, or nothing when that costs as much as is gained
     [[nodiscard]] std::optional<std::vector<ReplicaKey>>
     victimsFor(const EngineTrack &it, Megabytes needed, double gain) const;
+    /// \returns whether an engine that takes orders has a copy of the model at hand
+    [[nodiscard]] bool isOnADisk(const ModelId &model, const ServiceId &service) const;
     [[nodiscard]] std::optional<Candidate> bestTarget(const Wanted &wanted, TimePoint now) const;
     /// Asks for the reports of engines that should serve what is waited for.
     void checkHolders(const Wanted &wanted, TimePoint now);
--- /dev/null
+++ b/tests/swapworld.cpp
@@ -0,0 +1,481 @@
+#include "tests/swapworld.h"
+
+#include "placement/demandboard.h"
+#include "placement/swapplanner.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bluebell::tests {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint Start { std::chrono::seconds(1000) };
+constexpr Duration Step = milliseconds(5);
+constexpr Duration PlanEvery = milliseconds(25);
+constexpr Duration ReportLag = milliseconds(200);
+constexpr Duration RunTime = milliseconds(900);
+constexpr Duration UnloadTime = milliseconds(50);
+constexpr Duration StoreLoad = std::chrono::seconds(6);
+constexpr Duration DiskLoad = milliseconds(550);
+constexpr Duration MemoryLoad = milliseconds(440);
+constexpr Duration CeilingWindow = std::chrono::seconds(5);
+constexpr std::size_t CopiesInMemory = 2;
+/// Engines that hold each busy model at the start.
+constexpr int BusyCopies = 3;
+const ServiceId Engines("engines");
+const VmId Vm("vm-1");
+
+/// What callers of one kind expect.
+struct CallerKind
+{
+    int priority;
+    Duration goal;
+    Duration patience;
+};
+constexpr CallerKind Chat { 1, milliseconds(250), std::chrono::seconds(2) };
+constexpr CallerKind Rare { 0, milliseconds(2500), std::chrono::seconds(10) };
+
+/// An engine that carries out one order at a time.
+struct Engine
+{
+    EngineState state;
+    std::map<ModelId, std::uint32_t> running;
+    std::optional<PlacementOrder> order;
+    TimePoint orderEnd;
+    bool isFromStore = false;
+    /// The states of the last while, of which reports tell an old one.
+    std::deque<std::pair<TimePoint, EngineState>> history;
+    std::deque<ModelId> inMemory;
+};
+
+struct Caller
+{
+    ModelId model;
+    const CallerKind *kind = nullptr;
+    TimePoint at;
+    WaitId wait = 0;
+};
+
+struct Run
+{
+    TargetId engine;
+    ModelId model;
+    TimePoint end;
+};
+
+ModelId modelName(int n)
+{
+    return ModelId("m" + std::to_string(100 + n));
+}
+
+/// The engines and callers; policies give the orders.
+class World
+{
+public:
+    explicit World(const SwapWorldSettings &settings)
+        : m_settings(settings), m_random(settings.seed)
+    {
+        makeModels();
+        makeEngines();
+    }
+
+    template<typename Policy>
+    SwapReport play(Policy &policy)
+    {
+        const auto end = Start + m_settings.lead + m_settings.length;
+        for (m_now = Start; m_now < end; m_now += Step) {
+            finishOrders();
+            finishRuns();
+            if (m_now >= Start + m_settings.lead)
+                addCallers();
+            if ((m_now - Start) % PlanEvery == Duration::zero())
+                policy.plan(*this);
+            serve(policy);
+        }
+        return m_report;
+    }
+
+    // For policies.
+
+    [[nodiscard]] TimePoint now() const { return m_now; }
+    [[nodiscard]] const EngineSpec &spec() const { return m_spec; }
+    [[nodiscard]] const std::map<TargetId, Engine> &engines() const { return m_engines; }
+    [[nodiscard]] const std::deque<Caller> &waiting() const { return m_waiting; }
+    [[nodiscard]] DemandBoard &demand() { return m_demand; }
+    [[nodiscard]] std::vector<ModelInFlight> inFlight() const
+    {
+        std::vector<ModelInFlight> all;
+        for (const auto &[id, engine] : m_engines)
+            for (const auto &[model, count] : engine.running)
+                if (count > 0)
+                    all.push_back({ id, { model, AdapterId() }, count });
+        return all;
+    }
+    [[nodiscard]] EngineState reportOf(const TargetId &id) const
+    {
+        const auto &history = m_engines.at(id).history;
+        auto state = history.front().second;
+        for (const auto &[at, it] : history)
+            if (at <= m_now - ReportLag)
+                state = it;
+        return state;
+    }
+    [[nodiscard]] std::map<TargetId, TargetEntry> entries() const
+    {
+        std::map<TargetId, TargetEntry> all;
+        for (const auto &[id, engine] : m_engines) {
+            TargetEntry entry;
+            entry.id = id;
+            entry.service = Engines;
+            entry.slots = 64;
+            entry.born = 1;
+            entry.engine = engine.state;
+            all.emplace(id, std::move(entry));
+        }
+        return all;
+    }
+    OrderOutcome take(const PlacementOrder &order)
+    {
+        auto &engine = m_engines.at(order.target);
+        ++m_report.orders;
+        if (engine.order || order.expectedSequence != engine.state.sequence) {
+            ++m_report.refusedOrders;
+            return OrderOutcome::Conflict;
+        }
+        ++engine.state.sequence;
+        engine.state.isBusy = true;
+        engine.order = order;
+        engine.isFromStore = false;
+        if (order.action == IntentAction::Load)
+            beginLoad(engine, order.key.model);
+        else
+            engine.orderEnd = m_now + UnloadTime;
+        remember(engine);
+        return OrderOutcome::Accepted;
+    }
+
+private:
+    void makeModels()
+    {
+        m_spec.weights = m_settings.memory;
+        m_spec.adapterSlots = 8;
+        m_spec.slots = 64;
+        m_spec.storeLoadsPerSecond = m_settings.storeLoadsPerSecond;
+        for (int n = 0; n < m_settings.models; ++n) {
+            ModelSpec model;
+            model.weights = n % 3 == 0 ? 72700 : 65100;
+            if (n % 5 == 4)
+                model.weights = 42700;
+            model.storeLoad = StoreLoad;
+            model.diskLoad = DiskLoad;
+            model.memoryLoad = MemoryLoad;
+            m_spec.models.emplace(modelName(n), model);
+        }
+    }
+    void makeEngines()
+    {
+        int next = m_settings.busyNow;
+        for (int n = 0; n < m_settings.engines; ++n) {
+            Engine engine;
+            if (n < m_settings.busyNow * BusyCopies)
+                hold(engine, modelName(n % m_settings.busyNow));
+            while (next < m_settings.models && fits(engine, modelName(next)))
+                hold(engine, modelName(next++));
+            for (int m = n; m < m_settings.models - m_settings.atHandNowhere;
+                 m += m_settings.engines)
+                engine.state.onDisk.insert(modelName(m));
+            m_engines.emplace(TargetId("t" + std::to_string(n)), engine);
+        }
+        for (auto &[id, engine] : m_engines)
+            remember(engine);
+    }
+    [[nodiscard]] bool fits(const Engine &engine, const ModelId &model) const
+    {
+        auto held = m_spec.models.at(model).weights;
+        for (const auto &key : engine.state.resident)
+            held += m_spec.models.at(key.model).weights;
+        return held <= m_spec.weights;
+    }
+    static void hold(Engine &engine, const ModelId &model)
+    {
+        engine.state.resident.insert({ model, AdapterId() });
+        engine.state.onDisk.insert(model);
+        std::erase(engine.inMemory, model);
+        engine.inMemory.push_back(model);
+        if (engine.inMemory.size() > CopiesInMemory)
+            engine.inMemory.pop_front();
+        engine.state.inMemory = { engine.inMemory.begin(), engine.inMemory.end() };
+    }
+    void remember(Engine &engine)
+    {
+        engine.history.emplace_back(m_now, engine.state);
+        while (engine.history.size() > 1 && engine.history[1].first <= m_now - ReportLag)
+            engine.history.pop_front();
+    }
+    void beginLoad(Engine &engine, const ModelId &model)
+    {
+        m_report.overcommitted += fits(engine, model) ? 0 : 1;
+        auto duration = MemoryLoad;
+        if (!engine.state.inMemory.contains(model))
+            duration = DiskLoad;
+        if (!engine.state.onDisk.contains(model)) {
+            engine.isFromStore = true;
+            duration = beginStoreLoad();
+        }
+        engine.orderEnd = m_now + duration;
+    }
+    Duration beginStoreLoad()
+    {
+        const auto n = static_cast<std::size_t>(
+                std::count_if(m_engines.begin(), m_engines.end(),
+                              [](const auto &it) { return it.second.isFromStore; }));
+        ++m_report.storeLoads;
+        m_storeLoads.push_back(m_now);
+        while (m_now - m_storeLoads.front() > CeilingWindow)
+            m_storeLoads.pop_front();
+        m_report.mostStoreLoads =
+                std::max(m_report.mostStoreLoads, static_cast<int>(m_storeLoads.size()));
+        const auto slowdown = std::max<double>(1, double(n) / double(m_settings.storeFullSpeed));
+        return std::chrono::duration_cast<Duration>(StoreLoad * slowdown);
+    }
+    void finishOrders()
+    {
+        for (auto &[id, engine] : m_engines) {
+            if (!engine.order || m_now < engine.orderEnd)
+                continue;
+            const auto &key = engine.order->key;
+            const bool isLoad = engine.order->action == IntentAction::Load;
+            if (!isLoad && engine.running[key.model] > 0)
+                continue;
+            if (isLoad)
+                hold(engine, key.model);
+            else
+                engine.state.resident.erase(key);
+            engine.order.reset();
+            engine.isFromStore = false;
+            engine.state.isBusy = false;
+            remember(engine);
+        }
+    }
+    void finishRuns()
+    {
+        std::erase_if(m_runs, [&](const Run &run) {
+            if (m_now < run.end)
+                return false;
+            --m_engines.at(run.engine).running[run.model];
+            return true;
+        });
+    }
+    bool happens(double perSecond)
+    {
+        return std::uniform_real_distribution<>(0, 1)(m_random) < perSecond * toSeconds(Step);
+    }
+    void addCallers()
+    {
+        const auto since = m_now - Start - m_settings.lead;
+        const bool isBurst = since >= m_settings.burstBegin && since < m_settings.burstEnd;
+        const auto shift = static_cast<int>(since / m_settings.shiftEvery);
+        if (happens(m_settings.chatPerSecond)) {
+            const auto n = static_cast<int>(m_random() % unsigned(m_settings.busyNow));
+            addCaller(modelName((shift + n) % m_settings.busyModels), Chat, m_report.chat);
+        }
+        if (happens(m_settings.rarePerSecond * (isBurst ? 2 : 1))) {
+            const auto rare = unsigned(m_settings.models - m_settings.busyModels);
+            addCaller(modelName(m_settings.busyModels + static_cast<int>(m_random() % rare)), Rare,
+                      m_report.rare);
+        }
+    }
+    void addCaller(const ModelId &model, const CallerKind &kind, CallerReport &report)
+    {
+        ++report.asked;
+        const ReplicaKey key { model, AdapterId() };
+        m_demand.noteArrival(Engines, key, m_now);
+        const auto wait = m_demand.startWait(Engines, key, urgencyOf(kind.priority), m_now);
+        m_waiting.push_back({ model, &kind, m_now, wait });
+    }
+    template<typename Policy>
+    void serve(const Policy &policy)
+    {
+        std::erase_if(m_waiting, [&](const Caller &caller) {
+            auto &report = caller.kind == &Chat ? m_report.chat : m_report.rare;
+            if (auto *engine = engineFor(caller.model, policy)) {
+                ++engine->second.running[caller.model];
+                m_runs.push_back({ engine->first, caller.model, m_now + RunTime });
+                ++(m_now - caller.at <= caller.kind->goal ? report.onTime : report.late);
+            } else if (m_now - caller.at > caller.kind->patience) {
+                ++report.gone;
+            } else {
+                return false;
+            }
+            m_demand.endWait(caller.wait);
+            return true;
+        });
+    }
+    template<typename Policy>
+    std::pair<const TargetId, Engine> *engineFor(const ModelId &model, const Policy &policy)
+    {
+        std::pair<const TargetId, Engine> *best = nullptr;
+        std::uint32_t least = 0;
+        for (auto &it : m_engines) {
+            const ReplicaKey key { model, AdapterId() };
+            const bool isLeaving = it.second.order && it.second.order->key == key
+                    && it.second.order->action == IntentAction::Unload;
+            if (!it.second.state.resident.contains(key) || isLeaving
+                || !policy.serves(it.first, key))
+                continue;
+            std::uint32_t n = 0;
+            for (const auto &[name, count] : it.second.running)
+                n += count;
+            if (n >= m_spec.slots || (best && n >= least))
+                continue;
+            best = &it;
+            least = n;
+        }
+        return best;
+    }
+
+    SwapWorldSettings m_settings;
+    std::mt19937 m_random;
+    TimePoint m_now = Start;
+    EngineSpec m_spec;
+    std::map<TargetId, Engine> m_engines;
+    std::deque<Caller> m_waiting;
+    std::vector<Run> m_runs;
+    DemandBoard m_demand;
+    std::deque<TimePoint> m_storeLoads;
+    SwapReport m_report;
+};
+
+/// The product's planner, driven as the gateway drives it.
+class PlannerPolicy
+{
+public:
+    void plan(World &world)
+    {
+        if (!m_isStarted) {
+            Service service;
+            service.name = Engines;
+            service.engine = world.spec();
+            m_planner.setServices({ { Engines, service } });
+            m_isStarted = true;
+        }
+        const auto now = world.now();
+        m_planner.noteTargets(world.entries(), now);
+        m_planner.noteDemand(Vm, world.demand().demand(now), world.inFlight(), now);
+        for (const auto &id : m_planner.reportsDue(now))
+            m_planner.noteReport(id, 1, world.reportOf(id), now);
+        for (const auto &order : m_planner.plan(now))
+            m_planner.noteOutcome(order, world.take(order), now);
+        m_residents = m_planner.residents();
+    }
+    [[nodiscard]] bool serves(const TargetId &target, const ReplicaKey &key) const
+    {
+        const auto it = m_residents.find(target);
+        return it != m_residents.end() && it->second.contains(key);
+    }
+
+private:
+    SwapPlanner m_planner;
+    Residents m_residents;
+    bool m_isStarted = false;
+};
+
+/// Loads what has waited longest on the engine with the fewest running requests.
+class LeastLoadedPolicy
+{
+public:
+    void plan(World &world)
+    {
+        std::set<ModelId> handled;
+        for (const auto &[id, engine] : world.engines())
+            if (engine.order && engine.order->action == IntentAction::Load)
+                handled.insert(engine.order->key.model);
+        std::set<TargetId> taken;
+        for (const auto &caller : world.waiting()) {
+            const ReplicaKey key { caller.model, AdapterId() };
+            const bool isHeld = std::any_of(
+                    world.engines().begin(), world.engines().end(),
+                    [&](const auto &it) { return it.second.state.resident.contains(key); });
+            if (isHeld || !handled.insert(caller.model).second)
+                continue;
+            if (const auto *engine = leastLoaded(world, taken)) {
+                taken.insert(engine->first);
+                (void)world.take(orderFor(world, *engine, key));
+            }
+        }
+    }
+    [[nodiscard]] static bool serves(const TargetId &, const ReplicaKey &) { return true; }
+
+private:
+    using Item = std::pair<const TargetId, Engine>;
+
+    static const Item *leastLoaded(const World &world, const std::set<TargetId> &taken)
+    {
+        const Item *best = nullptr;
+        std::uint32_t least = 0;
+        for (const auto &it : world.engines()) {
+            if (it.second.order || taken.contains(it.first))
+                continue;
+            std::uint32_t n = 0;
+            for (const auto &[name, count] : it.second.running)
+                n += count;
+            if (best && n >= least)
+                continue;
+            best = &it;
+            least = n;
+        }
+        return best;
+    }
+    static PlacementOrder orderFor(const World &world, const Item &it, const ReplicaKey &key)
+    {
+        const auto &[id, engine] = it;
+        auto free = world.spec().weights;
+        for (const auto &held : engine.state.resident)
+            free -= world.spec().models.at(held.model).weights;
+        PlacementOrder order { id, 1, IntentAction::Load, key, engine.state.sequence };
+        if (free >= world.spec().models.at(key.model).weights)
+            return order;
+        order.action = IntentAction::Unload;
+        order.key = *std::min_element(engine.state.resident.begin(), engine.state.resident.end(),
+                                      [&](const auto &a, const auto &b) {
+                                          return running(engine, a) < running(engine, b);
+                                      });
+        return order;
+    }
+    static std::uint32_t running(const Engine &engine, const ReplicaKey &key)
+    {
+        const auto it = engine.running.find(key.model);
+        return it == engine.running.end() ? 0 : it->second;
+    }
+};
+
+template<typename Policy>
+SwapReport playWith(const SwapWorldSettings &settings)
+{
+    World world(settings);
+    Policy policy;
+    return world.play(policy);
+}
+
+} // namespace
+
+SwapReport playPlanner(const SwapWorldSettings &settings)
+{
+    return playWith<PlannerPolicy>(settings);
+}
+
+SwapReport playLeastLoaded(const SwapWorldSettings &settings)
+{
+    return playWith<LeastLoadedPolicy>(settings);
+}
+
+} // namespace bluebell::tests
--- a/tests/tst_fleet.cpp
+++ b/tests/tst_fleet.cpp
@@ -108,6 +108,30 @@
     EXPECT_FALSE(fleet.holderMember(Start + 5s));
 }
 
+/// Regression: all daemons of a fleet asked the same one for a new configuration.
+TEST(Fleet, DaemonsAskDifferentPeersForANewConfiguration)
+{
+    constexpr int Size = 60;
+    std::vector<FleetMember> members;
+    for (int n = 0; n < Size; ++n)
+        members.push_back(member("vm-" + std::to_string(n)));
+    std::map<VmId, int> asked;
+    for (const auto &self : members) {
+        Fleet fleet(self);
+        fleet.replaceMembers(members, Start);
+        for (int n = 0; n < Size; ++n) {
+            auto it = status("vm-" + std::to_string(n));
+            it.configVersion = n % 2 == 0 ? 7 : 6;
+            fleet.noteStatus(it, Start);
+        }
+        const auto peer = fleet.peerWithConfig(6, Start);
+        ASSERT_TRUE(peer);
+        ++asked[peer->vm];
+    }
+    for (const auto &[vm, count] : asked)
+        EXPECT_LE(count, 10) << vm.value();
+}
+
 TEST(StatusPace, WhatADaemonReceivesDoesNotGrowWithTheFleet)
 {
     const auto small = statusPaceOf(8);
--- a/tests/tst_swapplanner.cpp
+++ b/tests/tst_swapplanner.cpp
@@ -508,3 +508,31 @@
     ASSERT_EQ(adapter.size(), 1U);
     EXPECT_EQ(adapter.front().action, IntentAction::Load);
 }
+
+/// Regression: a model took a load from the weight store while an engine with a copy was only busy.
+TEST_F(SwapPlannerTest, WaitsForAnEngineWithACopyBeforeItAsksTheWeightStore)
+{
+    addTarget("t1", { "m0", "m1" }, { "m2" });
+    addTarget("t2", {});
+    start(3);
+    const auto demand = [&](Duration waited) {
+        std::vector<ModelDemand> all(3);
+        for (int n = 0; n < 3; ++n) {
+            all[n].service = Engines;
+            all[n].key = model("m" + std::to_string(n));
+            all[n].arrivalsPerSecond = n < 2 ? 1.5 : 0.1;
+        }
+        all[2].waiting = 1;
+        all[2].urgency = 0.5;
+        all[2].oldestWait = waited;
+        m_planner.noteDemand(Vm, all, {}, m_now);
+        return m_planner.plan(m_now);
+    };
+    for (const auto &order : demand(500ms))
+        EXPECT_NE(order.key, model("m2"));
+    const auto later = demand(5s);
+    const auto it = std::find_if(later.begin(), later.end(),
+                                 [](const auto &order) { return order.key == model("m2"); });
+    ASSERT_NE(it, later.end());
+    EXPECT_EQ(it->target, TargetId("t2"));
+}
