--- a/src/placement/enginetrack.cpp
+++ b/src/placement/enginetrack.cpp
@@ -11,7 +11,7 @@
 /// An order that was not answered in time is repeated after this time.
 constexpr Duration RepeatAfter = milliseconds(50);
 /// A report tells the state of this time ago at the latest.
-constexpr Duration ReportLag = milliseconds(200);
+constexpr Duration ReportLag = milliseconds(260);
 /// Between two reports while nothing is awaited.
 constexpr Duration IdleReportEvery = std::chrono::seconds(3);
 /// Between two reports while an order is awaited.
@@ -82,6 +82,10 @@
 
 void EngineTrack::settle(const EngineState &state, TimePoint now)
 {
+    // What has come without this daemon's knowing is as new as what it has loaded itself.
+    for (const auto &key : state.resident)
+        if (!m_state.resident.contains(key))
+            m_lastUsed.try_emplace(key, now);
     m_state = state;
     m_leavingModel.clear();
     std::erase_if(m_leavingAdapters, [&](const auto &it) {
