Leave the processor to requests between two plans, and read one look for a target as one function

Cause: the holder of the role is woken by each status and each message of demand, and planned each time.

Change: after a plan, three times its duration pass before the next, 100 ms at most. Beside it, without a change of behaviour: Relay::awaitTarget is split, and the planner uses ModelDemand in place of a copy of it.

--- a/programs/gateway/conductor.cpp
+++ b/programs/gateway/conductor.cpp
@@ -1,6 +1,7 @@
 #include "gateway/conductor.h"
 
 #include "core/log.h"
+#include "placement/planpace.h"
 #include "platform/engineclient.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -179,8 +180,10 @@
     for (;;) {
         co_await m_state.changed.wait(PlanTick);
         const auto now = BootClock::now();
-        if (m_state.index && m_state.leadership.isHolder(now))
-            runPlan(now);
+        if (!m_state.index || !m_state.leadership.isHolder(now))
+            continue;
+        runPlan(now);
+        co_await sleepFor(pauseAfterPlan(BootClock::now() - now));
     }
 }
 
--- a/programs/gateway/relay.cpp
+++ b/programs/gateway/relay.cpp
@@ -139,53 +139,49 @@
     return need;
 }
 
+std::optional<Result<TargetId>> Relay::lookForTarget(RequestContext &it,
+                                                     std::optional<WaitId> &wait, TimePoint now)
+{
+    if (it.cancel->isCancelled())
+        return notRun(ErrorCode::KeyWithdrawn, "the caller has gone", milliseconds(0));
+    if (isTooLateToStart(it, now))
+        return notRun(ErrorCode::Unavailable, "the daemon is stopping", Duration::zero());
+    const auto need = needOf(it);
+    const auto &targets = m_state.registry.targets();
+    if (auto chosen = m_state.selector.choose(need, targets, m_state.residents(now), now))
+        return std::move(*chosen);
+    if (now >= it.deadline)
+        return notRun(ErrorCode::Unavailable, "no target can serve the request", milliseconds(500));
+    if (need.key && !wait) {
+        wait = m_state.demand.startWait(it.service->name, *need.key, urgencyOf(it.priority), now);
+        m_state.announceDemand();
+    }
+    const auto retryAfter = decideWait(waitFacts(it, now), now).refuseWithRetryAfter;
+    if (!retryAfter)
+        return std::nullopt;
+    // The caller was told when to return; its demand stands until then.
+    if (wait)
+        m_state.demand.keepUntil(*std::exchange(wait, std::nullopt),
+                                 now + *retryAfter + ReturnAllowance);
+    return notRun(ErrorCode::Overloaded,
+                  need.key ? "the model is not loaded in time" : "no target takes the request",
+                  *retryAfter);
+}
+
 asio::awaitable<Result<TargetId>> Relay::awaitTarget(RequestContext &it)
 {
     std::optional<WaitId> wait;
-    auto result = Result<TargetId>(
-            notRun(ErrorCode::Unavailable, "no target can serve the request", milliseconds(500)));
     for (;;) {
         const auto now = BootClock::now();
-        if (it.cancel->isCancelled()) {
-            result = notRun(ErrorCode::KeyWithdrawn, "the caller has gone", milliseconds(0));
-            break;
-        }
-        if (isTooLateToStart(it, now)) {
-            result = notRun(ErrorCode::Unavailable, "the daemon is stopping", Duration::zero());
-            break;
-        }
-        auto need = needOf(it);
-        const auto &targets = m_state.registry.targets();
-        if (auto chosen = m_state.selector.choose(need, targets, m_state.residents(now), now)) {
-            result = std::move(*chosen);
-            break;
-        }
-        if (now >= it.deadline)
-            break;
-        if (need.key && !wait) {
-            wait = m_state.demand.startWait(it.service->name, *need.key, urgencyOf(it.priority),
-                                            now);
-            m_state.announceDemand();
-        }
-        if (const auto verdict = decideWait(waitFacts(it, now), now);
-            verdict.refuseWithRetryAfter) {
-            const auto retryAfter = *verdict.refuseWithRetryAfter;
+        if (auto found = lookForTarget(it, wait, now)) {
             if (wait)
-                m_state.demand.keepUntil(*std::exchange(wait, std::nullopt),
-                                         now + retryAfter + ReturnAllowance);
-            result = notRun(ErrorCode::Overloaded,
-                            need.key ? "the model is not loaded in time"
-                                     : "no target takes the request",
-                            retryAfter);
-            break;
+                m_state.demand.endWait(*wait);
+            co_return std::move(*found);
         }
         const auto pause = it.met.empty() ? LookEvery : PauseAfterRefusal;
         it.met.clear();
         co_await m_state.changed.wait(std::min<Duration>(pause, it.deadline - now));
     }
-    if (wait)
-        m_state.demand.endWait(*wait);
-    co_return result;
 }
 
 WaitFacts Relay::waitFacts(const RequestContext &it, TimePoint now) const
--- a/programs/gateway/relay.h
+++ b/programs/gateway/relay.h
@@ -109,6 +109,12 @@
     [[nodiscard]] Result<void> reserveRate(RequestContext &it);
     boost::asio::awaitable<Result<void>> serve(RequestContext &it, HttpResponder &responder);
     boost::asio::awaitable<Result<TargetId>> awaitTarget(RequestContext &it);
+    /// Looks once for a target.
+    ///
+    /// \param wait the request's place among what is waited for, if it has one
+    /// \returns the target, or why there will be none; nothing when the request goes on waiting
+    [[nodiscard]] std::optional<Result<TargetId>>
+    lookForTarget(RequestContext &it, std::optional<WaitId> &wait, TimePoint now);
     boost::asio::awaitable<AttemptResult> attempt(RequestContext &it, TargetId target,
                                                   HttpResponder &responder);
     boost::asio::awaitable<AttemptResult> relayAnswer(RequestContext &it, const TargetId &target,
--- a/src/bluebell.h
+++ b/src/bluebell.h
@@ -48,4 +48,5 @@
 #include "placement/placementnews.h"
 #include "placement/placementorder.h"
 #include "placement/planner.h"
+#include "placement/planpace.h"
 #include "placement/swapplanner.h"
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -1,8 +1,6 @@
 #include "placement/swapplanner.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -43,13 +41,14 @@
 /// Loss below which a model may make way for one that nobody has asked for yet.
 constexpr double PrefetchGain = 1.0;
 
-} // namespace
-
-double SwapPlanner::Wanted::pressure() const
+/// \returns the urgency of what is waited for, which grows with the time waited
+double pressureOf(const ModelDemand &it)
 {
-    return urgency * (1.0 + toSeconds(oldestWait));
+    return it.urgency * (1.0 + toSeconds(it.oldestWait));
 }
 
+} // namespace
+
 void SwapPlanner::setServices(const std::map<ServiceId, Service> &services)
 {
     m_services = services;
@@ -152,7 +151,7 @@
     for (auto &[key, wanted] : sum)
         m_wanted.push_back(std::move(wanted));
     std::sort(m_wanted.begin(), m_wanted.end(),
-              [](const auto &a, const auto &b) { return a.pressure() > b.pressure(); });
+              [](const auto &a, const auto &b) { return pressureOf(a) > pressureOf(b); });
 }
 
 std::size_t SwapPlanner::copiesOf(const ReplicaKey &key, const ServiceId &service) const
@@ -297,7 +296,7 @@
         if (candidate.isFromStore && awaitsCopy)
             continue;
         candidate.readyIn += it.freeIn(now);
-        auto victims = victimsFor(it, bytes, wanted.pressure());
+        auto victims = victimsFor(it, bytes, pressureOf(wanted));
         if (!victims)
             continue;
         for (const auto &victim : *victims)
@@ -380,7 +379,7 @@
     const auto best = bestTarget(whole, now);
     if (!best)
         return;
-    const auto mostLoads = wanted.pressure() >= UrgentPressure ? UrgentLoads : FullSpeedLoads;
+    const auto mostLoads = pressureOf(wanted) >= UrgentPressure ? UrgentLoads : FullSpeedLoads;
     if (best->isFromStore && (storeLoadsUnderWay() >= mostLoads || !mayLoadFromStore(*engine, now)))
         return;
     makeRoomOrLoad(*best, key, now, orders);
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -67,17 +67,8 @@
         TimePoint at;
     };
 
-    struct Wanted
-    {
-        ServiceId service;
-        ReplicaKey key;
-        std::uint32_t waiting = 0;
-        double urgency = 0;
-        Duration oldestWait {};
-        double arrivalsPerSecond = 0;
-        /// Urgency that grows with the time waited.
-        [[nodiscard]] double pressure() const;
-    };
+    /// The demand of all daemons for one model or adapter.
+    using Wanted = ModelDemand;
 
     struct Candidate
     {
@@ -97,7 +88,7 @@
     [[nodiscard]] std::uint32_t loadOf(const TargetId &target) const;
     [[nodiscard]] std::size_t storeLoadsUnderWay() const;
     [[nodiscard]] bool mayLoadFromStore(const EngineSpec &engine, TimePoint now) const;
-    /// \returns what is lost when the model leaves the engine, in the unit of Wanted::pressure()
+    /// \returns what is lost when the model leaves the engine, in the unit of pressureOf()
     [[nodiscard]] double lossOf(const EngineTrack &it, const ReplicaKey &key) const;
     /// \returns what has to leave, or nothing when that costs as much as is gained
     [[nodiscard]] std::optional<std::vector<ReplicaKey>>
