Say once in the planner's tests that an order is accepted and time passes

Cause: the same three lines stood in several tests of SwapPlanner (found by reading the change again). Change: a function of the fixture; no check, bound or time changed.

--- a/tests/tst_swapplanner.cpp
+++ b/tests/tst_swapplanner.cpp
@@ -80,6 +80,14 @@
         m_planner.noteDemand(Vm, { demand }, {}, m_now);
     }
 
+    /// The order is accepted, and time passes without a report.
+    void acceptAndWait(const PlacementOrder &order, Duration time)
+    {
+        m_planner.noteOutcome(order, OrderOutcome::Accepted, m_now);
+        m_now += time;
+        (void)m_planner.reportsDue(m_now);
+    }
+
     EngineState report(const std::string &target) { return *m_entries[TargetId(target)].engine; }
 
     TimePoint m_now = Start;
@@ -213,9 +221,7 @@
     ASSERT_EQ(orders.size(), 1U);
     EXPECT_EQ(orders.front().target, TargetId("t2"));
     EXPECT_EQ(orders.front().key, adapter);
-    m_planner.noteOutcome(orders.front(), OrderOutcome::Accepted, m_now);
-    m_now += 50ms;
-    (void)m_planner.reportsDue(m_now);
+    acceptAndWait(orders.front(), 50ms);
     EXPECT_TRUE(m_planner.residents().at(TargetId("t2")).contains(adapter));
 }
 
@@ -327,9 +333,7 @@
     want(model("m2"));
     const auto unload = m_planner.plan(m_now);
     ASSERT_EQ(unload.size(), 1U);
-    m_planner.noteOutcome(unload.front(), OrderOutcome::Accepted, m_now);
-    m_now += 60ms;
-    (void)m_planner.reportsDue(m_now);
+    acceptAndWait(unload.front(), 60ms);
     want(model("m2"));
     const auto load = m_planner.plan(m_now);
     ASSERT_EQ(load.size(), 1U);
@@ -359,9 +363,7 @@
                          m_now);
     const auto unload = m_planner.plan(m_now);
     ASSERT_EQ(unload.size(), 1U);
-    m_planner.noteOutcome(unload.front(), OrderOutcome::Accepted, m_now);
-    m_now += 500ms;
-    (void)m_planner.reportsDue(m_now);
+    acceptAndWait(unload.front(), 500ms);
     want(model("m2"));
     EXPECT_TRUE(m_planner.plan(m_now).empty());
 }
@@ -375,9 +377,7 @@
     want(model("m4"));
     const auto unload = m_planner.plan(m_now);
     ASSERT_EQ(unload.size(), 1U);
-    m_planner.noteOutcome(unload.front(), OrderOutcome::Accepted, m_now);
-    m_now += 60ms;
-    (void)m_planner.reportsDue(m_now);
+    acceptAndWait(unload.front(), 60ms);
     want(model("m4"));
     const auto load = m_planner.plan(m_now);
     ASSERT_EQ(load.size(), 1U);
@@ -469,9 +469,7 @@
     const auto unload = m_planner.plan(m_now);
     ASSERT_EQ(unload.size(), 1U);
     ASSERT_EQ(unload.front().key, model("m0"));
-    m_planner.noteOutcome(unload.front(), OrderOutcome::Accepted, m_now);
-    m_now += 60ms;
-    (void)m_planner.reportsDue(m_now);
+    acceptAndWait(unload.front(), 60ms);
     want({ ModelId("m1"), AdapterId("a5") });
     EXPECT_TRUE(m_planner.plan(m_now).empty());
     auto gone = state;
@@ -494,15 +492,11 @@
     want(model("m2"));
     const auto unload = m_planner.plan(m_now);
     ASSERT_EQ(unload.size(), 1U);
-    m_planner.noteOutcome(unload.front(), OrderOutcome::Accepted, m_now);
-    m_now += 60ms;
-    (void)m_planner.reportsDue(m_now);
+    acceptAndWait(unload.front(), 60ms);
     want(model("m2"));
     const auto load = m_planner.plan(m_now);
     ASSERT_EQ(load.size(), 1U);
-    m_planner.noteOutcome(load.front(), OrderOutcome::Accepted, m_now);
-    m_now += 900ms;
-    (void)m_planner.reportsDue(m_now);
+    acceptAndWait(load.front(), 900ms);
     want({ ModelId("m2"), AdapterId("a5") });
     const auto adapter = m_planner.plan(m_now);
     ASSERT_EQ(adapter.size(), 1U);
