--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "peer/statuscodec.h"
 #include "platform/requests.h"
+#include "routing/calleraddresses.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -66,8 +67,9 @@
 
 Daemon::Daemon(asio::io_context &context, GatewaySettings settings)
     : m_context(context), m_state(context.get_executor(), std::move(settings)),
-      m_storeWatch(context, m_state, [this] { applyConfig(); }), m_coordinator(context, m_state),
-      m_proxy(m_state),
+      m_updates(m_state, [this] { applyConfig(); }), m_storeWatch(context, m_state, m_updates),
+      m_peerSync(context, m_state, m_updates), m_relayService(context, m_state, m_updates),
+      m_coordinator(context, m_state), m_proxy(m_state),
       m_link(context.get_executor(),
              [this](const DaemonStatus &status) { m_state.noteStatus(status, BootClock::now()); }),
       m_callerServer(context, HttpLimits(),
@@ -96,7 +98,9 @@
     BOOST_OUTCOME_TRYV(m_directoryServer.listen(m_state.settings.directory));
     BOOST_OUTCOME_TRYV(m_controlServer.listen(m_state.settings.control));
     BOOST_OUTCOME_TRYV(m_link.open(m_state.settings.peers));
+    BOOST_OUTCOME_TRYV(m_relayService.start());
     m_storeWatch.start();
+    m_peerSync.start();
     m_coordinator.start();
     asio::co_spawn(m_context, sendStatuses(), asio::detached);
     asio::co_spawn(m_context, sendDemand(), asio::detached);
@@ -149,7 +153,9 @@
         response.status = m_state.isReady() ? 200 : 503;
         break;
     case platform::SystemCall::AddressLookup: {
-        const auto addresses = m_state.fleet.callerAddresses(m_state.isReady(), now);
+        const auto addresses =
+                chooseCallerAddresses(m_state.fleet.callerDaemons(m_state.isReady(), now),
+                                      platform::callersDataCentre(request), m_random);
         response = platform::encodeAddresses(addresses,
                                              std::min(AddressTtl, m_state.settings.maxAddressTtl));
         break;
@@ -168,7 +174,9 @@
     if (request.path == "/peer/config" && m_state.index)
         response.body = m_state.rawConfig;
     else if (request.path == "/peer/targets")
-        response.body = m_storeWatch.encodeEntries();
+        response.body = m_updates.encodeEntries();
+    else if (request.path == "/peer/digest")
+        response.body = encode(m_relayService.fullDigest(BootClock::now()));
     else if (request.path == "/peer/placement")
         response.body = encode(m_state.fullStatus(BootClock::now()));
     else if (request.path == "/metrics") {
@@ -179,6 +187,17 @@
     (void)co_await responder.send(std::move(response));
 }
 
+std::vector<Endpoint> Daemon::statusRecipients(bool isLeader, TimePoint now) const
+{
+    auto recipients = m_state.fleet.directPeers();
+    if (!isLeader || !m_state.fleet.usesRelays())
+        return recipients;
+    for (const auto &vm : m_state.relayNode.otherRelays(now))
+        if (const auto *relay = m_state.fleet.find(vm))
+            recipients.push_back(relay->peers);
+    return recipients;
+}
+
 asio::awaitable<void> Daemon::sendStatuses()
 {
     for (;;) {
@@ -186,14 +205,15 @@
         m_state.applyStatusTiming();
         const auto timing = m_state.fleet.statusTiming();
         const auto leader = m_state.fleet.leaderMember(now);
-        auto others = m_state.fleet.peers();
+        const bool isLeader = m_state.leadership.isLeader(now);
+        auto others = statusRecipients(isLeader, now);
         if (leader) {
             std::erase(others, leader->peers);
             m_link.send({ leader->peers }, m_state.status(StatusRecipient::Leader, now));
         }
-        m_link.send(others, m_state.status(StatusRecipient::Others, now));
+        if (!others.empty())
+            m_link.send(others, m_state.status(StatusRecipient::Others, now));
         co_await sleepFor(timing.batchDelay);
-        const bool isLeader = m_state.leadership.isLeader(now);
         co_await m_state.statusDue.wait(isLeader ? timing.leaderInterval : timing.interval);
         co_await sleepFor(timing.batchDelay);
     }
@@ -232,6 +252,7 @@
     m_state.stopRequestedAt = BootClock::now();
     log::info("stop requested", { { "requests", std::to_string(m_proxy.requestCount()) } });
     m_state.notifyChange();
+    m_state.notifyRelays();
     m_callerServer.disableKeepAlive();
     asio::co_spawn(m_context, stop(), asio::detached);
 }
--- a/programs/gateway/daemon.h
+++ b/programs/gateway/daemon.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "gateway/gatewaystate.h"
+#include "gateway/peersync.h"
 #include "gateway/placementcoordinator.h"
+#include "gateway/relayservice.h"
 #include "gateway/requestproxy.h"
 #include "gateway/storewatch.h"
 #include "http/server.h"
@@ -9,6 +11,8 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <random>
+
 /// \file
 /// The gateway daemon, which runs as one process on every entry VM.
 
@@ -41,6 +45,9 @@
     /// Answers peers' fetches and metrics scrapes.
     boost::asio::awaitable<void> handleControlRequest(const HttpRequest &request,
                                                       HttpResponder &responder);
+    /// \returns the daemons that get this one's status, apart from the leader: all in a small
+    /// fleet; in a large one those without relays and, from the leader, the relays
+    [[nodiscard]] std::vector<Endpoint> statusRecipients(bool isLeader, TimePoint now) const;
     boost::asio::awaitable<void> sendStatuses();
     /// Sends a status to the leader as soon as a request starts to wait for a model.
     boost::asio::awaitable<void> sendDemand();
@@ -51,7 +58,10 @@
 
     boost::asio::io_context &m_context;
     GatewayState m_state;
+    SiteUpdates m_updates;
     StoreWatch m_storeWatch;
+    PeerSync m_peerSync;
+    RelayService m_relayService;
     PlacementCoordinator m_coordinator;
     RequestProxy m_proxy;
     StatusLink m_link;
@@ -59,6 +69,8 @@
     HttpServer m_readinessServer;
     HttpServer m_directoryServer;
     HttpServer m_controlServer;
+    /// Spreads callers over the daemons.
+    std::mt19937_64 m_random { std::random_device()() };
     bool m_stoppedGracefully = false;
 };
 
--- a/programs/gateway/gatewaystate.cpp
+++ b/programs/gateway/gatewaystate.cpp
@@ -11,13 +11,15 @@
 constexpr RetryBudget::Settings RetryBudgetPerDaemon { 0.15, 4 };
 /// Uptime from which another daemon's bucket level is more accurate than that of a new daemon.
 constexpr Duration MinSettledUptime = std::chrono::seconds(3);
+/// How long the relays' sums of requests in flight are used when they are not renewed.
+constexpr Duration FleetCountsLifetime = std::chrono::milliseconds(2500);
 /// Time after the start in which this daemon adopts the bucket levels of other daemons.
 constexpr Duration StartupTime = std::chrono::milliseconds(1500);
 
 FleetMember selfMember(const GatewaySettings &settings, const IncarnationId &incarnation)
 {
-    return { settings.vm,      incarnation,    settings.dataCentre,
-             settings.callers, settings.peers, settings.control };
+    return { settings.vm,    incarnation,      settings.dataCentre, settings.callers,
+             settings.peers, settings.control, settings.relay,      settings.capacity };
 }
 
 /// Added to the takeover delay, because the clocks of two VMs run at different speeds.
@@ -34,9 +36,11 @@
 
 GatewayState::GatewayState(const boost::asio::any_io_executor &executor, GatewaySettings given)
     : settings(std::move(given)), incarnation(randomHex(8)), startedAt(BootClock::now()),
-      fleet(selfMember(settings, incarnation)), selector(settings.dataCentre, settings.vm.value()),
+      fleet(selfMember(settings, incarnation)), relayNode(settings.vm, startedAt),
+      selector(settings.dataCentre, settings.vm.value()),
       leadership(settings.vm, incarnation, leadershipSettings(settings)), stateChanged(executor),
-      statusDue(executor), demandDue(executor)
+      statusDue(executor), demandDue(executor), reportDue(executor), peerDataDue(executor),
+      digestDue(executor)
 {
 }
 
@@ -56,6 +60,9 @@
         return placement.residents();
     if (const auto *published = fleet.residents(now))
         return *published;
+    // Only readers know what the entries say of engines.
+    if (const auto *last = fleet.lastResidents(); last && !isReader(now))
+        return *last;
     m_entryResidents.clear();
     for (const auto &[id, it] : registry.targets())
         if (it.engine)
@@ -63,6 +70,11 @@
     return m_entryResidents;
 }
 
+bool GatewayState::isReader(TimePoint now) const
+{
+    return !fleet.usesRelays() || relayNode.isReader(now);
+}
+
 std::optional<TimePoint> GatewayState::readyAt(const ServiceId &service, const ModelId &model,
                                                TimePoint now) const
 {
@@ -90,8 +102,8 @@
     it.uptime = now - startedAt;
     it.isReady = isReady();
     it.configVersion = index ? index->version() : 0;
-    it.registryVersion = registryVersion;
-    it.timeSinceStoreReply = now - storeRepliedAt;
+    it.registryVersion = isReader(now) ? registryVersion : 0;
+    it.timeSinceStoreReply = now - targetsReadAt;
     it.includesDemand = recipient == StatusRecipient::Leader;
     if (it.includesDemand) {
         it.demand = demand.demand(now);
@@ -132,7 +144,8 @@
 {
     const auto timing = fleet.statusTiming();
     planner.setDemandLifetime(timing.statusLifetime);
-    selector.setPeerCountsLifetime(timing.statusLifetime);
+    selector.setPeerCountsLifetime(fleet.usesRelays() ? FleetCountsLifetime
+                                                      : timing.statusLifetime);
 }
 
 SharedRate &GatewayState::rateOf(const SiteOrganisation &organisation, TimePoint now)
@@ -150,27 +163,116 @@
 {
     if (!fleet.noteStatus(received, now))
         return;
+    // The counts of daemons that report to relays are in the relays' sums.
+    const auto *sender = fleet.find(received.vm);
+    if (!fleet.usesRelays() || !sender || !sender->supportsRelays())
+        noteCounts(received, now);
+    if (received.leaderEpoch > 0)
+        leadership.noteLeaderAlive(now);
+    if (leadership.isLeader(now) && received.includesDemand)
+        planner.noteDemand(received.vm, received.demand, received.inFlight, now);
+    const bool affectsPlacement = received.leaderEpoch > 0 || leadership.isLeader(now);
+    if (affectsPlacement)
+        stateChanged.notify();
+}
+
+void GatewayState::noteCounts(const DaemonStatus &received, TimePoint now)
+{
     std::map<TargetId, std::uint32_t> counts;
     for (const auto &it : received.inFlight)
         counts[it.target] += it.count;
     selector.notePeerCounts(received.vm, std::move(counts), now);
     const bool adoptsLevels = now - startedAt < StartupTime && received.uptime > MinSettledUptime;
     for (const auto &it : received.rates) {
-        const auto *organisation = index ? index->findOrganisation(it.organisation) : nullptr;
-        if (!organisation || !organisation->limit)
+        auto *rate = knownRate(it.organisation, now);
+        if (!rate)
             continue;
-        auto &rate = rateOf(*organisation, now);
-        rate.noteAdmitted(received.incarnation, it.admitted, now);
+        rate->noteAdmitted(received.incarnation, it.admitted, now);
         if (adoptsLevels)
-            rate.adoptLevel(it.level, now);
+            rate->adoptLevel(it.level, now);
     }
-    if (received.leaderEpoch > 0)
-        leadership.noteLeaderAlive(now);
-    if (leadership.isLeader(now) && received.includesDemand)
-        planner.noteDemand(received.vm, received.demand, received.inFlight, now);
-    const bool affectsPlacement = received.leaderEpoch > 0 || leadership.isLeader(now);
-    if (affectsPlacement)
-        stateChanged.notify();
+}
+
+SharedRate *GatewayState::knownRate(const OrganisationId &organisation, TimePoint now)
+{
+    const auto *it = index ? index->findOrganisation(organisation) : nullptr;
+    return it && it->limit ? &rateOf(*it, now) : nullptr;
+}
+
+void GatewayState::noteFleetCounts(const FleetCounts &counts, Duration relayUptime,
+                                   const std::vector<RateUsage> &levels, TimePoint now)
+{
+    // The sums of all other daemons take the place of one peer's counts.
+    static const VmId AllOthers("*");
+    if (counts.hasInFlight)
+        selector.notePeerCounts(AllOthers, counts.inFlight, now);
+    for (const auto &[organisation, tokens] : counts.admitted)
+        if (auto *rate = knownRate(organisation, now))
+            rate->noteAdmitted(counts.relay, tokens, now);
+    const bool isNewRelay = m_countingRelay != counts.relay;
+    m_countingRelay = counts.relay;
+    if (!isNewRelay || relayUptime < MinSettledUptime)
+        return;
+    for (const auto &it : levels) {
+        auto *rate = knownRate(it.organisation, now);
+        if (!rate)
+            continue;
+        const auto counted = counts.ownCounted.find(it.organisation);
+        const auto uncounted = rate->admitted()
+                - (counted == counts.ownCounted.end() ? Tokens(0) : counted->second);
+        rate->adoptLevel(it.level - uncounted, now);
+    }
+}
+
+void GatewayState::noteAvailability(TimePoint now)
+{
+    if (relayNode.knowsFleet(now))
+        fleet.noteUnavailable(relayNode.unavailable(), now);
+}
+
+std::optional<LeaderInfo> GatewayState::knownLeader(TimePoint now) const
+{
+    if (leadership.isLeader(now))
+        return LeaderInfo { settings.vm, incarnation, leadership.epoch(), {} };
+    return fleet.leader(now);
+}
+
+std::vector<LoadEstimate> GatewayState::knownEstimates(TimePoint now) const
+{
+    return leadership.isLeader(now) ? planner.estimates(now) : fleet.estimates(now);
+}
+
+void GatewayState::noteOwnPlacement(TimePoint now)
+{
+    if (leadership.isLeader(now))
+        fleet.notePlacement(incarnation, leadership.epoch(), placement.snapshot());
+}
+
+void GatewayState::noteLeader(const LeaderInfo &leader, const std::vector<LoadEstimate> &estimates,
+                              TimePoint now)
+{
+    fleet.noteLeader(leader, estimates, now);
+    leadership.noteLeaderAlive(now - leader.age);
+}
+
+void GatewayState::updateRelayGroups(TimePoint now)
+{
+    std::vector<RelayCandidate> daemons;
+    const auto add = [&](const FleetMember &it) {
+        if (it.supportsRelays())
+            daemons.push_back({ it.vm, it.dataCentre, it.capacity });
+    };
+    add(fleet.self());
+    for (const auto &it : fleet.members())
+        add(it);
+    relayNode.setDaemons(daemons, now);
+    relayNode.update(now);
+}
+
+void GatewayState::notifyRelays()
+{
+    reportDue.notify();
+    digestDue.notify();
 }
 
 void GatewayState::notifyDemand()
--- a/programs/gateway/gatewaystate.h
+++ b/programs/gateway/gatewaystate.h
@@ -8,6 +8,7 @@
 #include "placement/demandtracker.h"
 #include "placement/swapplanner.h"
 #include "rate/sharedrate.h"
+#include "relay/relaynode.h"
 #include "routing/targetselector.h"
 #include "site/siteindex.h"
 #include "site/targetregistry.h"
@@ -27,6 +28,8 @@
 enum class StatusRecipient : std::uint8_t {
     /// The leader, which needs the demand for models.
     Leader,
+    /// A relay, which passes on sums.
+    Relay,
     Others,
 };
 
@@ -46,9 +49,16 @@
     TargetRegistry registry;
     /// The target entries as stored, for daemons that cannot read the store.
     std::map<std::string, std::string> rawEntries;
-    /// Store version of the target entries.
+    /// Store version of `rawEntries`; 0 if this daemon has never read them.
     RowVersion registryVersion = 0;
+    /// The target entries as they are passed on through relays.
+    RowLog<std::string, TargetRow> targetRows;
+    /// The daemons' rows, this daemon's included.
+    RowLog<VmId, FleetMember> memberRows;
+    /// Whether a digest showed that changes have been missed.
+    bool isBehindRelay = false;
     Fleet fleet;
+    RelayNode relayNode;
     TargetSelector selector;
     DemandTracker demand;
     std::map<OrganisationId, SharedRate> rates;
@@ -58,8 +68,8 @@
     /// Replicas resident at the engines; maintained only while this daemon is the leader.
     PlacementPublisher placement;
     Metrics metrics;
-    /// When the store last replied to a read of the configuration, the targets or the members.
-    TimePoint storeRepliedAt;
+    /// When the store last replied to a read of the targets.
+    TimePoint targetsReadAt;
     /// When a graceful stop was requested.
     std::optional<TimePoint> stopRequestedAt;
     /// Wakes requests that wait for a target, and the planner.
@@ -68,6 +78,12 @@
     Notifier statusDue;
     /// Wakes the task that sends the demand to the leader.
     Notifier demandDue;
+    /// Wakes the task that reports to the relays.
+    Notifier reportDue;
+    /// Wakes the task that fetches from other daemons what this one misses.
+    Notifier peerDataDue;
+    /// Wakes the task that sends digests, if this daemon is a relay.
+    Notifier digestDue;
 
     /// Applies changed settings. Listen addresses change only with a restart.
     void applySettings(const GatewaySettings &changed);
@@ -81,6 +97,11 @@
     /// \returns when a model that is being loaded can serve, if the leader has an estimate
     [[nodiscard]] std::optional<TimePoint> readyAt(const ServiceId &service, const ModelId &model,
                                                    TimePoint now) const;
+    /// \returns whether this daemon reads the store's tables itself
+    [[nodiscard]] bool isReader(TimePoint now) const;
+    /// \returns whether this daemon may claim the leader role. In a large fleet only relays may, so
+    /// that few daemons read the role's row.
+    [[nodiscard]] bool mayLead() const { return !fleet.usesRelays() || relayNode.isRanked(); }
     /// Makes the next status message. A leader's message to Others consumes placement changes, so
     /// call this once for each message.
     [[nodiscard]] DaemonStatus status(StatusRecipient recipient, TimePoint now);
@@ -93,18 +114,41 @@
     [[nodiscard]] RetryBudget &retryBudgetOf(const ServiceId &service);
     /// Copies the planner's view of the engines into `placement`.
     void notePlacement() { placement.setResidents(planner.residents()); }
+    /// Computes the groups of relays from the daemons' rows.
+    void updateRelayGroups(TimePoint now);
+    /// Takes over which daemons the relays know to be unavailable.
+    void noteAvailability(TimePoint now);
+    /// \returns the leader, which may be this daemon, as last known
+    [[nodiscard]] std::optional<LeaderInfo> knownLeader(TimePoint now) const;
+    [[nodiscard]] std::vector<LoadEstimate> knownEstimates(TimePoint now) const;
+    /// Takes over what this daemon has published itself, while it is the leader.
+    void noteOwnPlacement(TimePoint now);
+    /// Processes what a relay knows of the leader.
+    void noteLeader(const LeaderInfo &leader, const std::vector<LoadEstimate> &estimates,
+                    TimePoint now);
+    /// Applies the sums of the other daemons to the token buckets and the load of targets.
+    void noteFleetCounts(const FleetCounts &counts, Duration relayUptime,
+                         const std::vector<RateUsage> &levels, TimePoint now);
     /// Applies the status timing for the current fleet size.
     void applyStatusTiming();
     /// Processes a status of another daemon.
     void noteStatus(const DaemonStatus &received, TimePoint now);
     /// Wakes the tasks that wait for targets, and schedules a status message to all daemons.
     void notifyChange();
+    /// Schedules a report to the relays and, if this daemon is a relay, a digest.
+    void notifyRelays();
     /// Wakes the planner, here or at the leader.
     void notifyDemand();
 
 private:
+    /// Applies the counts of a daemon that sends its status to all others.
+    void noteCounts(const DaemonStatus &received, TimePoint now);
+    /// \returns the token bucket of an organisation, or null if it is unknown or has no limit
+    [[nodiscard]] SharedRate *knownRate(const OrganisationId &organisation, TimePoint now);
     [[nodiscard]] DaemonStatus statusWithoutPlacement(StatusRecipient recipient, TimePoint now);
 
+    /// Relay process whose counts were applied last.
+    IncarnationId m_countingRelay;
     /// Resident replicas as listed in the target entries, for use while no leader is known.
     mutable ResidentReplicas m_entryResidents;
 };
--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -97,6 +97,7 @@
 asio::awaitable<void> PlacementCoordinator::keepLease()
 {
     for (;;) {
+        m_state.leadership.setCandidate(m_state.mayLead());
         switch (m_state.leadership.next(BootClock::now())) {
         case LeadershipStep::Wait:
             co_await sleepFor(LeasePollInterval);
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -107,8 +107,10 @@
         return notRun(ErrorCode::RateLimited, "the organisation's rate is used up", *wait);
     }
     it.reserved = tokens;
-    if (rate.isLow(now))
+    if (rate.isLow(now)) {
         m_state.statusDue.notify();
+        m_state.reportDue.notify();
+    }
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/programs/gateway/settings.h
+++ b/programs/gateway/settings.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <cstdint>
 #include <string>
 
 /// \file
@@ -26,8 +27,14 @@
     Endpoint control;
     /// UDP address that receives the statuses of other daemons.
     Endpoint peers;
+    /// UDP address for reports to this daemon as a relay, and for digests.
+    Endpoint relay;
+    /// Processor share of the VM in thousandths of a core; 0 if unknown.
+    std::uint32_t capacity = 0;
     /// Address of the platform's store.
     Endpoint store;
+    /// Whether all daemons of the site start for the first time, at the same moment.
+    bool isFirstStart = false;
     /// Time between the request to stop and the kill of the process.
     Duration stopTimeout = std::chrono::seconds(8);
     /// Time within which a draining target must stop receiving requests.
--- /dev/null
+++ b/programs/gateway/siteupdates.cpp
@@ -0,0 +1,192 @@
+#include "gateway/siteupdates.h"
+
+#include "core/log.h"
+#include "gateway/memberrow.h"
+#include "platform/documents.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace bluebell::gateway {
+
+using nlohmann::json;
+using platform::StoreRow;
+
+namespace {
+
+/// Age up to which target entries that this daemon has read itself are preferred to relayed ones,
+/// which lack the state of engines.
+constexpr Duration MaxFreshAge = std::chrono::milliseconds(1500);
+
+} // namespace
+
+bool SiteUpdates::updateConfig(const std::string &text)
+{
+    auto config = platform::decodeConfig(text);
+    if (!config) {
+        log::error("configuration refused", { { "cause", config.error().message } });
+        return false;
+    }
+    const auto known = m_state.index ? m_state.index->version() : 0;
+    if (config.value().version <= known)
+        return false;
+    m_state.index = std::make_shared<const SiteIndex>(std::move(config.value()));
+    m_state.rawConfig = text;
+    log::info("configuration in force",
+              { { "version", std::to_string(m_state.index->version()) },
+                { "before", std::to_string(known) } });
+    m_configChanged();
+    m_state.notifyChange();
+    m_state.notifyRelays();
+    return true;
+}
+
+void SiteUpdates::updateTarget(const StoreRow &row, RowVersion version)
+{
+    const auto now = BootClock::now();
+    if (row.isDeleted) {
+        m_state.rawEntries.erase(row.key);
+        m_state.targetRows.put(row.key, std::nullopt, version);
+        m_state.registry.remove(row.key, now);
+        return;
+    }
+    m_state.rawEntries[row.key] = row.value;
+    auto entry = platform::decodeTarget(row.key, row.value);
+    if (!entry)
+        log::warning("entry of a target refused",
+                     { { "target", row.key }, { "cause", entry.error().message } });
+    auto accepted = entry ? std::optional(std::move(entry.value())) : std::nullopt;
+    const auto *before = m_state.registry.find(TargetId(row.key));
+    if (accepted && (!before || before->isDraining != accepted->isDraining))
+        log::info(accepted->isDraining ? "target is draining" : "target is ready",
+                  { { "target", row.key }, { "address", toString(accepted->address) } });
+    m_state.targetRows.put(row.key, relayedRow(accepted), version);
+    m_state.registry.put(row.key, std::move(accepted));
+}
+
+void SiteUpdates::updateTargets(const std::vector<StoreRow> &rows, RowVersion version)
+{
+    for (const auto &it : rows)
+        updateTarget(it, version);
+    m_state.targetRows.advanceTo(version);
+    m_state.registryVersion = version;
+    if (rows.empty())
+        return;
+    m_state.stateChanged.notify();
+    m_state.notifyRelays();
+}
+
+void SiteUpdates::replaceTargets(const std::vector<StoreRow> &rows, RowVersion version)
+{
+    std::set<std::string> present;
+    for (const auto &it : rows)
+        present.insert(it.key);
+    std::vector<StoreRow> all;
+    for (const auto &[id, entry] : m_state.registry.targets())
+        if (!present.contains(id.value()))
+            all.push_back({ {}, id.value(), {}, version, true });
+    all.insert(all.end(), rows.begin(), rows.end());
+    std::erase_if(m_state.rawEntries, [&](const auto &it) { return !present.contains(it.first); });
+    updateTargets(all, version);
+}
+
+std::string SiteUpdates::encodeEntries() const
+{
+    json body = { { "version", m_state.registryVersion }, { "entries", json::object() } };
+    for (const auto &[key, value] : m_state.rawEntries)
+        body["entries"][key] = value;
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void SiteUpdates::applyTargets(const std::set<std::string> &changed)
+{
+    const auto now = BootClock::now();
+    for (const auto &key : changed) {
+        const auto *row = m_state.targetRows.find(key);
+        if (!row) {
+            m_state.registry.remove(key, now);
+            continue;
+        }
+        auto entry = row->entry;
+        const auto *known = m_state.registry.find(TargetId(key));
+        if (entry && known && known->startTimeMs == entry->startTimeMs)
+            entry->engine = known->engine;
+        m_state.registry.put(key, std::move(entry));
+    }
+}
+
+void SiteUpdates::updateMembers(const std::vector<StoreRow> &rows, RowVersion version)
+{
+    std::set<VmId> changed;
+    for (const auto &row : rows) {
+        auto member = decodeMember(row);
+        if (!member && !row.isDeleted) {
+            log::warning("invalid daemon row ignored", { { "vm", row.key } });
+            continue;
+        }
+        if (m_state.memberRows.putWritten(VmId(row.key), std::move(member), version))
+            changed.insert(VmId(row.key));
+    }
+    m_state.memberRows.advanceTo(version);
+    applyMembers(changed);
+}
+
+void SiteUpdates::replaceMembers(const std::vector<StoreRow> &rows, RowVersion version)
+{
+    std::map<VmId, FleetMember> members;
+    for (const auto &row : rows)
+        if (auto member = decodeMember(row))
+            members.emplace(VmId(row.key), std::move(*member));
+    const auto own = members.find(m_state.settings.vm);
+    m_isRegistered = own != members.end() && own->second == m_state.fleet.self();
+    applyMembers(m_state.memberRows.replaceAll(members, version));
+}
+
+void SiteUpdates::applyMembers(const std::set<VmId> &changed)
+{
+    if (changed.empty())
+        return;
+    const auto now = BootClock::now();
+    for (const auto &vm : changed) {
+        const auto *row = m_state.memberRows.find(vm);
+        if (vm == m_state.settings.vm)
+            m_isRegistered = row && *row == m_state.fleet.self();
+        else if (row)
+            m_state.fleet.putMember(*row, now);
+        else
+            m_state.fleet.removeMember(vm);
+    }
+    m_state.updateRelayGroups(now);
+    m_state.notifyRelays();
+}
+
+bool SiteUpdates::hasFreshTargets(TimePoint now) const
+{
+    return m_state.isReader(now) && now - m_state.targetsReadAt < MaxFreshAge;
+}
+
+void SiteUpdates::applyDigest(const FleetDigest &digest, TimePoint now)
+{
+    auto &fleet = m_state.fleet;
+    fleet.noteRelayStatus(digest.relay, now);
+    if (digest.leader)
+        m_state.noteLeader(*digest.leader, digest.relay.estimates, now);
+    const auto placement = fleet.placement().number();
+    fleet.notePlacement(digest.placement.leader, digest.placement.epoch, digest.placement.update);
+    m_state.registry.noteContact(now - digest.relay.timeSinceStoreReply);
+    std::set<std::string> targets;
+    if (!hasFreshTargets(now))
+        targets = m_state.targetRows.apply(digest.targets);
+    applyTargets(targets);
+    applyMembers(m_state.memberRows.apply(digest.members));
+    m_state.isBehindRelay = m_state.targetRows.isBehind() || m_state.memberRows.isBehind()
+            || (digest.placement.update.number > 0 && fleet.placement().isIncomplete());
+    const bool hasChanged = !targets.empty() || fleet.placement().number() != placement;
+    if (!hasChanged)
+        return;
+    m_state.stateChanged.notify();
+    m_state.notifyRelays();
+}
+
+} // namespace bluebell::gateway
--- /dev/null
+++ b/programs/gateway/siteupdates.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "gateway/gatewaystate.h"
+#include "platform/storecodec.h"
+#include "relay/digest.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+/// \file
+/// Applies configurations, target entries and daemons' rows to the state, wherever they come from.
+
+namespace bluebell::gateway {
+
+/// Applies what the store, other daemons or relays tell of the site.
+class SiteUpdates
+{
+public:
+    /// \param configChanged called after a newer configuration has been applied
+    SiteUpdates(GatewayState &state, std::function<void()> configChanged)
+        : m_state(state), m_configChanged(std::move(configChanged))
+    {
+    }
+
+    /// \returns whether the configuration is valid and newer than the current one
+    bool updateConfig(const std::string &text);
+
+    /// Replaces all target entries by those in the store at `version`.
+    void replaceTargets(const std::vector<platform::StoreRow> &rows, RowVersion version);
+    void updateTargets(const std::vector<platform::StoreRow> &rows, RowVersion version);
+    /// \returns all target entries as JSON, for decodeEntries() of another daemon
+    [[nodiscard]] std::string encodeEntries() const;
+
+    /// Replaces the rows of all daemons by those in the store at `version`.
+    void replaceMembers(const std::vector<platform::StoreRow> &rows, RowVersion version);
+    void updateMembers(const std::vector<platform::StoreRow> &rows, RowVersion version);
+
+    /// Applies a relay's digest, apart from its sums.
+    void applyDigest(const FleetDigest &digest, TimePoint now);
+
+    /// Whether this daemon's row is in the store, as far as it is known.
+    [[nodiscard]] bool isRegistered() const noexcept { return m_isRegistered; }
+    void setRegistered(bool isRegistered) noexcept { m_isRegistered = isRegistered; }
+
+private:
+    void updateTarget(const platform::StoreRow &row, RowVersion version);
+    void applyTargets(const std::set<std::string> &changed);
+    /// \returns whether this daemon has just read the target entries itself
+    [[nodiscard]] bool hasFreshTargets(TimePoint now) const;
+    void applyMembers(const std::set<VmId> &changed);
+
+    GatewayState &m_state;
+    std::function<void()> m_configChanged;
+    bool m_isRegistered = false;
+};
+
+} // namespace bluebell::gateway
--- a/programs/gateway/storewatch.cpp
+++ b/programs/gateway/storewatch.cpp
@@ -1,14 +1,11 @@
 #include "gateway/storewatch.h"
 
 #include "core/log.h"
-#include "http/client.h"
-#include "peer/statuscodec.h"
-#include "platform/documents.h"
+#include "gateway/memberrow.h"
 #include "platform/names.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -18,89 +15,36 @@
 namespace bluebell::gateway {
 namespace {
 
-using nlohmann::json;
 using platform::StoreRow;
 using std::chrono::milliseconds;
 
-const std::string MemberTable = "bluebell-members";
-
-/// Hold time of a feed call in a small fleet. Calls end this often so that a dead connection is
-/// detected.
-constexpr Duration MinConfigWait = milliseconds(2000);
-/// In a large fleet each daemon polls less often, because the others fetch a new configuration from
-/// the first daemon that has received it.
-constexpr Duration MaxConfigWait = milliseconds(2500);
-constexpr std::size_t SmallFleet = 16;
+/// Calls to the feeds end this often, so that a dead connection is detected.
+constexpr Duration MaxConfigWait = milliseconds(2000);
+/// The same for a relay, which also hears of new configurations from other relays.
+constexpr Duration MaxRelayConfigWait = milliseconds(4000);
 constexpr Duration MaxTargetWait = milliseconds(1500);
 constexpr Duration MaxMemberWait = milliseconds(8000);
 /// Interval between two calls to the feed of target entries, as a fraction of the drain timeout.
 /// Draining targets must be noticed in time, but the entries change with every heartbeat.
 constexpr double TargetPollFraction = 0.4;
-constexpr Duration MemberPollInterval = milliseconds(100);
+/// The same for a relay, whose readings reach the other daemons later.
+constexpr double RelayTargetPollFraction = 0.35;
+/// At the start all daemons write their rows at the same time.
+constexpr Duration MemberPollInterval = milliseconds(400);
 constexpr Duration ReadTimeout = milliseconds(1200);
-constexpr Duration RetryDelay = milliseconds(200);
-/// Interval of the checks for peers with newer data. A newer version normally arrives through the
-/// own feed within this time, so that no peer is asked for it.
-constexpr Duration PeerCheckInterval = milliseconds(250);
-constexpr Duration PeerTimeout = milliseconds(800);
-/// Time without a reply of the store after which target entries are fetched from peers.
-constexpr Duration StoreOutageThreshold = milliseconds(2600);
+/// Delay of the first retry after a failure; it doubles up to MaxRetryDelay.
+constexpr Duration MinRetryDelay = milliseconds(200);
+constexpr Duration MaxRetryDelay = milliseconds(800);
+/// Delay of the first read when all daemons start for the first time.
+constexpr Duration FirstStartDelay = milliseconds(1000);
+/// Interval at which a daemon that is no reader checks whether it has become one.
+constexpr Duration RoleCheckInterval = milliseconds(100);
 constexpr Duration MemberTimeoutCheckInterval = std::chrono::seconds(5);
 
-json toJson(const FleetMember &member)
-{
-    return { { "incarnation", member.incarnation.value() },
-             { "data_centre", member.dataCentre.value() },
-             { "callers", toString(member.callers) },
-             { "peers", toString(member.peers) },
-             { "control", toString(member.control) } };
-}
-
-std::optional<FleetMember> decodeMember(const StoreRow &row)
-{
-    const auto object = json::parse(row.value, nullptr, false);
-    if (!object.is_object())
-        return std::nullopt;
-    const auto stringField = [&](const char *name) {
-        const auto it = object.find(name);
-        return it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
-    };
-    const auto callers = parseEndpoint(stringField("callers"));
-    const auto peers = parseEndpoint(stringField("peers"));
-    const auto control = parseEndpoint(stringField("control"));
-    if (!callers || !peers || !control)
-        return std::nullopt;
-    return FleetMember { VmId(row.key),
-                         IncarnationId(stringField("incarnation")),
-                         DataCentreId(stringField("data_centre")),
-                         callers.value(),
-                         peers.value(),
-                         control.value() };
-}
-
-asio::awaitable<Result<std::string>> fetchFromPeer(Endpoint control, std::string path)
-{
-    HttpCall call;
-    call.endpoint = std::move(control);
-    call.request.method = "GET";
-    call.request.path = std::move(path);
-    call.timeout = PeerTimeout;
-    call.connectTimeout = PeerTimeout;
-    auto response = co_await exchange(std::move(call));
-    if (!response)
-        co_return response.error();
-    if (response.value().status != 200)
-        co_return makeError(ErrorCode::Unavailable,
-                            "peer answered " + std::to_string(response.value().status));
-    co_return std::move(response.value().body);
-}
-
 } // namespace
 
-StoreWatch::StoreWatch(asio::io_context &context, GatewayState &state,
-                       std::function<void()> configChanged)
-    : m_context(context), m_state(state), m_store(state.settings.store),
-      m_configChanged(std::move(configChanged))
+StoreWatch::StoreWatch(asio::io_context &context, GatewayState &state, SiteUpdates &updates)
+    : m_context(context), m_state(state), m_updates(updates), m_store(state.settings.store)
 {
 }
 
@@ -109,220 +53,131 @@
     namespace names = platform::names;
     const auto onOperatorRows = [this](const std::vector<StoreRow> &rows, RowVersion) {
         for (const auto &it : rows)
-            handleOperatorRow(it);
+            if (it.key == names::ConfigKey && !it.isDeleted)
+                m_updates.updateConfig(it.value);
     };
-    const auto onAllEntries = [this](const std::vector<StoreRow> &rows, RowVersion version) {
-        replaceAllEntries(rows, version);
+    Table config { std::string(names::OperatorTable),
+                   [this] {
+                       return m_state.fleet.usesRelays() ? MaxRelayConfigWait : MaxConfigWait;
+                   },
+                   [] { return Duration::zero(); },
+                   false,
+                   onOperatorRows,
+                   onOperatorRows,
+                   {} };
+    Table targets;
+    targets.name = names::ServerTable;
+    targets.maxWait = [] {
+        return MaxTargetWait;
     };
-    const auto onChangedEntries = [this](const std::vector<StoreRow> &rows, RowVersion version) {
-        m_state.registry.noteContact(BootClock::now());
-        for (const auto &it : rows)
-            if (it.isDeleted) {
-                m_state.rawEntries.erase(it.key);
-                m_state.registry.remove(it.key, BootClock::now());
-            } else {
-                updateEntry(it.key, it.value);
-            }
-        m_state.registryVersion = version;
-        if (!rows.empty())
-            m_state.stateChanged.notify();
+    targets.minInterval = [this] {
+        const auto fraction =
+                m_state.fleet.usesRelays() ? RelayTargetPollFraction : TargetPollFraction;
+        return std::chrono::duration_cast<Duration>(m_state.settings.drainTimeout * fraction);
     };
-    const auto onAllMembers = [this](const std::vector<StoreRow> &rows, RowVersion) {
-        replaceAllMembers(rows);
+    targets.onSnapshot = [this](const auto &rows, RowVersion version) {
+        m_updates.replaceTargets(rows, version);
     };
-    const auto onChangedMembers = [this](const std::vector<StoreRow> &rows, RowVersion) {
-        for (const auto &it : rows)
-            updateMember(it);
+    targets.onChanges = [this](const auto &rows, RowVersion version) {
+        m_updates.updateTargets(rows, version);
     };
-    const auto spawn = [this](asio::awaitable<void> work) {
-        asio::co_spawn(m_context, std::move(work), asio::detached);
+    targets.onReply = [this] {
+        const auto now = BootClock::now();
+        m_state.targetsReadAt = now;
+        m_state.registry.noteContact(now);
     };
-    const auto configTiming = [this] {
-        return PollTiming { configMaxWait(), Duration::zero() };
+    Table members;
+    members.name = MemberTable;
+    members.maxWait = [] {
+        return MaxMemberWait;
     };
-    const auto targetTiming = [this] {
-        const auto minInterval = std::chrono::duration_cast<Duration>(m_state.settings.drainTimeout
-                                                                      * TargetPollFraction);
-        return PollTiming { MaxTargetWait, minInterval };
+    members.minInterval = [] {
+        return MemberPollInterval;
     };
-    const auto memberTiming = [] {
-        return PollTiming { MaxMemberWait, MemberPollInterval };
+    members.isReadAtStart = true;
+    members.onSnapshot = [this](const auto &rows, RowVersion version) {
+        m_updates.replaceMembers(rows, version);
     };
-    spawn(followTable(std::string(names::OperatorTable), configTiming, onOperatorRows,
-                      onOperatorRows));
-    spawn(followTable(std::string(names::ServerTable), targetTiming, onAllEntries,
-                      onChangedEntries));
-    spawn(followTable(MemberTable, memberTiming, onAllMembers, onChangedMembers));
-    spawn(keepRegistered());
-    spawn(pollPeers());
-    spawn(removeTimedOutMembers());
-}
-
-Duration StoreWatch::configMaxWait() const
-{
-    const auto size = std::max(m_state.fleet.size(), SmallFleet);
-    const auto wait = MinConfigWait * static_cast<std::int64_t>(size) / SmallFleet;
-    return std::min<Duration>(wait, MaxConfigWait);
+    members.onChanges = [this](const auto &rows, RowVersion version) {
+        m_updates.updateMembers(rows, version);
+    };
+    for (auto *table : { &config, &targets, &members })
+        asio::co_spawn(m_context, followTable(std::move(*table)), asio::detached);
+    asio::co_spawn(m_context, keepRegistered(), asio::detached);
+    asio::co_spawn(m_context, removeTimedOutMembers(), asio::detached);
 }
 
-asio::awaitable<void> StoreWatch::followTable(std::string table,
-                                              std::function<PollTiming()> currentTiming,
-                                              RowsHandler onSnapshot, RowsHandler onChanges)
+asio::awaitable<void> StoreWatch::followTable(Table table)
 {
     std::optional<RowVersion> version;
     bool isDisconnected = false;
+    Duration retryDelay = MinRetryDelay;
     const auto onFailure = [&](const Error &error) {
         if (!isDisconnected)
-            log::warning("store lost", { { "table", table }, { "cause", error.message } });
+            log::warning("store lost", { { "table", table.name }, { "cause", error.message } });
         isDisconnected = true;
     };
     const auto onSuccess = [&] {
         if (isDisconnected)
-            log::info("store regained", { { "table", table } });
+            log::info("store regained", { { "table", table.name } });
         isDisconnected = false;
-        noteStoreReply();
+        retryDelay = MinRetryDelay;
+        if (table.onReply)
+            table.onReply();
     };
+    // Until the others have written their rows, a large fleet can't be told from a small one.
+    if (m_state.settings.isFirstStart)
+        co_await sleepFor(FirstStartDelay);
+    bool mustRead = table.isReadAtStart;
     for (;;) {
+        if (!mustRead && !m_state.isReader(BootClock::now())) {
+            // What is missed meanwhile is read with the next snapshot.
+            version.reset();
+            co_await sleepFor(RoleCheckInterval);
+            continue;
+        }
         if (!version) {
-            auto snapshot = co_await m_store.read(table, ReadTimeout);
+            auto snapshot = co_await m_store.read(table.name, ReadTimeout);
             if (!snapshot) {
                 onFailure(snapshot.error());
-                co_await sleepFor(RetryDelay);
+                co_await sleepFor(
+                        std::exchange(retryDelay, std::min(2 * retryDelay, MaxRetryDelay)));
                 continue;
             }
             onSuccess();
+            mustRead = false;
             version = snapshot.value().version;
-            onSnapshot(snapshot.value().rows, *version);
+            table.onSnapshot(snapshot.value().rows, *version);
+            continue;
         }
-        const auto timing = currentTiming();
-        auto outcome = co_await m_store.changes(table, *version, timing.maxWait);
+        auto outcome = co_await m_store.changes(table.name, *version, table.maxWait());
         if (!outcome) {
             onFailure(outcome.error());
-            co_await sleepFor(RetryDelay);
+            co_await sleepFor(std::exchange(retryDelay, std::min(2 * retryDelay, MaxRetryDelay)));
             continue;
         }
         onSuccess();
         if (auto *snapshot = std::get_if<platform::StoreSnapshot>(&outcome.value())) {
             version = std::max(*version, snapshot->version);
-            onChanges(snapshot->rows, *version);
+            table.onChanges(snapshot->rows, *version);
         } else {
-            log::info("history lost, table read anew", { { "table", table } });
+            log::info("history lost, table read anew", { { "table", table.name } });
             version.reset();
         }
-        if (timing.minInterval > Duration::zero())
-            co_await sleepFor(timing.minInterval);
-    }
-}
-
-void StoreWatch::noteStoreReply()
-{
-    m_state.storeRepliedAt = BootClock::now();
-}
-
-void StoreWatch::handleOperatorRow(const StoreRow &row)
-{
-    if (row.key == platform::names::ConfigKey && !row.isDeleted)
-        updateConfig(row.value);
-}
-
-bool StoreWatch::updateConfig(const std::string &text)
-{
-    auto config = platform::decodeConfig(text);
-    if (!config) {
-        log::error("configuration refused", { { "cause", config.error().message } });
-        return false;
-    }
-    const auto known = m_state.index ? m_state.index->version() : 0;
-    if (config.value().version <= known)
-        return false;
-    m_state.index = std::make_shared<const SiteIndex>(std::move(config.value()));
-    m_state.rawConfig = text;
-    log::info("configuration in force",
-              { { "version", std::to_string(m_state.index->version()) },
-                { "before", std::to_string(known) } });
-    m_configChanged();
-    m_state.notifyChange();
-    return true;
-}
-
-void StoreWatch::updateEntry(const std::string &key, const std::string &value)
-{
-    m_state.rawEntries[key] = value;
-    auto entry = platform::decodeTarget(key, value);
-    if (!entry)
-        log::warning("entry of a target refused",
-                     { { "target", key }, { "cause", entry.error().message } });
-    std::optional<TargetEntry> accepted;
-    if (entry) {
-        const auto *before = m_state.registry.find(TargetId(key));
-        if (!before || before->isDraining != entry.value().isDraining)
-            log::info(entry.value().isDraining ? "target is draining" : "target is ready",
-                      { { "target", key }, { "address", toString(entry.value().address) } });
-        accepted = std::move(entry.value());
+        if (const auto interval = table.minInterval(); interval > Duration::zero())
+            co_await sleepFor(interval);
     }
-    m_state.registry.put(key, std::move(accepted));
-}
-
-void StoreWatch::replaceAllEntries(const std::vector<StoreRow> &rows, RowVersion version)
-{
-    const auto now = BootClock::now();
-    m_state.registry.noteContact(now);
-    std::map<std::string, std::optional<TargetEntry>> entries;
-    m_state.rawEntries.clear();
-    for (const auto &it : rows) {
-        m_state.rawEntries[it.key] = it.value;
-        auto entry = platform::decodeTarget(it.key, it.value);
-        if (entry)
-            entries[it.key] = std::move(entry.value());
-        else
-            entries[it.key] = std::nullopt;
-    }
-    m_state.registry.replaceAll(entries, now);
-    m_state.registryVersion = std::max(m_state.registryVersion, version);
-    m_state.stateChanged.notify();
-}
-
-void StoreWatch::updateMember(const StoreRow &row)
-{
-    if (row.key == m_state.settings.vm.value()) {
-        const auto member = decodeMember(row);
-        m_isRegistered = !row.isDeleted && member && *member == m_state.fleet.self();
-        return;
-    }
-    if (row.isDeleted) {
-        m_state.fleet.removeMember(VmId(row.key));
-        return;
-    }
-    if (auto member = decodeMember(row))
-        m_state.fleet.putMember(std::move(*member), BootClock::now());
-    else
-        log::warning("invalid daemon row ignored", { { "vm", row.key } });
-}
-
-void StoreWatch::replaceAllMembers(const std::vector<StoreRow> &rows)
-{
-    std::vector<FleetMember> members;
-    m_isRegistered = false;
-    for (const auto &it : rows) {
-        auto member = decodeMember(it);
-        if (!member)
-            continue;
-        if (it.key == m_state.settings.vm.value())
-            m_isRegistered = *member == m_state.fleet.self();
-        members.push_back(std::move(*member));
-    }
-    m_state.fleet.replaceMembers(std::move(members), BootClock::now());
 }
 
 asio::awaitable<void> StoreWatch::keepRegistered()
 {
     constexpr Duration CheckInterval = milliseconds(300);
     const auto vm = m_state.settings.vm.value();
-    const auto value = toJson(m_state.fleet.self()).dump();
+    const auto value = encodeMember(m_state.fleet.self());
     while (!m_isDeregistering) {
-        if (!m_isRegistered) {
+        if (!m_updates.isRegistered()) {
             const auto done = co_await m_store.put(MemberTable, vm, value, ReadTimeout);
-            m_isRegistered = done.has_value();
+            m_updates.setRegistered(done.has_value());
         }
         co_await sleepFor(CheckInterval);
     }
@@ -355,78 +210,4 @@
     }
 }
 
-asio::awaitable<void> StoreWatch::pollPeers()
-{
-    for (;;) {
-        co_await sleepFor(PeerCheckInterval);
-        const auto now = BootClock::now();
-        if (m_state.registry.expire(now))
-            m_state.stateChanged.notify();
-        const auto version = m_state.index ? m_state.index->version() : 0;
-        if (auto peer = m_state.fleet.peerWithConfig(version, now))
-            co_await fetchConfig(std::move(*peer));
-        if (auto peer = m_state.fleet.peerWithPlacement(now))
-            co_await fetchPlacement(std::move(*peer));
-        if (now - m_state.storeRepliedAt < StoreOutageThreshold)
-            continue;
-        if (auto peer = m_state.fleet.peerWithRegistry(m_state.registryVersion, now))
-            co_await fetchEntries(std::move(*peer));
-    }
-}
-
-asio::awaitable<void> StoreWatch::fetchConfig(FleetMember peer)
-{
-    const auto text = co_await fetchFromPeer(peer.control, "/peer/config");
-    if (!text) {
-        log::warning("failed to fetch the configuration from a peer",
-                     { { "vm", peer.vm.value() }, { "cause", text.error().message } });
-        co_return;
-    }
-    if (updateConfig(text.value()))
-        log::info("configuration taken from a peer", { { "vm", peer.vm.value() } });
-}
-
-asio::awaitable<void> StoreWatch::fetchPlacement(FleetMember peer)
-{
-    const auto text = co_await fetchFromPeer(peer.control, "/peer/placement");
-    const auto status = text ? decodeStatus(text.value()) : Result<DaemonStatus>(text.error());
-    if (!status) {
-        log::warning("failed to fetch the placement from the leader",
-                     { { "vm", peer.vm.value() }, { "cause", status.error().message } });
-        co_return;
-    }
-    m_state.fleet.notePlacement(status.value());
-    m_state.stateChanged.notify();
-}
-
-std::string StoreWatch::encodeEntries() const
-{
-    json body = { { "version", m_state.registryVersion }, { "entries", json::object() } };
-    for (const auto &[key, value] : m_state.rawEntries)
-        body["entries"][key] = value;
-    return body.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-asio::awaitable<void> StoreWatch::fetchEntries(FleetMember peer)
-{
-    const auto text = co_await fetchFromPeer(peer.control, "/peer/targets");
-    if (!text)
-        co_return;
-    const auto body = json::parse(text.value(), nullptr, false);
-    const bool isWellFormed = body.is_object() && body.contains("entries")
-            && body.value("version", json()).is_number_unsigned();
-    if (!isWellFormed) {
-        log::warning("peer returned malformed target entries", { { "vm", peer.vm.value() } });
-        co_return;
-    }
-    const auto version = body["version"].get<RowVersion>();
-    if (version <= m_state.registryVersion)
-        co_return;
-    std::vector<StoreRow> rows;
-    for (const auto &[key, value] : body["entries"].items())
-        if (value.is_string())
-            rows.push_back({ {}, key, value.get<std::string>(), 0, false });
-    replaceAllEntries(rows, version);
-}
-
 } // namespace bluebell::gateway
--- a/programs/gateway/storewatch.h
+++ b/programs/gateway/storewatch.h
@@ -1,26 +1,25 @@
 #pragma once
 
-#include "gateway/gatewaystate.h"
+#include "gateway/siteupdates.h"
 #include "platform/store.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <string>
 
 /// \file
-/// Synchronises the configuration, the target entries and the fleet members with the store.
+/// Follows the configuration, the target entries and the daemons' rows in the store.
 
 namespace bluebell::gateway {
 
-/// Watches three tables of the platform's store, and falls back to other daemons while the store is
-/// unavailable.
+/// Follows three tables of the platform's store while this daemon is a reader, and keeps this
+/// daemon's own row.
 class StoreWatch
 {
 public:
-    /// \param configChanged called after a newer configuration has been applied
-    StoreWatch(boost::asio::io_context &context, GatewayState &state,
-               std::function<void()> configChanged);
+    StoreWatch(boost::asio::io_context &context, GatewayState &state, SiteUpdates &updates);
 
     void start();
     /// Applies changed settings.
@@ -28,58 +27,38 @@
     /// Removes this daemon's row from the store and stops writing it.
     [[nodiscard]] boost::asio::awaitable<void> deregister();
 
-    /// \returns all target entries as JSON, in the form that fetchEntries() of other daemons reads
-    [[nodiscard]] std::string encodeEntries() const;
-
 private:
     using RowsHandler = std::function<void(const std::vector<platform::StoreRow> &, RowVersion)>;
 
-    /// Timing of the long-poll calls to a change feed.
-    struct PollTiming
+    /// How a table is followed.
+    struct Table
     {
-        /// Maximum time that the store holds a call.
-        Duration maxWait {};
-        /// Minimum pause between two calls.
-        Duration minInterval {};
+        std::string name;
+        /// Maximum time that the store holds a call to the feed.
+        std::function<Duration()> maxWait;
+        /// Minimum pause between two calls to the feed.
+        std::function<Duration()> minInterval;
+        /// Whether the table is read once at the start even if this daemon is no reader.
+        bool isReadAtStart = false;
+        /// Receives all rows, at the start and after the change history was lost.
+        RowsHandler onSnapshot;
+        /// Receives the rows that changed.
+        RowsHandler onChanges;
+        /// Called after each reply, if set.
+        std::function<void()> onReply;
     };
 
-    /// Reads a table and then applies its changes, for as long as the daemon runs.
-    ///
-    /// \param currentTiming called before each call to the feed
-    /// \param onSnapshot receives all rows, at the start and after the change history was lost
-    /// \param onChanges receives the rows that changed
-    boost::asio::awaitable<void> followTable(std::string table,
-                                             std::function<PollTiming()> currentTiming,
-                                             RowsHandler onSnapshot, RowsHandler onChanges);
-    /// \returns the maximum hold time of a call to the feed of configurations, longer in a larger
-    /// fleet
-    [[nodiscard]] Duration configMaxWait() const;
-    /// Fetches newer configurations and placements from peers, and newer target entries while the
-    /// store is unavailable.
-    boost::asio::awaitable<void> pollPeers();
-    boost::asio::awaitable<void> fetchConfig(FleetMember peer);
-    boost::asio::awaitable<void> fetchEntries(FleetMember peer);
-    /// Fetches a full status with the placement of all engines from the leader.
-    boost::asio::awaitable<void> fetchPlacement(FleetMember peer);
+    /// Reads a table and then applies its changes, while this daemon is a reader.
+    boost::asio::awaitable<void> followTable(Table table);
     /// Writes this daemon's row again whenever it is missing or outdated.
     boost::asio::awaitable<void> keepRegistered();
     /// Removes the rows of daemons that send no status any more, while this daemon is the leader.
     boost::asio::awaitable<void> removeTimedOutMembers();
 
-    void noteStoreReply();
-    void handleOperatorRow(const platform::StoreRow &row);
-    /// \returns whether the configuration is valid and newer than the current one
-    bool updateConfig(const std::string &text);
-    void updateEntry(const std::string &key, const std::string &value);
-    void replaceAllEntries(const std::vector<platform::StoreRow> &rows, RowVersion version);
-    void replaceAllMembers(const std::vector<platform::StoreRow> &rows);
-    void updateMember(const platform::StoreRow &row);
-
     boost::asio::io_context &m_context;
     GatewayState &m_state;
+    SiteUpdates &m_updates;
     platform::Store m_store;
-    std::function<void()> m_configChanged;
-    bool m_isRegistered = false;
     bool m_isDeregistering = false;
 };
 
--- a/src/membership/daemonstatus.h
+++ b/src/membership/daemonstatus.h
@@ -22,6 +22,8 @@
     Tokens admitted = 0;
     /// The daemon's estimate of the tokens left in the organisation's bucket.
     Tokens level = 0;
+    /// In a report to a relay: the part of `admitted` that a relay has confirmed to have counted.
+    Tokens acknowledged = 0;
 };
 
 /// The complete state of one daemon. Each status replaces the one before, so a lost one needs no
@@ -52,4 +54,14 @@
     std::vector<LoadEstimate> estimates;
 };
 
+/// The leader as a daemon knows it.
+struct LeaderInfo
+{
+    VmId vm;
+    IncarnationId incarnation;
+    Epoch epoch = 0;
+    /// Time since the leader's last status.
+    Duration age {};
+};
+
 } // namespace bluebell
--- a/src/membership/fleet.cpp
+++ b/src/membership/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "core/digest.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bluebell {
@@ -9,6 +10,8 @@
 
 /// A peer may be asked for target entries if the store replied to it within this time.
 constexpr Duration MaxStoreReplyAge = std::chrono::milliseconds(1500);
+/// Time after the leader's last status during which it counts as alive, if relays pass it on.
+constexpr Duration LeaderTimeoutThroughRelays = std::chrono::milliseconds(2000);
 
 } // namespace
 
@@ -40,6 +43,14 @@
 }
 
 bool Fleet::noteStatus(const DaemonStatus &status, TimePoint now)
+{
+    if (!noteRelayStatus(status, now))
+        return false;
+    noteLeaderStatus(status, now);
+    return true;
+}
+
+bool Fleet::noteRelayStatus(const DaemonStatus &status, TimePoint now)
 {
     if (status.vm == m_self.vm)
         return false;
@@ -49,63 +60,113 @@
         && now - it->second.at < statusTiming().livenessTimeout
         && status.uptime > it->second.status.uptime)
         return false;
-    notePlacement(status);
     auto &last = m_lastStatuses[status.vm];
     last = { status, now };
     last.status.placement = {};
     return true;
 }
 
-void Fleet::notePlacement(const DaemonStatus &status)
+void Fleet::noteLeaderStatus(const DaemonStatus &status, TimePoint now)
+{
+    if (status.leaderEpoch == 0) {
+        if (m_leader && m_leader->vm == status.vm && m_leader->incarnation == status.incarnation)
+            m_leader.reset();
+        return;
+    }
+    notePlacement(status.incarnation, status.leaderEpoch, status.placement);
+    noteLeader({ status.vm, status.incarnation, status.leaderEpoch, {} }, status.estimates, now);
+}
+
+void Fleet::notePlacement(const IncarnationId &leader, Epoch epoch, const PlacementUpdate &update)
+{
+    m_placement.applyUpdate(leader, epoch, update);
+}
+
+void Fleet::noteLeader(const LeaderInfo &leader, std::vector<LoadEstimate> estimates, TimePoint now)
+{
+    const auto heardAt = now - leader.age;
+    const bool isOutdated = m_leader
+            && (leader.epoch < m_leader->epoch
+                || (leader.epoch == m_leader->epoch && heardAt < m_leader->heardAt));
+    if (!isOutdated)
+        m_leader = KnownLeader { leader.vm, leader.incarnation,   leader.epoch,
+                                 heardAt,   std::move(estimates), now };
+}
+
+void Fleet::noteUnavailable(std::set<VmId> unavailable, TimePoint now)
+{
+    std::erase_if(m_unavailableSince,
+                  [&](const auto &it) { return !unavailable.contains(it.first); });
+    for (const auto &vm : unavailable)
+        m_unavailableSince.try_emplace(vm, now);
+    m_availabilityAt = now;
+}
+
+bool Fleet::isCoveredByRelays(const FleetMember &member, TimePoint now) const
 {
-    if (status.leaderEpoch > 0)
-        m_placement.applyUpdate(status.incarnation, status.leaderEpoch, status.placement);
+    return usesRelays() && member.supportsRelays() && m_availabilityAt
+            && now - *m_availabilityAt < AvailabilityLifetime;
 }
 
-bool Fleet::isAlive(const VmId &vm, TimePoint now) const
+bool Fleet::isAlive(const FleetMember &member, TimePoint now) const
 {
-    const auto it = m_lastStatuses.find(vm);
+    if (isCoveredByRelays(member, now))
+        return !m_unavailableSince.contains(member.vm);
+    const auto it = m_lastStatuses.find(member.vm);
     return it != m_lastStatuses.end() && now - it->second.at < statusTiming().livenessTimeout;
 }
 
-std::vector<Endpoint> Fleet::peers() const
+bool Fleet::isUsable(const FleetMember &member, TimePoint now) const
+{
+    if (!isAlive(member, now))
+        return false;
+    return isCoveredByRelays(member, now) || m_lastStatuses.at(member.vm).status.isReady;
+}
+
+const FleetMember *Fleet::find(const VmId &vm) const
+{
+    const auto it = m_members.find(vm);
+    return it == m_members.end() ? nullptr : &it->second.member;
+}
+
+std::vector<FleetMember> Fleet::members() const
+{
+    std::vector<FleetMember> all;
+    for (const auto &[vm, it] : m_members)
+        all.push_back(it.member);
+    return all;
+}
+
+std::vector<Endpoint> Fleet::directPeers() const
 {
     std::vector<Endpoint> all;
     for (const auto &[vm, it] : m_members)
-        all.push_back(it.member.peers);
+        if (!usesRelays() || !it.member.supportsRelays())
+            all.push_back(it.member.peers);
     return all;
 }
 
-std::vector<Endpoint> Fleet::callerAddresses(bool selfIsReady, TimePoint now) const
+std::vector<FleetMember> Fleet::callerDaemons(bool selfIsReady, TimePoint now) const
 {
-    std::vector<Endpoint> addresses;
+    std::vector<FleetMember> daemons;
     if (selfIsReady)
-        addresses.push_back(m_self.callers);
+        daemons.push_back(m_self);
     for (const auto &[vm, it] : m_members)
-        if (isAlive(vm, now) && m_lastStatuses.at(vm).status.isReady)
-            addresses.push_back(it.member.callers);
-    if (addresses.empty())
-        addresses.push_back(m_self.callers);
-    return addresses;
+        if (isUsable(it.member, now))
+            daemons.push_back(it.member);
+    if (daemons.empty())
+        daemons.push_back(m_self);
+    return daemons;
 }
 
 std::size_t Fleet::liveCount(TimePoint now) const
 {
     std::size_t n = 1;
     for (const auto &[vm, it] : m_members)
-        n += isAlive(vm, now) ? 1 : 0;
+        n += isAlive(it.member, now) ? 1 : 0;
     return n;
 }
 
-std::set<IncarnationId> Fleet::recentIncarnations(TimePoint now) const
-{
-    std::set<IncarnationId> all;
-    for (const auto &[vm, it] : m_lastStatuses)
-        if (now - it.at < MemberTimeout)
-            all.insert(it.status.incarnation);
-    return all;
-}
-
 template<typename VersionOf>
 std::optional<FleetMember> Fleet::newestPeer(std::uint64_t version, TimePoint now,
                                              VersionOf versionOf) const
@@ -113,9 +174,10 @@
     std::optional<FleetMember> best;
     std::uint64_t bestScore = 0;
     for (const auto &[vm, it] : m_members) {
-        if (!isAlive(vm, now))
+        const auto last = m_lastStatuses.find(vm);
+        if (last == m_lastStatuses.end() || !isAlive(it.member, now))
             continue;
-        const auto peerVersion = versionOf(m_lastStatuses.at(vm).status);
+        const auto peerVersion = versionOf(last->second.status);
         const auto score = rendezvousScore(m_self.vm.value(), vm.value());
         if (peerVersion < version || (peerVersion == version && (!best || score < bestScore)))
             continue;
@@ -138,23 +200,40 @@
     });
 }
 
-const Fleet::LastStatus *Fleet::leaderStatus(TimePoint now) const
+Duration Fleet::leaderTimeout() const noexcept
 {
-    const LastStatus *best = nullptr;
-    for (const auto &[vm, it] : m_lastStatuses) {
-        if (now - it.at >= statusTiming().livenessTimeout || it.status.leaderEpoch == 0)
-            continue;
-        if (!best || it.status.leaderEpoch > best->status.leaderEpoch)
-            best = &it;
-    }
-    return best;
+    return usesRelays() ? LeaderTimeoutThroughRelays : statusTiming().livenessTimeout;
+}
+
+const Fleet::KnownLeader *Fleet::liveLeader(TimePoint now) const
+{
+    return m_leader && now - m_leader->heardAt < leaderTimeout() ? &*m_leader : nullptr;
+}
+
+std::optional<LeaderInfo> Fleet::leader(TimePoint now) const
+{
+    if (!m_leader)
+        return std::nullopt;
+    return LeaderInfo { m_leader->vm, m_leader->incarnation, m_leader->epoch,
+                        now - m_leader->heardAt };
+}
+
+std::vector<LoadEstimate> Fleet::estimates(TimePoint now) const
+{
+    const auto *leader = liveLeader(now);
+    if (!leader)
+        return {};
+    auto all = leader->estimates;
+    for (auto &it : all)
+        it.readyIn = std::max(it.readyIn - (now - leader->estimatesAt), Duration::zero());
+    return all;
 }
 
 std::optional<FleetMember> Fleet::leaderMember(TimePoint now) const
 {
-    const auto *leader = leaderStatus(now);
-    const auto it = leader ? m_members.find(leader->status.vm) : m_members.end();
-    return it == m_members.end() ? std::nullopt : std::optional(it->second.member);
+    const auto *leader = liveLeader(now);
+    const auto *member = leader ? find(leader->vm) : nullptr;
+    return member ? std::optional(*member) : std::nullopt;
 }
 
 std::optional<FleetMember> Fleet::peerWithPlacement(TimePoint now) const
@@ -164,31 +243,45 @@
 
 const ResidentReplicas *Fleet::residents(TimePoint now) const
 {
-    return leaderStatus(now) && m_placement.isUsable() ? &m_placement.residents() : nullptr;
+    return liveLeader(now) ? lastResidents() : nullptr;
+}
+
+const ResidentReplicas *Fleet::lastResidents() const
+{
+    return m_placement.isUsable() ? &m_placement.residents() : nullptr;
 }
 
 std::optional<TimePoint> Fleet::readyAt(const ServiceId &service, const ModelId &model,
                                         TimePoint now) const
 {
-    const auto *leader = leaderStatus(now);
+    const auto *leader = liveLeader(now);
     if (!leader)
         return std::nullopt;
-    for (const auto &it : leader->status.estimates)
+    for (const auto &it : leader->estimates)
         if (it.service == service && it.model == model)
-            return leader->at + it.readyIn;
+            return leader->estimatesAt + it.readyIn;
     return std::nullopt;
 }
 
+TimePoint Fleet::lastHeardOf(const RegisteredMember &it, TimePoint now) const
+{
+    auto last = it.since;
+    if (const auto status = m_lastStatuses.find(it.member.vm); status != m_lastStatuses.end())
+        last = std::max(last, status->second.at);
+    if (!usesRelays() || !it.member.supportsRelays())
+        return last;
+    if (!isCoveredByRelays(it.member, now))
+        return now;
+    const auto unavailable = m_unavailableSince.find(it.member.vm);
+    return unavailable == m_unavailableSince.end() ? now : std::max(last, unavailable->second);
+}
+
 std::vector<VmId> Fleet::timedOutMembers(TimePoint now) const
 {
     std::vector<VmId> timedOut;
-    for (const auto &[vm, it] : m_members) {
-        const auto status = m_lastStatuses.find(vm);
-        const auto last =
-                status == m_lastStatuses.end() ? it.since : std::max(status->second.at, it.since);
-        if (now - last > MemberTimeout)
+    for (const auto &[vm, it] : m_members)
+        if (now - lastHeardOf(it, now) > MemberTimeout)
             timedOut.push_back(vm);
-    }
     return timedOut;
 }
 
--- a/src/membership/fleet.h
+++ b/src/membership/fleet.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 #include "membership/daemonstatus.h"
+#include "membership/fleetmember.h"
 #include "membership/statustiming.h"
 
 #include <map>
@@ -14,30 +15,20 @@
 
 namespace bluebell {
 
-/// The row of a daemon in the platform's store.
-struct FleetMember
-{
-    VmId vm;
-    IncarnationId incarnation;
-    DataCentreId dataCentre;
-    /// Address for callers' requests.
-    Endpoint callers;
-    /// Address for status messages of other daemons.
-    Endpoint peers;
-    /// Address where other daemons fetch data that they cannot read from the store.
-    Endpoint control;
-
-    friend bool operator==(const FleetMember &, const FleetMember &) = default;
-};
-
-/// Combines the daemons' rows with their status messages.
+/// Combines the daemons' rows with what is heard from them.
 ///
-/// A daemon is alive while its last status is younger than the liveness timeout of the fleet.
+/// In a small fleet all daemons send statuses to each other, and a daemon is alive while its last
+/// status is younger than the liveness timeout of the fleet. In a larger one relays tell which
+/// daemons are unavailable; only daemons of former builds, without relays, still send to all.
 class Fleet
 {
 public:
     /// The row of a daemon may be removed when no status came from it for this time.
     static constexpr Duration MemberTimeout = std::chrono::seconds(20);
+    /// Largest fleet in which every daemon sends its status to every other one.
+    static constexpr std::size_t MaxMeshSize = 16;
+    /// Time for which the relays' verdict on the daemons is used.
+    static constexpr Duration AvailabilityLifetime = std::chrono::seconds(3);
 
     explicit Fleet(FleetMember self) : m_self(std::move(self)) { }
 
@@ -52,27 +43,39 @@
     /// \returns false, without a change, when it is from this daemon itself or from an older
     ///          incarnation
     bool noteStatus(const DaemonStatus &status, TimePoint now);
-    /// Applies the leader's changes of what engines hold; ignores statuses of other daemons.
-    void notePlacement(const DaemonStatus &status);
+    /// Stores the status of a relay, which says nothing of the leader.
+    ///
+    /// \returns as noteStatus()
+    bool noteRelayStatus(const DaemonStatus &status, TimePoint now);
+    /// Applies the leader's changes of what engines hold.
+    void notePlacement(const IncarnationId &leader, Epoch epoch, const PlacementUpdate &update);
+    /// Notes what a relay knows of the leader, with the leader's load estimates.
+    void noteLeader(const LeaderInfo &leader, std::vector<LoadEstimate> estimates, TimePoint now);
+    /// Notes which daemons the relays know to be unavailable to callers.
+    void noteUnavailable(std::set<VmId> unavailable, TimePoint now);
 
     // Queries.
 
     [[nodiscard]] const FleetMember &self() const noexcept { return m_self; }
-    /// \returns the status addresses of all other daemons
-    [[nodiscard]] std::vector<Endpoint> peers() const;
-    /// \returns the caller addresses of all daemons that are alive and ready; when there is none,
-    ///          the address of this daemon
+    /// \returns whether the fleet is so large that state is exchanged through relays
+    [[nodiscard]] bool usesRelays() const noexcept { return size() > MaxMeshSize; }
+    /// \returns the row of another daemon, or null
+    [[nodiscard]] const FleetMember *find(const VmId &vm) const;
+    /// \returns the rows of all other daemons
+    [[nodiscard]] std::vector<FleetMember> members() const;
+    /// \returns the status addresses of the daemons that expect a status from every other one
+    [[nodiscard]] std::vector<Endpoint> directPeers() const;
+    /// \returns the daemons that are alive and ready, possibly with this one; if there is none,
+    ///          only this one
     ///
     /// \param selfIsReady whether this daemon accepts requests of callers
-    [[nodiscard]] std::vector<Endpoint> callerAddresses(bool selfIsReady, TimePoint now) const;
+    [[nodiscard]] std::vector<FleetMember> callerDaemons(bool selfIsReady, TimePoint now) const;
     /// \returns the status intervals and timeouts for a fleet of this size
     [[nodiscard]] StatusTiming statusTiming() const noexcept { return statusTimingFor(size()); }
     /// \returns the number of daemons, this one included
     [[nodiscard]] std::size_t size() const noexcept { return m_members.size() + 1; }
     /// \returns the number of daemons that are alive, this one included
     [[nodiscard]] std::size_t liveCount(TimePoint now) const;
-    /// \returns the incarnations of other daemons whose last status is younger than MemberTimeout
-    [[nodiscard]] std::set<IncarnationId> recentIncarnations(TimePoint now) const;
     /// \returns a live daemon with the newest configuration, if that is newer than `version`
     [[nodiscard]] std::optional<FleetMember> peerWithConfig(SiteVersion version,
                                                             TimePoint now) const;
@@ -88,10 +91,17 @@
     /// \returns what engines hold, or null when no leader is alive or its placement was never
     ///          complete here
     [[nodiscard]] const ResidentReplicas *residents(TimePoint now) const;
+    /// \returns what engines held when a leader was last alive, or null if that was never known
+    [[nodiscard]] const ResidentReplicas *lastResidents() const;
+    [[nodiscard]] const PlacementView &placement() const noexcept { return m_placement; }
+    /// \returns the leader as last known, if any
+    [[nodiscard]] std::optional<LeaderInfo> leader(TimePoint now) const;
+    /// \returns the leader's load estimates with their time left, or none if no leader is alive
+    [[nodiscard]] std::vector<LoadEstimate> estimates(TimePoint now) const;
     /// \returns when a model will be ready, if the leader is alive and has an estimate
     [[nodiscard]] std::optional<TimePoint> readyAt(const ServiceId &service, const ModelId &model,
                                                    TimePoint now) const;
-    /// \returns daemons without a status for MemberTimeout, whose rows may be removed
+    /// \returns daemons that nothing was heard of for MemberTimeout, whose rows may be removed
     [[nodiscard]] std::vector<VmId> timedOutMembers(TimePoint now) const;
 
 private:
@@ -113,13 +123,36 @@
     template<typename VersionOf>
     [[nodiscard]] std::optional<FleetMember> newestPeer(std::uint64_t version, TimePoint now,
                                                         VersionOf versionOf) const;
-    /// \returns the last status of the leader, or null when no leader is alive
-    [[nodiscard]] const LastStatus *leaderStatus(TimePoint now) const;
-    [[nodiscard]] bool isAlive(const VmId &vm, TimePoint now) const;
+    /// The leader, by its own statuses or by digests of relays.
+    struct KnownLeader
+    {
+        VmId vm;
+        IncarnationId incarnation;
+        Epoch epoch = 0;
+        TimePoint heardAt;
+        std::vector<LoadEstimate> estimates;
+        TimePoint estimatesAt;
+    };
+
+    void noteLeaderStatus(const DaemonStatus &status, TimePoint now);
+    /// \returns the leader, or null when none is alive
+    [[nodiscard]] const KnownLeader *liveLeader(TimePoint now) const;
+    [[nodiscard]] Duration leaderTimeout() const noexcept;
+    /// \returns whether the relays tell about this daemon, and have done so recently
+    [[nodiscard]] bool isCoveredByRelays(const FleetMember &member, TimePoint now) const;
+    /// \returns the last sign of life of a daemon, `now` if it would not be noticed
+    [[nodiscard]] TimePoint lastHeardOf(const RegisteredMember &it, TimePoint now) const;
+    [[nodiscard]] bool isAlive(const FleetMember &member, TimePoint now) const;
+    /// \returns whether the daemon is alive and accepts requests
+    [[nodiscard]] bool isUsable(const FleetMember &member, TimePoint now) const;
 
     FleetMember m_self;
     std::map<VmId, RegisteredMember> m_members;
     std::map<VmId, LastStatus> m_lastStatuses;
+    std::optional<KnownLeader> m_leader;
+    /// Unavailable daemons and since when the relays have told so.
+    std::map<VmId, TimePoint> m_unavailableSince;
+    std::optional<TimePoint> m_availabilityAt;
     PlacementView m_placement;
 };
 
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -35,7 +35,8 @@
         return m_holder.isRenewalDue(now) ? LeadershipStep::Write : LeadershipStep::Wait;
     }
     const bool isLeaderAlive = m_leaderSeenAt && now - *m_leaderSeenAt < m_settings.leaderTimeout;
-    if (isLeaderAlive || (m_isReleasing && !ownsRecord()))
+    const bool mayClaimNow = m_isCandidate && !m_isReleasing;
+    if (isLeaderAlive || (!mayClaimNow && !ownsRecord()))
         return LeadershipStep::Wait;
     if (!m_needsRead && mayClaim(now))
         return LeadershipStep::Write;
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -5,6 +5,7 @@
 #include "membership/lease.h"
 #include "membership/roles.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -74,7 +75,12 @@
         m_settings.takeoverDelay = takeoverDelay;
     }
     /// Notes a status of the leader that says that its lease is valid.
-    void noteLeaderAlive(TimePoint now) noexcept { m_leaderSeenAt = now; }
+    void noteLeaderAlive(TimePoint now) noexcept
+    {
+        m_leaderSeenAt = m_leaderSeenAt ? std::max(*m_leaderSeenAt, now) : now;
+    }
+    /// Sets whether this daemon may claim the role; a holder keeps it.
+    void setCandidate(bool isCandidate) noexcept { m_isCandidate = isCandidate; }
     void readSent(TimePoint now) noexcept;
     /// \param record empty when the row is absent
     void readSucceeded(const std::optional<LeaderRecord> &record, RowVersion version,
@@ -114,6 +120,7 @@
     std::optional<TimePoint> m_leaderSeenAt;
     std::optional<TimePoint> m_lastRead;
     std::optional<TimePoint> m_lastOrder;
+    bool m_isCandidate = true;
     bool m_isCallPending = false;
     bool m_isReleasing = false;
     bool m_needsRead = true;
--- a/src/peer/statuscodec.cpp
+++ b/src/peer/statuscodec.cpp
@@ -1,6 +1,7 @@
 #include "peer/statuscodec.h"
 
 #include "peer/generated/status.capnp.h"
+#include "peer/wirefields.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
@@ -14,10 +15,8 @@
 
 using std::chrono::milliseconds;
 
-std::string text(capnp::Text::Reader in)
-{
-    return { in.cStr(), in.size() };
-}
+using detail::text;
+using detail::toWire;
 
 ReplicaKey keyOf(capnp::Text::Reader model, capnp::Text::Reader adapter)
 {
@@ -31,12 +30,6 @@
     out.setAdapter(key.adapter.value());
 }
 
-std::uint32_t toWire(Duration d)
-{
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-            toMilliseconds(d).count(), 0, std::numeric_limits<std::uint32_t>::max()));
-}
-
 void writeDemand(const std::vector<ModelDemand> &demand, wire::Status::Builder out)
 {
     auto list = out.initDemand(static_cast<unsigned>(demand.size()));
@@ -68,12 +61,38 @@
         list[n].setOrganisation(rates[n].organisation.value());
         list[n].setAdmitted(rates[n].admitted);
         list[n].setLevel(rates[n].level);
+        list[n].setAcknowledged(rates[n].acknowledged);
+    }
+}
+
+void writeEstimates(const std::vector<LoadEstimate> &estimates, wire::Status::Builder out)
+{
+    auto list = out.initEstimates(static_cast<unsigned>(estimates.size()));
+    for (unsigned n = 0; n < estimates.size(); ++n) {
+        list[n].setService(estimates[n].service.value());
+        list[n].setModel(estimates[n].model.value());
+        list[n].setReadyInMs(toWire(estimates[n].readyIn));
     }
 }
 
-void writeResidents(const ResidentReplicas &residents, wire::Status::Builder out)
+} // namespace
+
+namespace detail {
+
+std::string text(capnp::Text::Reader in)
+{
+    return { in.cStr(), in.size() };
+}
+
+std::uint32_t toWire(Duration d)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+            toMilliseconds(d).count(), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+void writeResidents(const ResidentReplicas &residents,
+                    capnp::List<wire::StatusResident>::Builder out)
 {
-    auto list = out.initResidents(static_cast<unsigned>(residents.size()));
     unsigned n = 0;
     for (const auto &[target, keys] : residents) {
         std::map<ModelId, std::vector<std::string>> adapters;
@@ -82,30 +101,56 @@
             if (!key.adapter.isEmpty())
                 names.push_back(key.adapter.value());
         }
-        auto it = list[n++];
+        auto it = out[n++];
         it.setTarget(target.value());
         auto replicas = it.initReplicas(static_cast<unsigned>(adapters.size()));
         unsigned m = 0;
         for (const auto &[model, names] : adapters) {
             replicas[m].setModel(model.value());
-            auto out = replicas[m++].initAdapters(static_cast<unsigned>(names.size()));
+            auto list = replicas[m++].initAdapters(static_cast<unsigned>(names.size()));
             for (unsigned k = 0; k < names.size(); ++k)
-                out.set(k, names[k]);
+                list.set(k, names[k]);
         }
     }
 }
 
-void writeEstimates(const std::vector<LoadEstimate> &estimates, wire::Status::Builder out)
+ResidentReplicas readResidents(capnp::List<wire::StatusResident>::Reader in)
 {
-    auto list = out.initEstimates(static_cast<unsigned>(estimates.size()));
-    for (unsigned n = 0; n < estimates.size(); ++n) {
-        list[n].setService(estimates[n].service.value());
-        list[n].setModel(estimates[n].model.value());
-        list[n].setReadyInMs(toWire(estimates[n].readyIn));
+    ResidentReplicas residents;
+    for (const auto it : in) {
+        auto &keys = residents[TargetId(text(it.getTarget()))];
+        for (const auto replica : it.getReplicas()) {
+            const ModelId model(text(replica.getModel()));
+            keys.insert({ model, AdapterId() });
+            for (const auto adapter : replica.getAdapters())
+                keys.insert({ model, AdapterId(text(adapter)) });
+        }
     }
+    return residents;
+}
+
+void writeStatus(const DaemonStatus &status, wire::Status::Builder out)
+{
+    out.setVm(status.vm.value());
+    out.setIncarnation(status.incarnation.value());
+    out.setUptimeMs(static_cast<std::uint64_t>(toMilliseconds(status.uptime).count()));
+    out.setIsReady(status.isReady);
+    out.setConfigVersion(status.configVersion);
+    out.setRegistryVersion(status.registryVersion);
+    out.setStoreSilenceMs(toWire(status.timeSinceStoreReply));
+    out.setLeaderEpoch(status.leaderEpoch);
+    writeDemand(status.demand, out);
+    writeInFlight(status.inFlight, out);
+    writeRates(status.rates, out);
+    const auto &changed = status.placement.changed;
+    writeResidents(changed, out.initResidents(static_cast<unsigned>(changed.size())));
+    out.setPlacementBase(status.placement.base);
+    out.setPlacementNumber(status.placement.number);
+    out.setTellsDemand(status.includesDemand);
+    writeEstimates(status.estimates, out);
 }
 
-DaemonStatus read(wire::Status::Reader in)
+DaemonStatus readStatus(wire::Status::Reader in)
 {
     DaemonStatus status;
     status.vm = VmId(text(in.getVm()));
@@ -128,45 +173,21 @@
         status.inFlight.push_back({ TargetId(text(it.getTarget())),
                                     keyOf(it.getModel(), it.getAdapter()), it.getCount() });
     for (const auto it : in.getRates())
-        status.rates.push_back(
-                { OrganisationId(text(it.getOrganisation())), it.getAdmitted(), it.getLevel() });
+        status.rates.push_back({ OrganisationId(text(it.getOrganisation())), it.getAdmitted(),
+                                 it.getLevel(), it.getAcknowledged() });
     for (const auto it : in.getEstimates())
         status.estimates.push_back({ ServiceId(text(it.getService())), ModelId(text(it.getModel())),
                                      milliseconds(it.getReadyInMs()) });
-    for (const auto it : in.getResidents()) {
-        auto &keys = status.placement.changed[TargetId(text(it.getTarget()))];
-        for (const auto replica : it.getReplicas()) {
-            const ModelId model(text(replica.getModel()));
-            keys.insert({ model, AdapterId() });
-            for (const auto adapter : replica.getAdapters())
-                keys.insert({ model, AdapterId(text(adapter)) });
-        }
-    }
+    status.placement.changed = readResidents(in.getResidents());
     return status;
 }
 
-} // namespace
+} // namespace detail
 
 std::string encode(const DaemonStatus &status)
 {
     capnp::MallocMessageBuilder message;
-    auto out = message.initRoot<wire::Status>();
-    out.setVm(status.vm.value());
-    out.setIncarnation(status.incarnation.value());
-    out.setUptimeMs(static_cast<std::uint64_t>(toMilliseconds(status.uptime).count()));
-    out.setIsReady(status.isReady);
-    out.setConfigVersion(status.configVersion);
-    out.setRegistryVersion(status.registryVersion);
-    out.setStoreSilenceMs(toWire(status.timeSinceStoreReply));
-    out.setLeaderEpoch(status.leaderEpoch);
-    writeDemand(status.demand, out);
-    writeInFlight(status.inFlight, out);
-    writeRates(status.rates, out);
-    writeResidents(status.placement.changed, out);
-    out.setPlacementBase(status.placement.base);
-    out.setPlacementNumber(status.placement.number);
-    out.setTellsDemand(status.includesDemand);
-    writeEstimates(status.estimates, out);
+    detail::writeStatus(status, message.initRoot<wire::Status>());
     const auto words = capnp::messageToFlatArray(message);
     const auto bytes = words.asBytes();
     return { reinterpret_cast<const char *>(bytes.begin()), bytes.size() };
@@ -180,7 +201,7 @@
     std::memcpy(words.begin(), bytes.data(), bytes.size());
     try {
         capnp::FlatArrayMessageReader reader(words);
-        return read(reader.getRoot<wire::Status>());
+        return detail::readStatus(reader.getRoot<wire::Status>());
     } catch (const kj::Exception &e) {
         return makeError(ErrorCode::InvalidArgument,
                          std::string("malformed status: ") + e.getDescription().cStr());
--- a/src/peer/statuslink.h
+++ b/src/peer/statuslink.h
@@ -1,28 +1,18 @@
 #pragma once
 
-#include "core/endpoint.h"
-#include "core/result.h"
 #include "membership/daemonstatus.h"
-
-#include <boost/asio/any_io_executor.hpp>
+#include "peer/datagramsocket.h"
 
 #include <functional>
-#include <memory>
 #include <vector>
 
 /// \file
 /// Exchange of daemon statuses as UDP datagrams.
-///
-/// UDP has no connections that could hang. A lost datagram is not sent again, because the next
-/// status replaces it.
 
 namespace bluebell {
 
-namespace detail {
-class StatusSocket;
-} // namespace detail
-
-/// Sends this daemon's status to its peers and receives theirs.
+/// Sends this daemon's status to its peers and receives theirs. A lost status is not sent again,
+/// because the next one replaces it.
 class StatusLink
 {
 public:
@@ -30,19 +20,16 @@
 
     /// \param handler receives every valid status; malformed datagrams are logged and dropped
     StatusLink(const boost::asio::any_io_executor &executor, Handler handler);
-    ~StatusLink();
-    StatusLink(const StatusLink &) = delete;
-    StatusLink &operator=(const StatusLink &) = delete;
 
     /// Binds the socket and starts receiving.
     ///
     /// \returns Unavailable when the address cannot be bound
-    Result<void> open(const Endpoint &local);
+    Result<void> open(const Endpoint &local) { return m_socket.open(local); }
     /// Sends without blocking; datagrams that the socket does not accept are dropped.
     void send(const std::vector<Endpoint> &peers, const DaemonStatus &status);
 
 private:
-    std::shared_ptr<detail::StatusSocket> m_socket;
+    DatagramSocket m_socket;
 };
 
 } // namespace bluebell
--- /dev/null
+++ b/src/peer/wirefields.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "membership/daemonstatus.h"
+#include "peer/generated/status.capnp.h"
+
+#include <cstdint>
+#include <string>
+
+/// \file
+/// Parts of the status message that other messages contain, too.
+
+namespace bluebell::detail {
+
+[[nodiscard]] std::string text(capnp::Text::Reader in);
+/// \returns whole milliseconds, limited to the range of the field
+[[nodiscard]] std::uint32_t toWire(Duration d);
+void writeStatus(const DaemonStatus &status, wire::Status::Builder out);
+/// Throws kj::Exception if the message is malformed.
+[[nodiscard]] DaemonStatus readStatus(wire::Status::Reader in);
+void writeResidents(const ResidentReplicas &residents,
+                    capnp::List<wire::StatusResident>::Builder out);
+[[nodiscard]] ResidentReplicas readResidents(capnp::List<wire::StatusResident>::Reader in);
+
+} // namespace bluebell::detail
--- a/src/placement/placementupdate.cpp
+++ b/src/placement/placementupdate.cpp
@@ -1,11 +1,21 @@
 #include "placement/placementupdate.h"
 
+#include "core/digest.h"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
 
 namespace bluebell {
 
+std::uint64_t contentHash(const TargetId &target, const std::set<ReplicaKey> &keys)
+{
+    std::uint64_t hash = stableHash(target.value());
+    for (const auto &it : keys)
+        hash ^= stableHash(target.value() + '|' + toString(it));
+    return hash;
+}
+
 void PlacementPublisher::setResidents(ResidentReplicas residents)
 {
     const auto next = m_number + 1;
@@ -47,13 +57,13 @@
     return { 0, m_number, m_residents };
 }
 
-void PlacementView::apply(const ResidentReplicas &changed)
+void PlacementView::refresh(const std::set<TargetId> &changed)
 {
-    for (const auto &[target, keys] : changed) {
-        if (keys.empty())
-            m_residents.erase(target);
+    for (const auto &target : changed) {
+        if (const auto *keys = m_log.find(target))
+            m_residents[target] = *keys;
         else
-            m_residents[target] = keys;
+            m_residents.erase(target);
     }
 }
 
@@ -66,35 +76,29 @@
         // The former leader's state is kept until the new leader's snapshot arrives.
         m_leader = leader;
         m_epoch = epoch;
-        m_number = 0;
-        m_lastDelta = {};
-        m_isComplete = false;
+        m_log = {};
     }
-    if (update.base == 0 && update.number > 0) {
-        if (update.number < m_number)
-            return;
-        // A newer delta may have overtaken the snapshot. It applies on top of the snapshot only if
-        // its base is included in it.
-        if (m_lastDelta.number > update.number && m_lastDelta.base > update.number)
-            return;
-        m_residents.clear();
-        apply(update.changed);
-        m_number = update.number;
-        if (m_lastDelta.number > update.number) {
-            apply(m_lastDelta.changed);
-            m_number = m_lastDelta.number;
-        }
-        m_isComplete = true;
-        m_wasComplete = true;
+    RowChanges<TargetId, std::set<ReplicaKey>> changes;
+    changes.base = update.base;
+    changes.number = update.number;
+    for (const auto &[target, keys] : update.changed)
+        changes.rows.emplace(target, keys.empty() ? std::nullopt : std::optional(keys));
+    const bool wasEmpty = m_log.version() == 0;
+    refresh(m_log.apply(changes));
+    if (!wasEmpty || m_log.version() == 0)
         return;
-    }
-    if (update.number < std::max(m_lastDelta.number, m_number))
-        return;
-    apply(update.changed);
-    m_lastDelta = update;
-    m_isComplete = m_isComplete && update.base <= m_number;
-    if (m_isComplete)
-        m_number = update.number;
+    // What only the former leader knew of is dropped.
+    std::erase_if(m_residents, [this](const auto &it) { return !m_log.find(it.first); });
+    m_wasComplete = true;
+}
+
+PlacementUpdate PlacementView::changesSince(std::uint64_t base) const
+{
+    const auto changes = m_log.changesSince(base);
+    PlacementUpdate update { changes.base, changes.number, {} };
+    for (const auto &[target, keys] : changes.rows)
+        update.changed.emplace(target, keys.value_or(std::set<ReplicaKey>()));
+    return update;
 }
 
 } // namespace bluebell
--- a/src/placement/placementupdate.h
+++ b/src/placement/placementupdate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/rowlog.h"
 #include "placement/ledger.h"
 
 #include <cstddef>
@@ -17,6 +18,9 @@
 /// The replicas that can serve requests at each target.
 using ResidentReplicas = std::map<TargetId, std::set<ReplicaKey>>;
 
+/// \returns a hash of a target and its replicas
+[[nodiscard]] std::uint64_t contentHash(const TargetId &target, const std::set<ReplicaKey> &keys);
+
 /// Changes of the replicas at targets. A receiver whose state includes change `base` is at change
 /// `number` after applying them.
 struct PlacementUpdate
@@ -62,7 +66,7 @@
     std::deque<std::uint64_t> m_sentNumbers;
 };
 
-/// The receivers' side: reconstructs the leader's state from its messages.
+/// The receivers' side: reconstructs the leader's state from its messages, and passes it on.
 class PlacementView
 {
 public:
@@ -74,23 +78,31 @@
     // Queries.
 
     /// \returns whether changes are missing, so that a snapshot must be requested from the leader
-    [[nodiscard]] bool isIncomplete() const noexcept { return !m_isComplete; }
+    [[nodiscard]] bool isIncomplete() const noexcept
+    {
+        return m_log.version() == 0 || m_log.isBehind();
+    }
     /// \returns whether the state was complete at some time; parts of it may be outdated since
     [[nodiscard]] bool isUsable() const noexcept { return m_wasComplete; }
     [[nodiscard]] const ResidentReplicas &residents() const noexcept { return m_residents; }
+    /// \returns the incarnation of the leader whose state this is
+    [[nodiscard]] const IncarnationId &leader() const noexcept { return m_leader; }
+    [[nodiscard]] Epoch epoch() const noexcept { return m_epoch; }
+    /// \returns the number of the last change up to which the state is complete, 0 if it never was
+    /// under this leader
+    [[nodiscard]] std::uint64_t number() const noexcept { return m_log.version(); }
+    /// \returns the changes after `base`, or a snapshot if that is 0 or too long ago
+    [[nodiscard]] PlacementUpdate changesSince(std::uint64_t base) const;
 
 private:
-    void apply(const ResidentReplicas &changed);
+    /// Takes the replicas of these targets over from the log.
+    void refresh(const std::set<TargetId> &changed);
 
     /// Incarnation of the leader.
     IncarnationId m_leader;
     Epoch m_epoch = 0;
+    RowLog<TargetId, std::set<ReplicaKey>> m_log;
     ResidentReplicas m_residents;
-    /// The newest message that was not a snapshot.
-    PlacementUpdate m_lastDelta;
-    /// Number of the last change up to which the state is complete.
-    std::uint64_t m_number = 0;
-    bool m_isComplete = false;
     bool m_wasComplete = false;
 };
 
--- a/src/site/targetregistry.cpp
+++ b/src/site/targetregistry.cpp
@@ -6,6 +6,8 @@
 
 void TargetRegistry::noteContact(TimePoint now)
 {
+    if (m_lastContact && now <= *m_lastContact)
+        return;
     if (m_lastContact && now - *m_lastContact > OutageThreshold)
         m_recoveredAt = now;
     m_lastContact = now;
--- a/src/site/targetregistry.h
+++ b/src/site/targetregistry.h
@@ -69,7 +69,9 @@
 
     // Events.
 
-    /// Notes that the store has replied to a read of the entries.
+    /// Notes that the store has replied to a read of the entries, here or at a relay.
+    ///
+    /// \param now when it replied; times before the last one are ignored
     void noteContact(TimePoint now);
     /// Stores a new or changed entry, unless it is older than the known one.
     ///
--- a/tests/tst_adapter_gateway.cpp
+++ b/tests/tst_adapter_gateway.cpp
@@ -1,6 +1,8 @@
 #include "gateway/daemon.h"
 #include "http/client.h"
 #include "platformstandin.h"
+#include "relay/relaygroups.h"
+#include "relay/subscription.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -28,7 +30,7 @@
 {
     constexpr int First = 20000;
     constexpr int Last = 32000;
-    constexpr int PortsPerProcess = 40;
+    constexpr int PortsPerProcess = 125;
     static int next = First + ::getpid() * PortsPerProcess % (Last - First);
     asio::io_context context;
     for (;;) {
@@ -48,7 +50,8 @@
     gateway::GatewaySettings it;
     it.vm = VmId(vm);
     it.dataCentre = DataCentreId("leicester");
-    for (auto *endpoint : { &it.callers, &it.readiness, &it.directory, &it.control, &it.peers })
+    for (auto *endpoint :
+         { &it.callers, &it.readiness, &it.directory, &it.control, &it.peers, &it.relay })
         *endpoint = { "127.0.0.1", freePort() };
     it.store = store;
     it.stopTimeout = 3s;
@@ -550,6 +553,54 @@
     EXPECT_NE(store.value("bluebell-roles", "orders").find("vm-2"), std::string::npos);
 }
 
+/// Only relays read the store in a fleet of this size; the others hear of changes from them. Relays
+/// that stop responding are replaced.
+TEST_F(GatewayTest, ALargeFleetFollowsChangesThroughRelays)
+{
+    constexpr std::size_t Size = Fleet::MaxMeshSize + 4;
+    addTarget("p1", "plain");
+    auto &second = addTarget("p2", "plain");
+    for (std::size_t n = 0; n < Size; ++n)
+        addGateway("vm-" + std::to_string(n));
+    const auto servesAt = [&](std::size_t gateway, const std::string &path) {
+        return request(gateway, path) == 200;
+    };
+    for (std::size_t n = 0; n < Size; ++n)
+        ASSERT_TRUE(awaitReady(n)) << n;
+    run(1500ms);
+    auto next = siteConfig(2);
+    next["Routes"][3]["Prefix"] = "/new/";
+    setConfig(next);
+    run(1000ms);
+    for (std::size_t n = 0; n < Size; ++n)
+        EXPECT_TRUE(servesAt(n, "/new/x")) << n;
+
+    std::vector<VmId> vms;
+    for (std::size_t n = 0; n < Size; ++n)
+        vms.emplace_back("vm-" + std::to_string(n));
+    std::vector<RelayCandidate> daemons;
+    for (const auto &vm : vms)
+        daemons.push_back({ vm, DataCentreId("leicester"), 0 });
+    const RelayGroups groups(daemons);
+    std::set<VmId> frozen;
+    for (std::size_t rank = 0; rank < Subscription::RelayCount; ++rank)
+        frozen.insert(groups.ranking(0).at(rank));
+    for (std::size_t n = 0; n < Size; ++n)
+        processes[n]->isFrozen = frozen.contains(vms[n]);
+    run(2500ms);
+    second.publishEntry("draining");
+    next["Version"] = 3;
+    next["Routes"][3]["Prefix"] = "/newer/";
+    setConfig(next);
+    run(2000ms);
+    const auto runsBefore = second.runs.size();
+    for (std::size_t n = 0; n < Size; ++n)
+        if (!frozen.contains(vms[n])) {
+            EXPECT_TRUE(servesAt(n, "/newer/x")) << n;
+        }
+    EXPECT_EQ(second.runs.size(), runsBefore);
+}
+
 TEST_F(GatewayTest, ServesUntilCallersDisconnectAndRemovesItsRowOnStop)
 {
     addTarget("p1", "plain");
--- a/tests/tst_fleet.cpp
+++ b/tests/tst_fleet.cpp
@@ -50,12 +50,10 @@
     auto leaving = status("c");
     leaving.isReady = false;
     fleet.noteStatus(leaving, Start);
-    const std::vector<Endpoint> both { { "a", 1 }, { "b", 1 } };
-    EXPECT_EQ(fleet.callerAddresses(true, Start), both);
-    const std::vector<Endpoint> other { { "b", 1 } };
-    EXPECT_EQ(fleet.callerAddresses(false, Start), other);
-    const std::vector<Endpoint> self { { "a", 1 } };
-    EXPECT_EQ(fleet.callerAddresses(false, Start + 5s), self);
+    const std::vector both { member("a"), member("b") };
+    EXPECT_EQ(fleet.callerDaemons(true, Start), both);
+    EXPECT_EQ(fleet.callerDaemons(false, Start), std::vector { member("b") });
+    EXPECT_EQ(fleet.callerDaemons(false, Start + 5s), std::vector { member("a") });
 }
 
 TEST(Fleet, LateStatusOfFormerIncarnationIsIgnored)
@@ -101,7 +99,7 @@
     ASSERT_TRUE(fleet.peerWithPlacement(Start));
     EXPECT_EQ(fleet.peerWithPlacement(Start)->vm, VmId("b"));
     b.placement.base = 0;
-    fleet.notePlacement(b);
+    fleet.notePlacement(b.incarnation, b.leaderEpoch, b.placement);
     ASSERT_NE(fleet.residents(Start), nullptr);
     EXPECT_FALSE(fleet.peerWithPlacement(Start));
     EXPECT_EQ(fleet.leaderMember(Start)->vm, VmId("b"));
@@ -191,3 +189,55 @@
     EXPECT_GT(busy[0].arrivalsPerSecond, 5);
     EXPECT_TRUE(tracker.demand(Start + 60s).empty());
 }
+
+namespace {
+
+/// A fleet above the size up to which all daemons send statuses to each other.
+Fleet largeFleet(std::size_t formerBuilds)
+{
+    Fleet fleet(member("self"));
+    std::vector<FleetMember> members;
+    for (std::size_t n = 0; n < Fleet::MaxMeshSize + 4; ++n) {
+        members.push_back(member("vm-" + std::to_string(n)));
+        if (n >= formerBuilds)
+            members.back().relay = { members.back().vm.value(), 3 };
+    }
+    fleet.replaceMembers(members, Start);
+    return fleet;
+}
+
+} // namespace
+
+/// During a rolling replacement, daemons of the build without relays expect statuses from all.
+TEST(Fleet, DaemonsOfTheFormerBuildGetStatusesInALargeFleet)
+{
+    auto fleet = largeFleet(2);
+    EXPECT_TRUE(fleet.usesRelays());
+    EXPECT_EQ(fleet.directPeers().size(), 2U);
+    fleet.noteUnavailable({}, Start);
+    EXPECT_EQ(fleet.liveCount(Start), fleet.size() - 2);
+    fleet.noteStatus(status("vm-0"), Start);
+    EXPECT_EQ(fleet.liveCount(Start), fleet.size() - 1);
+}
+
+TEST(Fleet, RelaysTellWhichDaemonsAreUnavailable)
+{
+    auto fleet = largeFleet(0);
+    EXPECT_EQ(fleet.callerDaemons(true, Start), std::vector { member("self") });
+    fleet.noteUnavailable({ VmId("vm-3") }, Start);
+    EXPECT_EQ(fleet.callerDaemons(true, Start).size(), fleet.size() - 1);
+    EXPECT_EQ(fleet.liveCount(Start + Fleet::AvailabilityLifetime), 1U);
+}
+
+/// A new leader has heard of nobody yet; only what relays say for long removes a row.
+TEST(Fleet, RowsAreRemovedOnlyAfterALongSilenceThatRelaysSaw)
+{
+    auto fleet = largeFleet(0);
+    const auto later = Start + 60s;
+    EXPECT_TRUE(fleet.timedOutMembers(later).empty());
+    fleet.noteUnavailable({ VmId("vm-3") }, later);
+    EXPECT_TRUE(fleet.timedOutMembers(later).empty());
+    const auto end = later + Fleet::MemberTimeout + 1s;
+    fleet.noteUnavailable({ VmId("vm-3") }, end);
+    EXPECT_EQ(fleet.timedOutMembers(end), std::vector { VmId("vm-3") });
+}
