Limit the reports that the leader requests from engines at once

All engines' reports fell due at the same time; a busy leader got the responses after the 300 ms limit, requested all of them again and stayed busy. Besides, each report and each order's outcome compared what all engines hold.

At most 64 reports are in flight; those that an order or waiting requests depend on go first; at most 8 of idle engines a round and 40 a second in all, so the interval of idle reports grows with the engines above 120. What engines hold is compared once a plan.

The test (SwapPlannerTest.RequestsFewIdleReportsAtOnce...) plays 400 engines.

--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -27,6 +28,8 @@
 constexpr Duration MaxPlanInterval = milliseconds(25);
 constexpr Duration OrderTimeout = milliseconds(150);
 constexpr Duration ReportTimeout = milliseconds(300);
+/// Without this limit, reports that a busy leader receives too late are requested again and again.
+constexpr std::size_t MaxReportsInFlight = 64;
 
 std::string encode(const LeaderRecord &record)
 {
@@ -193,7 +196,8 @@
     auto &planner = m_state.planner;
     planner.noteTargets(m_state.registry.targets(), now);
     planner.noteDemand(m_state.settings.vm, m_state.demand.demand(now), m_state.inFlight(), now);
-    for (const auto &it : planner.reportsDue(now))
+    const auto limit = MaxReportsInFlight - std::min(m_reportsInFlight, MaxReportsInFlight);
+    for (const auto &it : planner.reportsDue(limit, now))
         asio::co_spawn(m_context, fetchReport(it), asio::detached);
     if (!m_state.leadership.maySendOrders(now)) {
         m_state.notePlacement();
@@ -224,7 +228,6 @@
                 { "sequence", std::to_string(order.expectedSequence) },
                 { "outcome", std::string(nameOf(outcome)) } });
     m_state.planner.noteOutcome(order, outcome, BootClock::now());
-    m_state.notePlacement();
     m_state.notifyChange();
 }
 
@@ -233,7 +236,9 @@
     const auto *target = m_state.registry.find(id);
     if (!target)
         co_return;
+    ++m_reportsInFlight;
     const auto report = co_await platform::fetchReport(*target, ReportTimeout);
+    --m_reportsInFlight;
     if (report) {
         log::debug("report",
                    { { "target", id.value() },
@@ -243,7 +248,6 @@
                      { "coming", std::to_string(report.value().state.pendingAdapters.size()) } });
         m_state.planner.noteReport(id, report.value().startTimeMs, report.value().state,
                                    BootClock::now());
-        m_state.notePlacement();
         m_state.notifyChange();
     } else {
         m_state.planner.noteReportFailed(id);
--- a/programs/gateway/placementcoordinator.h
+++ b/programs/gateway/placementcoordinator.h
@@ -40,6 +40,7 @@
     boost::asio::io_context &m_context;
     GatewayState &m_state;
     platform::Store m_store;
+    std::size_t m_reportsInFlight = 0;
     bool m_wasLeader = false;
 };
 
--- a/src/placement/enginetracker.cpp
+++ b/src/placement/enginetracker.cpp
@@ -12,8 +12,6 @@
 constexpr Duration ResendDelay = milliseconds(50);
 /// Maximum age of the state that a report shows.
 constexpr Duration ReportLag = milliseconds(260);
-/// Interval between reports while no order is in progress.
-constexpr Duration IdleReportInterval = std::chrono::seconds(3);
 /// Interval between reports while an order is in progress.
 constexpr Duration ReportInterval = milliseconds(60);
 /// Delay before a report that did not arrive is requested again.
@@ -54,6 +52,7 @@
 {
     m_reportAt.reset();
     m_reportedAt = now;
+    m_isReportWanted = false;
     m_missedReports = 0;
     m_hasReport = true;
     if (state.sequence < m_state.sequence)
@@ -211,6 +210,7 @@
 
 void EngineTracker::requestReport(TimePoint now)
 {
+    m_isReportWanted = true;
     if (!m_reportAt && now - m_reportedAt > WantedReportInterval)
         m_reportAt = now;
 }
@@ -233,16 +233,19 @@
     return m_pending->order;
 }
 
-bool EngineTracker::takeReportDue(TimePoint now)
+std::optional<TimePoint> EngineTracker::reportDueSince(Duration idleInterval, TimePoint now) const
+{
+    auto dueAt = m_reportAt;
+    if (!dueAt && m_pending && m_pending->phase == Phase::InProgress)
+        dueAt = std::max(m_reportedAt + ReportInterval, m_pending->expectedEnd);
+    if (!dueAt)
+        dueAt = m_reportedAt + idleInterval;
+    return *dueAt <= now ? dueAt : std::nullopt;
+}
+
+void EngineTracker::noteReportRequested(TimePoint now)
 {
-    if (m_pending && m_pending->phase == Phase::InProgress && !m_reportAt)
-        m_reportAt = std::max(now + ReportInterval, m_pending->expectedEnd);
-    if (!m_reportAt && now - m_reportedAt > IdleReportInterval)
-        m_reportAt = now;
-    if (!m_reportAt || now < *m_reportAt)
-        return false;
     m_reportAt = now + ReportRetryInterval;
-    return true;
 }
 
 const PlacementOrder *EngineTracker::order() const noexcept
--- a/src/placement/enginetracker.h
+++ b/src/placement/enginetracker.h
@@ -66,8 +66,8 @@
                                             const OrderTiming &timing, TimePoint now);
     /// \returns an order without a response that is due to be resent
     [[nodiscard]] std::optional<PlacementOrder> takeOrderToResend(TimePoint now);
-    /// \returns whether to request a report now; if so, schedules the retry
-    [[nodiscard]] bool takeReportDue(TimePoint now);
+    /// Notes that a report is requested now; it is due again if it does not arrive.
+    void noteReportRequested(TimePoint now);
 
     // Queries.
 
@@ -75,6 +75,13 @@
     [[nodiscard]] const EngineState &state() const noexcept { return m_state; }
     /// \returns the order in progress, or null
     [[nodiscard]] const PlacementOrder *order() const noexcept;
+    /// \returns since when a report is due, or nothing if none is
+    ///
+    /// \param idleInterval time after which a report of an engine without orders is due
+    [[nodiscard]] std::optional<TimePoint> reportDueSince(Duration idleInterval,
+                                                          TimePoint now) const;
+    /// \returns whether an order or waiting requests depend on the next report
+    [[nodiscard]] bool isReportUrgent() const noexcept { return m_pending || m_isReportWanted; }
     [[nodiscard]] bool isLoading(const ReplicaKey &key) const;
     [[nodiscard]] bool isLoadingFromStore() const noexcept;
     /// \returns the expected remaining time of the order in progress, or zero
@@ -136,6 +143,8 @@
     /// When the next report is due; empty while none is scheduled.
     std::optional<TimePoint> m_reportAt;
     TimePoint m_reportedAt;
+    /// Whether waiting requests depend on the report that is due.
+    bool m_isReportWanted = false;
     /// Whether this run of the engine has sent a report.
     bool m_hasReport = false;
     /// Consecutive report requests without a response.
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -39,6 +39,11 @@
 /// Requests per second from which on a model has a second copy, and a third one.
 constexpr double SecondCopyRate = 2;
 constexpr double ThirdCopyRate = 10;
+/// Interval between reports of an engine without orders, and their largest number per second and
+/// per round, so that the leader's work for them does not grow with the number of engines.
+constexpr Duration MinIdleReportInterval = std::chrono::seconds(3);
+constexpr std::int64_t MaxIdleReportsPerSecond = 40;
+constexpr std::size_t MaxIdleReportsPerRound = 8;
 /// Gain of an extra copy per request per second, in the unit of pressureOf().
 constexpr double ExtraCopyGain = 0.4;
 /// Loss below which a model may be evicted for one without any demand yet.
@@ -110,15 +115,36 @@
         it->second.noteOutcome(order, outcome, now);
 }
 
-std::vector<TargetId> SwapPlanner::reportsDue(TimePoint now)
+std::vector<TargetId> SwapPlanner::reportsDue(std::size_t limit, TimePoint now)
 {
-    std::vector<TargetId> due;
+    const auto idleInterval =
+            std::max<Duration>(MinIdleReportInterval,
+                               std::chrono::seconds(1) * static_cast<std::int64_t>(m_engines.size())
+                                       / MaxIdleReportsPerSecond);
+    struct DueReport
+    {
+        bool isIdle = false;
+        TimePoint since;
+        TargetId target;
+    };
+    std::vector<DueReport> due;
     for (auto &[id, it] : m_engines) {
         it.completeTimedOrder(now);
-        if (it.takeReportDue(now))
-            due.push_back(id);
+        if (const auto since = it.reportDueSince(idleInterval, now))
+            due.push_back({ !it.isReportUrgent(), *since, id });
     }
-    return due;
+    std::sort(due.begin(), due.end(), [](const auto &a, const auto &b) {
+        return std::tie(a.isIdle, a.since, a.target) < std::tie(b.isIdle, b.since, b.target);
+    });
+    std::vector<TargetId> requested;
+    std::size_t idle = 0;
+    for (const auto &it : due) {
+        if (requested.size() >= limit || (it.isIdle && ++idle > MaxIdleReportsPerRound))
+            break;
+        m_engines.at(it.target).noteReportRequested(now);
+        requested.push_back(it.target);
+    }
+    return requested;
 }
 
 ResidentReplicas SwapPlanner::residents() const
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -54,8 +54,11 @@
 
     /// \returns the orders to send now; report the outcome of each with noteOutcome()
     [[nodiscard]] std::vector<PlacementOrder> plan(TimePoint now);
-    /// \returns the targets to request a report from now
-    [[nodiscard]] std::vector<TargetId> reportsDue(TimePoint now);
+    /// \returns the targets to request a report from now, those that orders or waiting requests
+    /// depend on first
+    ///
+    /// \param limit largest number of targets
+    [[nodiscard]] std::vector<TargetId> reportsDue(std::size_t limit, TimePoint now);
 
     // Queries.
 
--- a/src/routing/calleraddresses.cpp
+++ b/src/routing/calleraddresses.cpp
@@ -19,6 +19,7 @@
         chosen.resize(MaxCallerAddresses);
     }
     std::vector<Endpoint> addresses;
+    addresses.reserve(chosen.size());
     for (const auto *it : chosen)
         addresses.push_back(it->callers);
     return addresses;
--- a/tests/swapsimulation.cpp
+++ b/tests/swapsimulation.cpp
@@ -371,7 +371,7 @@
         const auto now = simulation.now();
         m_planner.noteTargets(simulation.entries(), now);
         m_planner.noteDemand(Vm, simulation.demand().demand(now), simulation.inFlight(), now);
-        for (const auto &id : m_planner.reportsDue(now))
+        for (const auto &id : m_planner.reportsDue(1000, now))
             m_planner.noteReport(id, 1, simulation.reportOf(id), now);
         for (const auto &order : m_planner.plan(now))
             m_planner.noteOutcome(order, simulation.accept(order), now);
--- a/tests/tst_swapplanner.cpp
+++ b/tests/tst_swapplanner.cpp
@@ -85,7 +85,7 @@
     {
         m_planner.noteOutcome(order, OrderOutcome::Accepted, m_now);
         m_now += time;
-        (void)m_planner.reportsDue(m_now);
+        (void)m_planner.reportsDue(1000, m_now);
     }
 
     EngineState report(const std::string &target) { return *m_entries[TargetId(target)].engine; }
@@ -320,9 +320,9 @@
     const auto orders = m_planner.plan(m_now);
     ASSERT_EQ(orders.size(), 1U);
     m_planner.noteOutcome(orders.front(), OrderOutcome::Accepted, m_now);
-    (void)m_planner.reportsDue(m_now + 700ms);
+    (void)m_planner.reportsDue(1000, m_now + 700ms);
     EXPECT_FALSE(m_planner.residents().at(TargetId("t1")).contains(model("m0")));
-    (void)m_planner.reportsDue(m_now + 900ms);
+    (void)m_planner.reportsDue(1000, m_now + 900ms);
     EXPECT_TRUE(m_planner.residents().at(TargetId("t1")).contains(model("m0")));
 }
 
@@ -406,7 +406,7 @@
     late.pendingAdapters.insert(second);
     m_planner.noteReport(TargetId("t1"), 1, late, m_now + 1ms);
     m_now += 30ms;
-    (void)m_planner.reportsDue(m_now);
+    (void)m_planner.reportsDue(1000, m_now);
     addDemand({ ModelId("m0"), AdapterId("a3") });
     const auto next = m_planner.plan(m_now);
     ASSERT_EQ(next.size(), 1U);
@@ -419,14 +419,40 @@
     addTarget("t2", {}, { "m0" });
     start(1);
     m_now += 500ms;
-    EXPECT_TRUE(m_planner.reportsDue(m_now).empty());
+    EXPECT_TRUE(m_planner.reportsDue(1000, m_now).empty());
     addDemand(model("m0"));
     EXPECT_TRUE(m_planner.plan(m_now).empty());
-    const auto due = m_planner.reportsDue(m_now);
+    const auto due = m_planner.reportsDue(1000, m_now);
     ASSERT_EQ(due.size(), 1U);
     EXPECT_EQ(due.front(), TargetId("t1"));
 }
 
+/// Regression: a busy leader got the reports of 3,000 engines too late and requested all of them
+/// again after 300 ms, which kept it busy.
+TEST_F(SwapPlannerTest, RequestsFewIdleReportsAtOnceAndThoseThatAreWantedFirst)
+{
+    constexpr std::size_t Engines = 400;
+    for (std::size_t n = 0; n < Engines; ++n)
+        addTarget("t" + std::to_string(1000 + n), { "m0" });
+    start(1);
+    m_now += 20s;
+    const auto idle = m_planner.reportsDue(1000, m_now);
+    EXPECT_LE(idle.size(), 8U);
+    std::size_t requested = idle.size();
+    const auto end = m_now + 10s;
+    while (m_now < end) {
+        m_now += 25ms;
+        for (const auto &it : m_planner.reportsDue(1000, m_now)) {
+            m_planner.noteReport(it, 1, EngineState(), m_now);
+            ++requested;
+        }
+    }
+    EXPECT_LE(requested, 2 * Engines);
+    addDemand(model("m0"));
+    (void)m_planner.plan(m_now);
+    EXPECT_LE(m_planner.reportsDue(5, m_now).size(), 5U);
+}
+
 /// Regression: an adapter with an accepted unload counted as unloaded while requests still used it.
 TEST_F(SwapPlannerTest, UnloadingAdapterInUseKeepsItsSlot)
 {
@@ -446,7 +472,7 @@
     busy.sequence = 1;
     for (int n = 0; n < 5; ++n) {
         m_now += 100ms;
-        (void)m_planner.reportsDue(m_now);
+        (void)m_planner.reportsDue(1000, m_now);
         addDemand(third);
         EXPECT_TRUE(m_planner.plan(m_now).empty());
         m_planner.noteReport(TargetId("t1"), 1, busy, m_now);
