Count refunded tokens once in a relay's sums

Daemons refund the tokens of requests that did not run, so their totals fall at times. A relay took the larger one of what it had counted and what the daemon had acknowledged; a fall between two reports was then subtracted twice.

Between two reports to the same primary relay only the relay's own count is the base; the acknowledged total is the base after a change of the primary.

--- a/src/relay/countaggregator.cpp
+++ b/src/relay/countaggregator.cpp
@@ -1,6 +1,6 @@
 #include "relay/countaggregator.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace bluebell {
 namespace {
@@ -34,8 +34,13 @@
 void CountAggregator::noteReport(const DaemonStatus &report, bool isPrimary, TimePoint now)
 {
     auto &it = m_reporters[report.vm];
-    if (it.incarnation != report.incarnation)
-        it = { report.incarnation, now, {}, {} };
+    // Between two reports to this relay as the primary, no other relay has counted.
+    const bool isContinued =
+            it.incarnation == report.incarnation && it.isPrimary && now - it.at < ReportTimeout;
+    if (!isContinued)
+        it.counted.clear();
+    it.incarnation = report.incarnation;
+    it.isPrimary = isPrimary;
     it.at = now;
     it.inFlight.clear();
     if (!isPrimary)
@@ -44,7 +49,6 @@
         it.inFlight[entry.target] += entry.count;
     for (const auto &rate : report.rates) {
         auto &counted = it.counted.try_emplace(rate.organisation, rate.acknowledged).first->second;
-        counted = std::max(counted, rate.acknowledged);
         // An organisation without admissions is listed, too: the first sum that others hear is the
         // base of the next ones.
         count(rate.organisation, rate.admitted - counted);
--- a/src/relay/countaggregator.h
+++ b/src/relay/countaggregator.h
@@ -45,9 +45,10 @@
     struct Reporter
     {
         IncarnationId incarnation;
+        bool isPrimary = false;
         TimePoint at;
         std::map<TargetId, std::uint32_t> inFlight;
-        /// Admitted tokens as counted here or, according to the daemon, by another relay.
+        /// Admitted tokens as counted here, at first as another relay has confirmed them.
         std::map<OrganisationId, Tokens> counted;
     };
     struct OtherRelay
--- a/tests/relaysimulation.cpp
+++ b/tests/relaysimulation.cpp
@@ -339,6 +339,12 @@
     return true;
 }
 
+void RelaySimulation::refund(std::size_t daemon, Tokens tokens)
+{
+    if (m_daemons[daemon] && m_daemons[daemon]->rate->admitted() >= tokens)
+        m_daemons[daemon]->rate->refund(tokens);
+}
+
 void RelaySimulation::setLimit(RateLimit limit)
 {
     m_limit = limit;
--- a/tests/relaysimulation.h
+++ b/tests/relaysimulation.h
@@ -58,6 +58,8 @@
     ///
     /// \returns whether it was admitted
     bool admit(std::size_t daemon, Tokens tokens);
+    /// Returns tokens that were admitted at a daemon, if it still runs since then.
+    void refund(std::size_t daemon, Tokens tokens);
     void setLimit(RateLimit limit);
 
     // Queries.
--- a/tests/tst_countaggregator.cpp
+++ b/tests/tst_countaggregator.cpp
@@ -55,11 +55,26 @@
     counts.noteReport(report("a", 900, 700), true, Start);
     EXPECT_EQ(counts.fleetCounts(Start).admitted.at(Org), 200);
     EXPECT_EQ(counts.fleetCounts(Start).inFlight.at(TargetId("t")), 2U);
-    // Another relay has counted up to 1,500 in the meantime.
+    // Another relay counts up to 1,500 in the meantime.
+    counts.noteReport(report("a", 1400, 900), false, Start + 500ms);
     counts.noteReport(report("a", 1600, 1500), true, Start + 1s);
     EXPECT_EQ(counts.fleetCounts(Start).admitted.at(Org), 300);
 }
 
+/// Regression: tokens that were refunded lowered the sum a second time when the daemon's next
+/// report came before the confirmation of the lower count. A hot organisation was admitted a
+/// quarter more.
+TEST(CountAggregator, CountsRefundsOnce)
+{
+    CountAggregator counts;
+    counts.noteReport(report("a", 1000), true, Start);
+    counts.noteReport(report("a", 900, 1000), true, Start + 100ms);
+    counts.noteReport(report("a", 950, 1000), true, Start + 200ms);
+    EXPECT_EQ(counts.fleetCounts(Start).admitted.at(Org), 950);
+    counts.noteReport(report("a", 1000, 900), true, Start + 300ms);
+    EXPECT_EQ(counts.fleetCounts(Start).admitted.at(Org), 1000);
+}
+
 TEST(CountAggregator, CountsANewRelayFromZeroAndAnOldOneFromItsFirstSummary)
 {
     CountAggregator counts;
