--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -102,12 +102,13 @@
             "bluebell-gateway: routes callers' requests on an entry VM");
     std::string path;
     std::string level;
+    const auto settingsHelp =
+            fmt::format("settings file; default: ${}", platform::SettingsVariable);
     description.add_options()("help", "print this help")("check",
                                                          "validate the settings file and exit")(
             "settings", options::value(&path)->default_value(settingsPath()),
-            "settings file; default: $BLUEBELLWALK_CONFIG")(
-            "log-level", options::value(&level)->default_value("info"),
-            "debug, info, warning or error");
+            settingsHelp.c_str())("log-level", options::value(&level)->default_value("info"),
+                                  "debug, info, warning or error");
     options::variables_map values;
     try {
         options::store(options::parse_command_line(argc, argv, description), values);
--- a/programs/gateway/relayservice.cpp
+++ b/programs/gateway/relayservice.cpp
@@ -55,11 +55,29 @@
         if (!m_state.fleet.usesRelays())
             continue;
         m_state.noteAvailability(now);
+        noteRoles(now);
         report(now);
         co_await sleepFor(MinReportInterval);
     }
 }
 
+void RelayService::noteRoles(TimePoint now)
+{
+    const auto &relays = m_state.relayNode.relays();
+    if (relays != m_relays) {
+        m_relays = relays;
+        std::string names;
+        for (const auto &it : relays)
+            names += (names.empty() ? "" : ", ") + it.value();
+        log::info("relays chosen", { { "relays", names } });
+    }
+    const bool isRelay = m_state.relayNode.isRelay(now);
+    if (isRelay != m_wasRelay)
+        log::info(isRelay ? "relay role gained" : "relay role lost",
+                  { { "ranked", m_state.relayNode.isRanked() ? "true" : "false" } });
+    m_wasRelay = isRelay;
+}
+
 void RelayService::report(TimePoint now)
 {
     ReportDatagram datagram;
--- a/programs/gateway/relayservice.h
+++ b/programs/gateway/relayservice.h
@@ -32,6 +32,8 @@
     boost::asio::awaitable<void> sendReports();
     boost::asio::awaitable<void> sendDigests();
     void report(TimePoint now);
+    /// Logs changes of this daemon's relays, and whether it is one itself.
+    void noteRoles(TimePoint now);
     /// Sends the sums of this relay's daemons to the other relays.
     ///
     /// \param hasInFlight whether they contain the requests in flight
@@ -60,6 +62,8 @@
     GatewayState &m_state;
     SiteUpdates &m_updates;
     DatagramSocket m_socket;
+    std::vector<VmId> m_relays;
+    bool m_wasRelay = false;
     /// Digests to all subscribers.
     DigestHistory m_digestsToAll;
     /// Digests to primary subscribers, which are more frequent.
--- a/programs/gateway/siteupdates.cpp
+++ b/programs/gateway/siteupdates.cpp
@@ -73,6 +73,7 @@
     m_state.registryVersion = version;
     if (rows.empty())
         return;
+    m_state.selector.retainOnly(m_state.registry.targets());
     m_state.stateChanged.notify();
     m_state.notifyRelays();
 }
@@ -114,6 +115,8 @@
             entry->engine = known->engine;
         m_state.registry.put(key, std::move(entry));
     }
+    if (!changed.empty())
+        m_state.selector.retainOnly(m_state.registry.targets());
 }
 
 void SiteUpdates::updateMembers(const std::vector<StoreRow> &rows, RowVersion version)
--- a/src/rate/sharedrate.cpp
+++ b/src/rate/sharedrate.cpp
@@ -40,16 +40,15 @@
 void SharedRate::noteAdmitted(const IncarnationId &daemon, Tokens total, TimePoint now)
 {
     refill(now);
-    const auto [it, isNew] = m_peerTotals.try_emplace(daemon, total);
-    if (isNew || total == it->second)
+    const auto [it, isNew] = m_peerTotals.try_emplace(daemon, PeerTotal { total, now });
+    if (isNew) {
+        std::erase_if(m_peerTotals, [now](const auto &known) {
+            return now - known.second.at > PeerTotalLifetime;
+        });
         return;
-    m_level -= static_cast<double>(total - it->second);
-    it->second = total;
-}
-
-void SharedRate::keepOnly(const std::set<IncarnationId> &daemons)
-{
-    std::erase_if(m_peerTotals, [&](const auto &entry) { return !daemons.contains(entry.first); });
+    }
+    m_level -= static_cast<double>(total - it->second.total);
+    it->second = { total, now };
 }
 
 void SharedRate::adoptLevel(Tokens level, TimePoint now)
--- a/src/rate/sharedrate.h
+++ b/src/rate/sharedrate.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 
 /// \file
 /// An organisation's rate limit, enforced jointly by daemons that exchange admission counts.
@@ -28,6 +27,8 @@
 public:
     /// Level at the start, as a fraction of the burst.
     static constexpr double InitialFraction = 0.5;
+    /// The last count of a silent daemon is forgotten after this time.
+    static constexpr Duration PeerTotalLifetime = std::chrono::minutes(10);
 
     SharedRate(RateLimit limit, TimePoint now)
         : m_limit(limit), m_level(InitialFraction * static_cast<double>(limit.burst)),
@@ -46,12 +47,11 @@
     void setDaemonCounts(std::size_t daemons, std::size_t live, TimePoint now);
     /// Subtracts what another daemon has admitted since its last count.
     ///
-    /// The first count of a daemon only serves as the base of the next.
+    /// The first count of a daemon, or the first after PeerTotalLifetime, only serves as the base
+    /// of the next.
     ///
     /// \param total tokens admitted by `daemon` since its start
     void noteAdmitted(const IncarnationId &daemon, Tokens total, TimePoint now);
-    /// Forgets the counts of all daemons except `daemons`.
-    void keepOnly(const std::set<IncarnationId> &daemons);
     /// Replaces the level by that of a daemon that has been running for longer.
     void adoptLevel(Tokens level, TimePoint now);
 
@@ -84,8 +84,14 @@
     /// Daemons whose counts arrive.
     std::size_t m_live = 1;
     Tokens m_admitted = 0;
-    /// Last count received from each other daemon.
-    std::map<IncarnationId, Tokens> m_peerTotals;
+    /// The last count received from another daemon.
+    struct PeerTotal
+    {
+        Tokens total = 0;
+        TimePoint at;
+    };
+
+    std::map<IncarnationId, PeerTotal> m_peerTotals;
 };
 
 } // namespace bluebell
--- a/tests/tst_sharedrate.cpp
+++ b/tests/tst_sharedrate.cpp
@@ -63,6 +63,17 @@
 
 } // namespace
 
+TEST(SharedRate, ForgetsDaemonsThatAreGone)
+{
+    SharedRate rate(Limit, Start);
+    rate.noteAdmitted(IncarnationId("gone"), 1000, Start);
+    const auto later = Start + SharedRate::PeerTotalLifetime + 1s;
+    rate.noteAdmitted(IncarnationId("other"), 50, later);
+    const auto level = rate.level(later);
+    rate.noteAdmitted(IncarnationId("gone"), 5000, later);
+    EXPECT_EQ(rate.level(later), level);
+}
+
 TEST(SharedRate, AdmitsWithinTheRateWithoutRefusals)
 {
     Cluster cluster(8, 200ms);
