--- a/src/relay/countaggregator.cpp
+++ b/src/relay/countaggregator.cpp
@@ -1,7 +1,5 @@
 #include "relay/countaggregator.h"
 
-#include <utility>
-
 namespace bluebell {
 namespace {
 
@@ -68,9 +66,12 @@
         const auto base = isKnown ? known->second : Tokens(0);
         m_fleetAdmitted[organisation] += hasBase ? total - base : 0;
     }
-    auto inFlight = summary.hasInFlight ? summary.counts.inFlight : std::move(it.counts.inFlight);
-    it = { summary.incarnation, summary.countsId, now, summary.counts };
-    it.counts.inFlight = std::move(inFlight);
+    it.incarnation = summary.incarnation;
+    it.countsId = summary.countsId;
+    it.at = now;
+    it.counts.admitted = summary.counts.admitted;
+    if (summary.hasInFlight)
+        it.counts.inFlight = summary.counts.inFlight;
 }
 
 RelayCounts CountAggregator::ownCounts(TimePoint now) const
