Send larger chunks in the test of chunks without end

Under the sanitisers and beside the linter the test took 5.4 s of its 10 s: a body of 16 MB came in chunks of 64 bytes, one read each.

--- a/tests/tst_adapter_endlessresponse.cpp
+++ b/tests/tst_adapter_endlessresponse.cpp
@@ -123,7 +123,7 @@
 TEST(EndlessResponse, ChunksWithoutEnd)
 {
     expectRefusal(Head + "Transfer-Encoding: chunked\r\n\r\n",
-                  "40\r\n" + std::string(64, 'x') + "\r\n");
+                  "1000\r\n" + std::string(4096, 'x') + "\r\n");
 }
 
 TEST(EndlessResponse, AChunkExtensionWithoutEnd)
