Log how the connection of an unanswered request ended

For the incident of a request without an answer: the line of a request told its outcome, not whether the caller had got it, and a connection that was closed said nothing. So a stream that was cut after a silence, a connection closed by its idle timeout with a request unread, an exception in a handler and a stream of a withdrawn key could not be told apart.

The line 'request' has a field 'delivery' (complete, truncated, none) and is written once the response has gone out; 'bluebell_incomplete_responses_total' counts the others. A connection that ends with bytes unread or a response missing is logged with its cause. The line on a withdrawn key tells the request's age and the time it had left. No decision changes.

--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -53,6 +53,19 @@
     return Error { code, std::move(message), Execution::OutcomeUnknown, std::nullopt };
 }
 
+std::string_view toString(Delivery delivery)
+{
+    switch (delivery) {
+    case Delivery::Complete:
+        return "complete";
+    case Delivery::Truncated:
+        return "truncated";
+    case Delivery::None:
+        break;
+    }
+    return "none";
+}
+
 std::string toText(const std::optional<RateLimitDetails> &details)
 {
     if (!details)
@@ -454,15 +467,19 @@
         m_active.erase(id);
         refundRate(it);
     }
-    recordOutcome(it, result);
-    if (result || it.hasStartedResponse)
-        co_return;
+    auto delivery = result ? Delivery::Complete : Delivery::Truncated;
+    if (!result && !it.hasStartedResponse)
+        delivery = co_await respondWithError(it, result.error(), responder);
+    recordOutcome(it, result, delivery);
+}
+
+asio::awaitable<Delivery> RequestProxy::respondWithError(const RequestContext &it, Error error,
+                                                         HttpResponder &responder)
+{
     if (it.isKeyWithdrawn && it.runs == 0)
-        result = makeError(ErrorCode::Unauthenticated, "the key was withdrawn");
-    const bool isSent =
-            co_await responder.send(platform::encodeError(result.error(), it.caller.attempt));
-    if (!isSent)
-        log::info("error response not delivered", { { "request", it.caller.attempt.value() } });
+        error = makeError(ErrorCode::Unauthenticated, "the key was withdrawn");
+    const bool isSent = co_await responder.send(platform::encodeError(error, it.caller.attempt));
+    co_return isSent ? Delivery::Complete : Delivery::None;
 }
 
 void RequestProxy::applyConfig()
@@ -479,6 +496,8 @@
                   { { "request", it->caller.attempt.value() },
                     { "organisation", it->organisation.value() },
                     { "config", std::to_string(m_state.index->version()) },
+                    { "age_ms", std::to_string(toMilliseconds(now - it->receivedAt).count()) },
+                    { "left_ms", std::to_string(toMilliseconds(it->deadline - now).count()) },
                     { "sends", std::to_string(it->sends) } });
         // The key was valid when the request was sent to a target; it is cut only if it runs long.
         const auto threeQuartersPoint = it->receivedAt + (it->deadline - it->receivedAt) * 3 / 4;
@@ -501,7 +520,8 @@
     it.lastChunkAt = now;
 }
 
-void RequestProxy::recordOutcome(const RequestContext &it, const Result<void> &result)
+void RequestProxy::recordOutcome(const RequestContext &it, const Result<void> &result,
+                                 Delivery delivery)
 {
     const auto outcome =
             result ? std::string("answered") : std::string(toString(result.error().code));
@@ -511,6 +531,9 @@
     m_state.metrics.count("bluebell_requests_total", labels);
     m_state.metrics.observe("bluebell_request_seconds", labels, duration);
     m_state.metrics.observe("bluebell_target_wait_seconds", labels, it.waited);
+    if (delivery != Delivery::Complete)
+        m_state.metrics.count("bluebell_incomplete_responses_total",
+                              { it.organisation, labels.classId, std::string(toString(delivery)) });
     log::info("request",
               { { "request", it.caller.attempt.value() },
                 { "organisation", it.organisation.value() },
@@ -523,6 +546,7 @@
                 { "config", std::to_string(it.index ? it.index->version() : 0) },
                 { "outcome", outcome },
                 { "cause", result ? std::string() : result.error().message },
+                { "delivery", std::string(toString(delivery)) },
                 { "rate", toText(it.rateDetails) },
                 { "execution",
                   result ? std::string() : std::string(toString(result.error().execution)) },
--- a/programs/gateway/requestproxy.h
+++ b/programs/gateway/requestproxy.h
@@ -29,6 +29,16 @@
     std::size_t liveDaemons = 0;
 };
 
+/// How much of a response the caller's connection has taken.
+enum class Delivery : std::uint8_t {
+    /// A complete response, which may be an error.
+    Complete,
+    /// The beginning of a response; the connection is closed after it.
+    Truncated,
+    /// Nothing; the connection is closed without a response.
+    None,
+};
+
 /// State of one request while it is processed.
 struct RequestContext
 {
@@ -146,8 +156,13 @@
     [[nodiscard]] Duration attemptTimeout(const RequestContext &it, TimePoint now) const;
     /// Records the time to the first chunk of a stream, or the gap since the previous chunk.
     void noteChunk(RequestContext &it);
+    /// Sends the error response of a request that has got no response yet.
+    ///
+    /// \returns what the caller has got
+    boost::asio::awaitable<Delivery> respondWithError(const RequestContext &it, Error error,
+                                                      HttpResponder &responder);
     /// Writes metrics and the log line of a finished request.
-    void recordOutcome(const RequestContext &it, const Result<void> &result);
+    void recordOutcome(const RequestContext &it, const Result<void> &result, Delivery delivery);
 
     GatewayState &m_state;
     std::map<ActiveId, RequestContext *> m_active;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -70,6 +70,9 @@
 
 private:
     void stopDisconnectWatch();
+    /// Logs that the connection is being closed although the caller has sent bytes that were not
+    /// read, or waits for the rest of a response.
+    void logUnfinished(std::string_view cause);
     /// Disables keep-alive if the listener is closing; called before the headers are written, which
     /// announce the decision.
     void updateKeepAlive();
@@ -91,6 +94,8 @@
     bool m_hasBegun = false;
     bool m_hasEnded = false;
     bool m_isIdle = true;
+    /// Why the connection ends.
+    std::string_view m_endCause = "the last response has ended";
 };
 
 /// The listening socket and its open connections.
@@ -137,6 +142,7 @@
 
 void HttpSession::close()
 {
+    logUnfinished("stop of the server");
     beast::error_code ec;
     m_stream.socket().close(ec);
 }
@@ -161,10 +167,27 @@
         if (!m_keepAlive || !m_hasEnded || !listener || listener->isStopping())
             break;
     }
+    logUnfinished(m_endCause);
     beast::error_code ec;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
 }
 
+void HttpSession::logUnfinished(std::string_view cause)
+{
+    beast::error_code ec;
+    const auto unread = m_buffer.size() + m_stream.socket().available(ec);
+    const bool isIncomplete = m_hasBegun && !m_hasEnded;
+    if (unread == 0 && m_isIdle && !isIncomplete)
+        return;
+    log::warning("connection closed before all was answered",
+                 { { "cause", std::string(cause) },
+                   { "unread_bytes", std::to_string(unread) },
+                   { "response",
+                     isIncomplete       ? "truncated"
+                             : m_isIdle ? "complete"
+                                        : "none" } });
+}
+
 void HttpSession::cancelOnDisconnect(const std::shared_ptr<CancelSource> &source)
 {
     m_disconnectSource = source;
@@ -199,8 +222,10 @@
     if (m_buffer.size() == 0) {
         m_stream.expires_after(m_limits.idleTimeout);
         auto [ec, n] = co_await m_stream.async_read_some(m_buffer.prepare(4096), Await);
-        if (ec)
+        if (ec) {
+            m_endCause = ec == beast::error::timeout ? "idle timeout" : "closed by the caller";
             co_return false;
+        }
         m_buffer.commit(n);
     }
     m_isIdle = false;
@@ -221,6 +246,7 @@
     if (deadline->hasExpired)
         ec = beast::error::timeout;
     if (ec) {
+        m_endCause = "the request could not be read";
         co_await reject(ec);
         co_return false;
     }
