Keep an incomplete escape in a query as it is

What callers saw: a name with a percent sign and one hexadecimal digit before another character came back changed; '%4z' was read as the byte 4. Cause: std::from_chars succeeds when it has read one digit, and the end was not looked at. Query.KeepsAnIncompleteEscapeAsItIs failed before ('%4z' gave "\x4") and passes now.

--- a/src/http/query.cpp
+++ b/src/http/query.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <optional>
 #include <system_error>
 
 namespace bluebell {
@@ -24,16 +25,31 @@
     return it;
 }
 
+namespace {
+
+/// \returns the byte that the escape at the beginning of `text` stands for, if there is one
+std::optional<char> escapedByte(std::string_view text)
+{
+    constexpr std::size_t Length = 3;
+    if (text.size() < Length || text.front() != '%')
+        return std::nullopt;
+    unsigned byte = 0;
+    const auto *end = text.data() + Length;
+    const auto [it, ec] = std::from_chars(text.data() + 1, end, byte, 16);
+    if (ec != std::errc {} || it != end)
+        return std::nullopt;
+    return static_cast<char>(byte);
+}
+
+} // namespace
+
 std::string percentDecode(std::string_view text)
 {
     std::string it;
-    for (std::size_t n = 0; n < text.size(); ++n) {
-        unsigned byte = 0;
-        const bool isEscape = text[n] == '%' && n + 2 < text.size()
-                && std::from_chars(text.data() + n + 1, text.data() + n + 3, byte, 16).ec
-                        == std::errc {};
-        it.push_back(isEscape ? static_cast<char>(byte) : text[n]);
-        n += isEscape ? 2 : 0;
+    while (!text.empty()) {
+        const auto byte = escapedByte(text);
+        it.push_back(byte.value_or(text.front()));
+        text.remove_prefix(byte ? 3 : 1);
     }
     return it;
 }
