--- a/tests/tst_rules.cpp
+++ b/tests/tst_rules.cpp
@@ -68,6 +68,19 @@
                 HasSubstr("is not a time such as"));
 }
 
+/// Regression: every prefix that begins with the letters of /v1, such as /v10, was refused.
+TEST(Rules, OnlyThePathsOfTheOwnInterfaceAreReserved)
+{
+    const auto route = [](const std::string &prefix) {
+        return "target two address=127.0.0.1:9002 datacentre=x kind=service # a\nroute " + prefix
+                + " targets=two idempotent=yes open=no # a\n";
+    };
+    EXPECT_THAT(errorsIn(route("/v1")), HasSubstr("the prefix /v1 is reserved"));
+    EXPECT_THAT(errorsIn(route("/v1/chat")), HasSubstr("the prefix /v1 is reserved"));
+    EXPECT_EQ(errorsIn(route("/v10")), "");
+    EXPECT_EQ(errorsIn(route("/v1beta/stock")), "");
+}
+
 TEST(Rules, RandomlyCorruptedInputDoesNotCrashTheParser)
 {
     std::uint64_t state = 7;
