--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -1,25 +1,20 @@
 #include "ctl/commands.h"
 
 #include "core/digest.h"
-#include "ctl/requesttimeline.h"
+#include "ctl/explainrequest.h"
+#include "ctl/rulefile.h"
 #include "io/notifier.h"
 #include "peer/peernode.h"
 #include "rate/shares.h"
 #include "records/configstore.h"
 #include "records/rows.h"
-#include "rules/parser.h"
 
 #include <boost/asio/this_coro.hpp>
 #include <fmt/core.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cstdio>
-#include <fstream>
-#include <iostream>
-#include <iterator>
 #include <set>
-#include <sstream>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -28,7 +23,6 @@
 namespace bluebell::ctl {
 namespace {
 
-constexpr std::string_view VersionHeader = "# version: ";
 constexpr Duration PeerTimeout = std::chrono::seconds(1);
 constexpr Duration WithdrawalTimeout = std::chrono::seconds(10);
 constexpr Duration CommitTimeout = std::chrono::seconds(10);
@@ -37,71 +31,6 @@
 constexpr std::size_t ChangeIdBytes = 8;
 constexpr std::size_t DigestHexDigits = 64;
 
-/// A rule file and the configuration version that it is based on.
-struct RuleFile
-{
-    std::string path;
-    std::string text;
-    ParsedRules parsed;
-    ConfigVersion base = 0;
-};
-
-void printError(std::string_view message)
-{
-    fmt::print(stderr, "bluebell-ctl: {}\n", message);
-}
-
-std::optional<ConfigVersion> parseVersionHeader(const std::string &text)
-{
-    const auto it = text.find(VersionHeader);
-    if (it == std::string::npos)
-        return std::nullopt;
-    return std::strtoull(text.c_str() + it + VersionHeader.size(), nullptr, 10);
-}
-
-/// Updates or adds the header line with the version. The file is replaced atomically.
-///
-/// \returns false when the file could not be written
-bool writeVersionHeader(const RuleFile &file, ConfigVersion version)
-{
-    auto text = file.text;
-    const auto header = std::string(VersionHeader) + std::to_string(version);
-    if (const auto it = text.find(VersionHeader); it != std::string::npos)
-        text.replace(it, std::min(text.find('\n', it), text.size()) - it, header);
-    else
-        text = header + '\n' + text;
-    const auto temporary = file.path + ".tmp";
-    std::ofstream out(temporary);
-    out << text;
-    out.close();
-    return out && std::rename(temporary.c_str(), file.path.c_str()) == 0;
-}
-
-/// Reads and parses a rule file.
-///
-/// \returns nothing, after printing the errors, when it cannot be read or has errors
-std::optional<RuleFile> readRules(const std::string &path, const Options &options)
-{
-    std::ifstream in(path);
-    if (!in) {
-        printError("cannot read '" + path + "'");
-        return std::nullopt;
-    }
-    std::ostringstream text;
-    text << in.rdbuf();
-    RuleFile file { path, text.str(), {}, 0 };
-    auto parsed = parseRules(path, file.text);
-    if (!parsed) {
-        for (const auto &error : parsed.error())
-            fmt::print(stderr, "{}\n", toString(error));
-        return std::nullopt;
-    }
-    file.parsed = std::move(parsed.value());
-    file.base = options.base >= 0 ? static_cast<ConfigVersion>(options.base)
-                                  : parseVersionHeader(file.text).value_or(0);
-    return file;
-}
-
 LineSet toLineSet(const std::vector<std::string> &lines)
 {
     return { lines.begin(), lines.end() };
@@ -153,6 +82,8 @@
     asio::awaitable<ExitCode> drain(std::string address);
 
 private:
+    /// \returns the version that rule files are based on, if it was given on the command line
+    [[nodiscard]] std::optional<ConfigVersion> baseVersion() const;
     asio::awaitable<bool> fetchConfig(ConfigReplica &replica);
     /// Reads a rule file and fetches the configuration in force.
     ///
@@ -173,6 +104,13 @@
     PeerNode m_peers;
 };
 
+std::optional<ConfigVersion> Tool::baseVersion() const
+{
+    if (m_options.base < 0)
+        return std::nullopt;
+    return static_cast<ConfigVersion>(m_options.base);
+}
+
 asio::awaitable<bool> Tool::fetchConfig(ConfigReplica &replica)
 {
     const auto fetched = co_await pullConfig(m_records, replica);
@@ -221,7 +159,7 @@
 
 asio::awaitable<ExitCode> Tool::check(std::string path)
 {
-    const auto file = readRules(path, m_options);
+    const auto file = readRules(path, baseVersion());
     if (!file)
         co_return ExitCode::Invalid;
     fmt::print("{}: {} rules, no errors\n", path, file->parsed.lines.size());
@@ -242,7 +180,7 @@
 asio::awaitable<ExitCode> Tool::readRulesAndConfig(std::string path, std::optional<RuleFile> &file,
                                                    ConfigReplica &replica)
 {
-    file = readRules(path, m_options);
+    file = readRules(path, baseVersion());
     if (!file)
         co_return ExitCode::Invalid;
     const bool isFetched = co_await fetchConfig(replica);
@@ -468,47 +406,6 @@
     co_return ExitCode::Success;
 }
 
-/// Reads the daemons' logs from `paths`, or from standard input when `paths` is empty.
-///
-/// \returns nothing, after printing an error, when a file cannot be read
-std::optional<ParsedLog> readLogs(const std::vector<std::string> &paths)
-{
-    if (paths.empty())
-        return readLog(std::cin, {});
-    ParsedLog all;
-    for (const auto &path : paths) {
-        std::ifstream in(path);
-        if (!in) {
-            printError("cannot read '" + path + "'");
-            return std::nullopt;
-        }
-        auto log = readLog(in, path);
-        std::move(log.lines.begin(), log.lines.end(), std::back_inserter(all.lines));
-        all.unreadable += log.unreadable;
-    }
-    return all;
-}
-
-ExitCode explainRequest(const std::string &request, const std::vector<std::string> &paths)
-{
-    const auto log = readLogs(paths);
-    if (!log)
-        return ExitCode::Usage;
-    if (log->unreadable > 0)
-        printError(fmt::format("{} lines could not be parsed as log lines", log->unreadable));
-    const auto timeline = requestTimeline(log->lines, request);
-    const auto last = std::find_if(timeline.rbegin(), timeline.rend(),
-                                   [&](const auto &it) { return it.field("request") == request; });
-    if (last == timeline.rend()) {
-        printError(fmt::format("none of {} log lines mentions request '{}'", log->lines.size(),
-                               request));
-        return ExitCode::Invalid;
-    }
-    for (const auto &it : timeline)
-        fmt::print("{}\n", toText(it, last->at));
-    return ExitCode::Success;
-}
-
 } // namespace
 
 std::string usage()
