--- a/tests/platformstandin.cpp
+++ b/tests/platformstandin.cpp
@@ -115,6 +115,18 @@
     (void)co_await responder.send(std::move(response));
 }
 
+asio::awaitable<void> TargetStandIn::awaitEndOfSilence()
+{
+    while (BootClock::now() < behaviour.silentUntil)
+        co_await sleepFor(behaviour.silentUntil - BootClock::now());
+}
+
+void TargetStandIn::notify(TargetStep step, const std::string &attempt) const
+{
+    if (observer)
+        observer(step, attempt);
+}
+
 asio::awaitable<void> TargetStandIn::run(const HttpRequest &request, HttpResponder &responder)
 {
     auto response = statusOnly(200);
@@ -122,15 +134,19 @@
     response.headers.push_back(
             { "X-Attempt-Id", behaviour.usesWrongAttemptId ? "another" : attempt });
     const auto model = std::string(request.header("X-Model"));
+    notify(TargetStep::Received, attempt);
     if (behaviour.isFull || (isEngine && !models.contains(model))) {
         response.status = behaviour.isFull ? 503 : 421;
         response.headers.push_back({ "X-Not-Executed", "1" });
+        notify(TargetStep::Refused, attempt);
         (void)co_await responder.send(std::move(response));
         co_return;
     }
     runs.push_back(attempt);
+    notify(TargetStep::Executing, attempt);
     lastHeaders = request.headers;
     co_await sleepFor(behaviour.workDuration);
+    co_await awaitEndOfSilence();
     if (behaviour.dropsRequests)
         co_return;
     response.headers.push_back({ "X-Server-Seal", "seal-of-" + m_id });
@@ -142,16 +158,20 @@
         co_await std::move(streaming);
         co_return;
     }
-    (void)co_await responder.send(std::move(response));
+    const bool isSent = co_await responder.send(std::move(response));
+    notify(isSent ? TargetStep::Finished : TargetStep::Disconnected, attempt);
 }
 
 asio::awaitable<void> TargetStandIn::stream(const HttpRequest &request, HttpResponse head,
                                             HttpResponder &responder)
 {
     head.contentType = "text/event-stream";
+    const auto attempt = std::string(request.header("X-Attempt-Id"));
     const bool hasBegun = co_await responder.begin(std::move(head));
-    if (!hasBegun)
+    if (!hasBegun) {
+        notify(TargetStep::Disconnected, attempt);
         co_return;
+    }
     const auto last = request.header("Last-Event-Id");
     int sent = 0;
     for (int n = last.empty() ? 1 : std::stoi(std::string(last)) + 1; n <= events; ++n) {
@@ -160,13 +180,17 @@
             (void)co_await responder.write("id: " + std::to_string(n) + "\nda");
             co_return;
         }
+        co_await awaitEndOfSilence();
         const bool isSent = co_await responder.write("id: " + std::to_string(n) + "\ndata: t\n\n");
-        if (!isSent)
+        if (!isSent) {
+            notify(TargetStep::Disconnected, attempt);
             co_return;
+        }
         ++sent;
         co_await sleepFor(behaviour.workDuration);
     }
-    (void)co_await responder.end();
+    const bool hasEnded = co_await responder.end();
+    notify(hasEnded ? TargetStep::Finished : TargetStep::Disconnected, attempt);
 }
 
 json siteConfig(std::uint64_t version, int models)
--- a/tests/platformstandin.h
+++ b/tests/platformstandin.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -34,8 +35,15 @@
     bool isFull = false;
     /// Time before a response, and after each event of a stream.
     Duration workDuration = std::chrono::milliseconds(2);
+    /// Nothing is sent before this time; then the target goes on.
+    TimePoint silentUntil {};
 };
 
+/// A step of a request at a target. Disconnected: the response could not be sent.
+enum class TargetStep { Received, Refused, Executing, Finished, Disconnected };
+
+using TargetObserver = std::function<void(TargetStep, const std::string &attempt)>;
+
 /// An engine or a plain service, on a port of the loopback interface.
 class TargetStandIn
 {
@@ -56,6 +64,8 @@
     Duration loadTime = std::chrono::milliseconds(100);
     int events = 5;
     TargetBehaviour behaviour;
+    /// Called for each step of each request; may be empty.
+    TargetObserver observer;
     /// Ids of the executed attempts, in order.
     std::vector<std::string> runs;
     /// Headers of the last executed request.
@@ -68,6 +78,8 @@
     boost::asio::awaitable<void> run(const HttpRequest &request, HttpResponder &responder);
     boost::asio::awaitable<void> stream(const HttpRequest &request, HttpResponse head,
                                         HttpResponder &responder);
+    boost::asio::awaitable<void> awaitEndOfSilence();
+    void notify(TargetStep step, const std::string &attempt) const;
     HttpResponse acceptOrder(const std::string &body);
     [[nodiscard]] nlohmann::json state() const;
 
