Split the request proxy by its jobs, and take a retry from the budget once

What they do is unchanged, but for one point.

What callers saw: a target's complete error response was thrown away although no other attempt followed. The relay asked for a retry, and took it from the budget, before it dropped the response; the loop of attempts then asked the budget a second time. With one retry left, the second question was refused, and the caller got an error of the gateway in place of the target's answer; and each retry counted twice. The relay now returns the response, and the loop sends it if no attempt follows.

--- /dev/null
+++ b/programs/gateway/requestadmission.cpp
@@ -0,0 +1,81 @@
+#include "gateway/requestadmission.h"
+
+#include "core/digest.h"
+
+#include <algorithm>
+
+namespace bluebell::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Subtracted from the caller's time left, so that the response arrives before its timeout.
+constexpr Duration DeadlineMargin = milliseconds(20);
+
+} // namespace
+
+Result<void> RequestAdmission::resolve(RequestContext &it) const
+{
+    it.index = m_state.index;
+    if (!it.index)
+        return notRun(ErrorCode::Unavailable, "no configuration is known yet", milliseconds(300));
+    it.route = it.index->findRoute(it.caller.host, it.caller.path);
+    if (!it.route)
+        return makeError(ErrorCode::NotFound, "no route for this host and path");
+    it.priority = it.route->priority;
+    if (it.index->hasOrganisations() && !it.route->allowsAnonymous) {
+        const auto *organisation = it.index->findOrganisation(it.caller.key);
+        if (it.caller.key.empty() || !organisation)
+            return makeError(ErrorCode::Unauthenticated, "the key is not known");
+        it.organisation = organisation->name;
+        it.priority = organisation->priority.value_or(it.priority);
+    }
+    const auto *name = chooseService(*it.route, stableHash(it.caller.attempt.value()));
+    it.service = name ? it.index->findService(*name) : nullptr;
+    if (!it.service)
+        return notRun(ErrorCode::Unavailable, "the route has no service", std::chrono::seconds(1));
+    if (it.service->engine && it.caller.replica
+        && !it.service->engine->models.contains(it.caller.replica->model))
+        return makeError(ErrorCode::NotFound, "the service does not serve this model");
+    it.deadline = it.receivedAt + it.route->timeout;
+    if (it.caller.timeLeft)
+        it.deadline = std::min(it.deadline, it.receivedAt + *it.caller.timeLeft - DeadlineMargin);
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+Result<void> RequestAdmission::reserveRate(RequestContext &it)
+{
+    if (it.organisation.isEmpty())
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    const auto *organisation = it.index->findOrganisation(it.organisation);
+    if (!organisation || !organisation->limit)
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    const auto now = BootClock::now();
+    const auto tokens =
+            organisation->countsTokens ? it.caller.tokens.value_or(organisation->defaultTokens) : 1;
+    auto &rate = m_state.rateOf(*organisation, now);
+    const auto liveDaemons = m_state.fleet.liveCount(now);
+    rate.setDaemonCounts(m_state.fleet.size(), liveDaemons, now);
+    if (const auto wait = rate.admit(tokens, now)) {
+        it.rateDetails =
+                RateLimitDetails { tokens, rate.level(now), m_state.fleet.size(), liveDaemons };
+        return notRun(ErrorCode::RateLimited, "the organisation's rate is used up", *wait);
+    }
+    it.reserved = tokens;
+    if (rate.isLow(now)) {
+        m_state.statusDue.notify();
+        m_state.reportDue.notify();
+    }
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void RequestAdmission::refundRate(const RequestContext &it)
+{
+    if (it.reserved == 0 || it.runs > 0)
+        return;
+    const auto rate = m_state.rates.find(it.organisation);
+    if (rate != m_state.rates.end())
+        rate->second.refund(it.reserved);
+}
+
+} // namespace bluebell::gateway
--- /dev/null
+++ b/programs/gateway/requestadmission.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "gateway/gatewaystate.h"
+#include "gateway/requestcontext.h"
+
+/// \file
+/// Admits callers' requests: route, organisation, service, deadline and rate limit.
+
+namespace bluebell::gateway {
+
+/// Checks requests against the configuration and the rate limits of organisations.
+class RequestAdmission
+{
+public:
+    explicit RequestAdmission(GatewayState &state) : m_state(state) { }
+
+    /// Determines route, organisation, service and deadline.
+    ///
+    /// \returns an error if the configuration does not allow the request
+    [[nodiscard]] Result<void> resolve(RequestContext &it) const;
+
+    /// Takes the request's tokens from the organisation's rate.
+    ///
+    /// \returns RateLimited if the rate is used up
+    [[nodiscard]] Result<void> reserveRate(RequestContext &it);
+
+    /// Refunds the reserved tokens if no target has executed the request.
+    void refundRate(const RequestContext &it);
+
+private:
+    GatewayState &m_state;
+};
+
+} // namespace bluebell::gateway
--- /dev/null
+++ b/programs/gateway/requestcontext.cpp
@@ -0,0 +1,30 @@
+#include "gateway/requestcontext.h"
+
+#include <utility>
+
+namespace bluebell::gateway {
+
+std::string_view toString(Delivery delivery) noexcept
+{
+    switch (delivery) {
+    case Delivery::Complete:
+        return "complete";
+    case Delivery::Truncated:
+        return "truncated";
+    case Delivery::None:
+        break;
+    }
+    return "none";
+}
+
+Error notRun(ErrorCode code, std::string message, Duration retryAfter)
+{
+    return Error { code, std::move(message), Execution::NotRun, retryAfter };
+}
+
+Error mayHaveRun(ErrorCode code, std::string message)
+{
+    return Error { code, std::move(message), Execution::OutcomeUnknown, std::nullopt };
+}
+
+} // namespace bluebell::gateway
--- /dev/null
+++ b/programs/gateway/requestcontext.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "gateway/request.h"
+#include "http/message.h"
+#include "site/siteindex.h"
+#include "streams/eventsplitter.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <set>
+
+/// \file
+/// State of one caller's request while the gateway processes it.
+
+namespace bluebell::gateway {
+
+/// Local state of an organisation's token bucket at the moment a request was rejected.
+struct RateLimitDetails
+{
+    Tokens requested = 0;
+    Tokens level = 0;
+    /// Registered daemons.
+    std::size_t daemons = 0;
+    /// Daemons whose statuses, and so whose admitted counts, arrive.
+    std::size_t liveDaemons = 0;
+};
+
+/// How much of a response the caller's connection has taken.
+enum class Delivery : std::uint8_t {
+    /// A complete response, which may be an error.
+    Complete,
+    /// The beginning of a response; the connection is closed after it.
+    Truncated,
+    /// Nothing; the connection is closed without a response.
+    None,
+};
+
+/// State of one request while it is processed.
+struct RequestContext
+{
+    const HttpRequest *http = nullptr;
+    CallerRequest caller;
+    /// Configuration that applies to the request; newer versions do not affect it.
+    std::shared_ptr<const SiteIndex> index;
+    const Route *route = nullptr;
+    const Service *service = nullptr;
+    /// Empty on routes that need no key.
+    OrganisationId organisation;
+    int priority = 5;
+    TimePoint receivedAt;
+    /// Time by which the caller must have its complete response.
+    TimePoint deadline;
+    /// Cancelled when the caller disconnects or its key is withdrawn.
+    std::shared_ptr<CancelSource> cancel;
+    bool isKeyWithdrawn = false;
+    /// Tokens taken from the organisation's rate limit.
+    Tokens reserved = 0;
+    /// Set when the rate limit rejected the request.
+    std::optional<RateLimitDetails> rateDetails;
+    /// Attempts that the target started, or may have started, to execute.
+    std::uint32_t runs = 0;
+    /// Attempts, including those that failed to connect.
+    std::uint32_t sends = 0;
+    /// Targets that are skipped in the next selection.
+    std::set<TargetId> triedTargets;
+    /// Total time spent waiting for a target.
+    Duration waited {};
+    /// Whether the response head has been sent to the caller.
+    bool hasStartedResponse = false;
+    /// When the latest chunk of a stream was sent to the caller.
+    std::optional<TimePoint> lastChunkAt;
+    /// Splits the stream, so that the caller gets complete events only.
+    EventSplitter events;
+    TargetId lastTarget;
+};
+
+/// Result of one attempt at a target.
+enum class AttemptOutcome : std::uint8_t {
+    /// The caller has received the complete response.
+    Answered,
+    /// No byte of the request was sent.
+    NotSent,
+    /// The target refused the request without executing it.
+    NotRun,
+    /// The request may have been executed, but there is no valid response.
+    Failed,
+    /// The caller has disconnected, or a response that has begun cannot be completed.
+    Undeliverable,
+};
+
+/// How an attempt at a target has ended.
+struct AttemptResult
+{
+    AttemptOutcome outcome = AttemptOutcome::NotRun;
+    Error error;
+    /// A complete error response of the target, for the caller if no other attempt follows.
+    std::optional<HttpResponse> response = std::nullopt;
+};
+
+[[nodiscard]] std::string_view toString(Delivery delivery) noexcept;
+
+/// \returns an error of a request that reached no target
+[[nodiscard]] Error notRun(ErrorCode code, std::string message, Duration retryAfter);
+
+/// \returns an error of a request that a target may have executed
+[[nodiscard]] Error mayHaveRun(ErrorCode code, std::string message);
+
+} // namespace bluebell::gateway
--- /dev/null
+++ b/programs/gateway/requestlog.cpp
@@ -0,0 +1,68 @@
+#include "gateway/requestlog.h"
+
+#include "core/log.h"
+
+#include <fmt/core.h>
+
+namespace bluebell::gateway {
+namespace {
+
+std::string toText(const std::optional<RateLimitDetails> &details)
+{
+    if (!details)
+        return {};
+    return fmt::format("wanted {}, level {}, daemons heard {} of {}", details->requested,
+                       details->level, details->liveDaemons, details->daemons);
+}
+
+} // namespace
+
+void noteChunk(RequestContext &it, Metrics &metrics)
+{
+    const auto now = BootClock::now();
+    const MetricLabels labels { it.organisation, ClassId(it.route->name), {} };
+    if (it.lastChunkAt)
+        metrics.observe("bluebell_event_gap_seconds", labels, now - *it.lastChunkAt);
+    else
+        metrics.observe("bluebell_first_event_seconds", labels, now - it.receivedAt);
+    it.lastChunkAt = now;
+}
+
+void recordOutcome(const RequestContext &it, const Result<void> &result, Delivery delivery,
+                   Metrics &metrics)
+{
+    const auto outcome =
+            result ? std::string("answered") : std::string(toString(result.error().code));
+    const auto duration = BootClock::now() - it.receivedAt;
+    const MetricLabels labels { it.organisation, ClassId(it.route ? it.route->name : std::string()),
+                                outcome };
+    metrics.count("bluebell_requests_total", labels);
+    metrics.observe("bluebell_request_seconds", labels, duration);
+    metrics.observe("bluebell_target_wait_seconds", labels, it.waited);
+    if (delivery != Delivery::Complete)
+        metrics.count("bluebell_incomplete_responses_total",
+                      { it.organisation, labels.classId, std::string(toString(delivery)) });
+    log::info("request",
+              { { "request", it.caller.attempt.value() },
+                { "organisation", it.organisation.value() },
+                { "route", it.route ? it.route->name : std::string() },
+                { "replica", it.caller.replica ? toString(*it.caller.replica) : std::string() },
+                { "target", it.lastTarget.value() },
+                { "sends", std::to_string(it.sends) },
+                { "runs", std::to_string(it.runs) },
+                { "waited_ms", std::to_string(toMilliseconds(it.waited).count()) },
+                { "config", std::to_string(it.index ? it.index->version() : 0) },
+                { "outcome", outcome },
+                { "cause", result ? std::string() : result.error().message },
+                { "delivery", std::string(toString(delivery)) },
+                { "rate", toText(it.rateDetails) },
+                { "execution",
+                  result ? std::string() : std::string(toString(result.error().execution)) },
+                { "retry_after_ms",
+                  !result && result.error().retryAfter
+                          ? std::to_string(toMilliseconds(*result.error().retryAfter).count())
+                          : std::string() },
+                { "ms", std::to_string(toMilliseconds(duration).count()) } });
+}
+
+} // namespace bluebell::gateway
--- /dev/null
+++ b/programs/gateway/requestlog.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "gateway/requestcontext.h"
+#include "metrics/metrics.h"
+
+/// \file
+/// Log lines and metrics of callers' requests.
+
+namespace bluebell::gateway {
+
+/// Records the time to the first chunk of a stream, or the gap since the previous chunk.
+void noteChunk(RequestContext &it, Metrics &metrics);
+
+/// Writes metrics and the log line of a finished request.
+void recordOutcome(const RequestContext &it, const Result<void> &result, Delivery delivery,
+                   Metrics &metrics);
+
+} // namespace bluebell::gateway
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -1,11 +1,9 @@
 #include "gateway/requestproxy.h"
 
-#include "core/digest.h"
 #include "core/log.h"
+#include "gateway/requestlog.h"
 #include "platform/requests.h"
 
-#include <fmt/core.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -17,20 +15,12 @@
 using std::chrono::milliseconds;
 
 constexpr Duration ConnectTimeout = milliseconds(200);
-/// Subtracted from the caller's time left, so that the response arrives before its timeout.
-constexpr Duration DeadlineMargin = milliseconds(20);
 /// Pause before targets are tried again when all usable ones have refused.
 constexpr Duration RefusalRetryDelay = milliseconds(30);
 /// Maximum time between two attempts to select a target.
 constexpr Duration MaxSelectionInterval = milliseconds(250);
 /// How long the demand of a rejected request is kept after its Retry-After time.
 constexpr Duration RetryAllowance = milliseconds(500);
-/// Lower bound on the read timeout of a stream that can be resumed at another target.
-constexpr Duration MinResumableReadTimeout = milliseconds(800);
-/// Maximum size of a response that is kept in memory until it is complete, and of a stream, which
-/// is not. A target that sends more is in trouble.
-constexpr std::uint64_t MaxResponseBytes = 4U << 20U;
-constexpr std::uint64_t MaxStreamBytes = 64U << 20U;
 /// Maximum number of attempts for one request, including those that fail to connect.
 constexpr std::uint32_t MaxSends = 8;
 /// Requests end this long before the kill of a stopping process.
@@ -41,105 +31,9 @@
 constexpr Duration MinTimeForRequest = milliseconds(1500);
 /// Minimum time that a running request gets after its key was withdrawn.
 constexpr Duration WithdrawnKeyGracePeriod = std::chrono::seconds(4);
-constexpr unsigned StatusServerError = 500;
-
-Error notRun(ErrorCode code, std::string message, Duration retryAfter)
-{
-    return Error { code, std::move(message), Execution::NotRun, retryAfter };
-}
-
-Error mayHaveRun(ErrorCode code, std::string message)
-{
-    return Error { code, std::move(message), Execution::OutcomeUnknown, std::nullopt };
-}
-
-std::string_view toString(Delivery delivery)
-{
-    switch (delivery) {
-    case Delivery::Complete:
-        return "complete";
-    case Delivery::Truncated:
-        return "truncated";
-    case Delivery::None:
-        break;
-    }
-    return "none";
-}
-
-std::string toText(const std::optional<RateLimitDetails> &details)
-{
-    if (!details)
-        return {};
-    return fmt::format("wanted {}, level {}, daemons heard {} of {}", details->requested,
-                       details->level, details->liveDaemons, details->daemons);
-}
 
 } // namespace
 
-Result<void> RequestProxy::resolveRequest(RequestContext &it) const
-{
-    it.index = m_state.index;
-    if (!it.index)
-        return notRun(ErrorCode::Unavailable, "no configuration is known yet", milliseconds(300));
-    it.route = it.index->findRoute(it.caller.host, it.caller.path);
-    if (!it.route)
-        return makeError(ErrorCode::NotFound, "no route for this host and path");
-    it.priority = it.route->priority;
-    if (it.index->hasOrganisations() && !it.route->allowsAnonymous) {
-        const auto *organisation = it.index->findOrganisation(it.caller.key);
-        if (it.caller.key.empty() || !organisation)
-            return makeError(ErrorCode::Unauthenticated, "the key is not known");
-        it.organisation = organisation->name;
-        it.priority = organisation->priority.value_or(it.priority);
-    }
-    const auto *name = chooseService(*it.route, stableHash(it.caller.attempt.value()));
-    it.service = name ? it.index->findService(*name) : nullptr;
-    if (!it.service)
-        return notRun(ErrorCode::Unavailable, "the route has no service", std::chrono::seconds(1));
-    if (it.service->engine && it.caller.replica
-        && !it.service->engine->models.contains(it.caller.replica->model))
-        return makeError(ErrorCode::NotFound, "the service does not serve this model");
-    it.deadline = it.receivedAt + it.route->timeout;
-    if (it.caller.timeLeft)
-        it.deadline = std::min(it.deadline, it.receivedAt + *it.caller.timeLeft - DeadlineMargin);
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
-}
-
-Result<void> RequestProxy::reserveRate(RequestContext &it)
-{
-    if (it.organisation.isEmpty())
-        return BOOST_OUTCOME_V2_NAMESPACE::success();
-    const auto *organisation = it.index->findOrganisation(it.organisation);
-    if (!organisation || !organisation->limit)
-        return BOOST_OUTCOME_V2_NAMESPACE::success();
-    const auto now = BootClock::now();
-    const auto tokens =
-            organisation->countsTokens ? it.caller.tokens.value_or(organisation->defaultTokens) : 1;
-    auto &rate = m_state.rateOf(*organisation, now);
-    const auto liveDaemons = m_state.fleet.liveCount(now);
-    rate.setDaemonCounts(m_state.fleet.size(), liveDaemons, now);
-    if (const auto wait = rate.admit(tokens, now)) {
-        it.rateDetails =
-                RateLimitDetails { tokens, rate.level(now), m_state.fleet.size(), liveDaemons };
-        return notRun(ErrorCode::RateLimited, "the organisation's rate is used up", *wait);
-    }
-    it.reserved = tokens;
-    if (rate.isLow(now)) {
-        m_state.statusDue.notify();
-        m_state.reportDue.notify();
-    }
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
-}
-
-void RequestProxy::refundRate(const RequestContext &it)
-{
-    if (it.reserved == 0 || it.runs > 0)
-        return;
-    const auto rate = m_state.rates.find(it.organisation);
-    if (rate != m_state.rates.end())
-        rate->second.refund(it.reserved);
-}
-
 bool RequestProxy::isTooLateToStart(const RequestContext &it, TimePoint now) const
 {
     if (!m_state.stopRequestedAt)
@@ -231,8 +125,8 @@
     return std::min(left, attemptLimit);
 }
 
-asio::awaitable<RequestProxy::AttemptResult> RequestProxy::attempt(RequestContext &it, TargetId id,
-                                                                   HttpResponder &responder)
+asio::awaitable<AttemptResult> RequestProxy::attempt(RequestContext &it, TargetId id,
+                                                     HttpResponder &responder)
 {
     const auto *target = m_state.registry.find(id);
     if (!target)
@@ -259,7 +153,7 @@
     auto stream = co_await openStream(std::move(call));
     AttemptResult result;
     if (stream) {
-        auto relayed = relayResponse(it, id, std::move(stream.value()), responder);
+        auto relayed = m_relay.relay(it, id, std::move(stream.value()), responder);
         result = co_await std::move(relayed);
     } else {
         const bool isNotSent = stream.error().execution == Execution::NotRun;
@@ -274,122 +168,6 @@
     co_return result;
 }
 
-asio::awaitable<RequestProxy::AttemptResult> RequestProxy::relayResponse(RequestContext &it,
-                                                                         const TargetId &target,
-                                                                         HttpStream stream,
-                                                                         HttpResponder &responder)
-{
-    const auto now = BootClock::now();
-    const auto head = platform::decodeResponse(stream.head(), it.caller.attempt);
-    if (head.isNotRun) {
-        if (head.isMisdirected && it.caller.replica)
-            m_state.selector.noteNotResident(target, *it.caller.replica, now);
-        else
-            m_state.selector.noteOutcome(target, TargetOutcome::Full, now);
-        co_return AttemptResult { AttemptOutcome::NotRun,
-                                  notRun(ErrorCode::Overloaded, "the target refused the request",
-                                         milliseconds(200)) };
-    }
-    ++it.runs;
-    const bool isUntrusted =
-            !head.matchesAttempt || head.isEncoded || (head.isSuccess() && !head.isSigned);
-    if (isUntrusted) {
-        m_state.selector.noteOutcome(target, TargetOutcome::Broken, now);
-        co_return AttemptResult { AttemptOutcome::Failed,
-                                  mayHaveRun(ErrorCode::Unavailable,
-                                             "the answer is not the target's own") };
-    }
-    const bool isStream = it.route->kind == RequestKind::Streaming && head.isSuccess();
-    if (!isStream) {
-        auto relayed = relayBody(it, target, std::move(stream), responder);
-        co_return co_await std::move(relayed);
-    }
-    if (!it.hasStartedResponse) {
-        it.hasStartedResponse = true;
-        const bool isSent = co_await responder.begin(platform::encodeResponse(stream.head()));
-        if (!isSent)
-            co_return AttemptResult { AttemptOutcome::Undeliverable, {} };
-    }
-    auto events = relayEvents(it, std::move(stream), responder);
-    auto result = co_await std::move(events);
-    if (result.outcome == AttemptOutcome::Answered)
-        m_state.selector.noteOutcome(target, TargetOutcome::Answered, BootClock::now());
-    else if (result.outcome == AttemptOutcome::Failed && !it.cancel->isCancelled())
-        m_state.selector.noteOutcome(target, TargetOutcome::Broken, BootClock::now());
-    co_return result;
-}
-
-asio::awaitable<RequestProxy::AttemptResult> RequestProxy::relayBody(RequestContext &it,
-                                                                     const TargetId &target,
-                                                                     HttpStream stream,
-                                                                     HttpResponder &responder)
-{
-    auto response = platform::encodeResponse(stream.head());
-    for (;;) {
-        const auto left = std::max<Duration>(it.deadline - BootClock::now(), milliseconds(1));
-        auto chunk = co_await stream.read(left);
-        if (!chunk) {
-            if (!it.cancel->isCancelled())
-                m_state.selector.noteOutcome(target, TargetOutcome::Broken, BootClock::now());
-            co_return AttemptResult { AttemptOutcome::Failed, chunk.error() };
-        }
-        if (!chunk.value())
-            break;
-        response.body += *chunk.value();
-    }
-    const bool isError = response.status >= StatusServerError;
-    m_state.selector.noteOutcome(target, isError ? TargetOutcome::Failed : TargetOutcome::Answered,
-                                 BootClock::now());
-    // A complete error response is replaced by another attempt only if the request is retryable.
-    if (isError && !it.hasStartedResponse && mayRetry(it, AttemptOutcome::Failed)) {
-        auto retryableError = mayHaveRun(ErrorCode::Unavailable, "the target failed");
-        co_return AttemptResult { AttemptOutcome::Failed, std::move(retryableError) };
-    }
-    if (it.hasStartedResponse)
-        co_return AttemptResult { AttemptOutcome::Undeliverable,
-                                  mayHaveRun(ErrorCode::Truncated, "the stream did not go on") };
-    it.hasStartedResponse = true;
-    const bool isSent = co_await responder.send(std::move(response));
-    co_return AttemptResult { isSent ? AttemptOutcome::Answered : AttemptOutcome::Undeliverable,
-                              {} };
-}
-
-asio::awaitable<RequestProxy::AttemptResult>
-RequestProxy::relayEvents(RequestContext &it, HttpStream stream, HttpResponder &responder)
-{
-    it.events.discardPartialEvent();
-    for (;;) {
-        const auto now = BootClock::now();
-        auto timeout = std::max<Duration>(it.deadline - now, milliseconds(1));
-        if (it.route->isResumable && it.runs < it.route->maxTargets)
-            timeout = std::min(timeout,
-                               std::max(MinResumableReadTimeout, 4 * it.route->eventGapGoal));
-        auto chunk = co_await stream.read(timeout);
-        if (!chunk)
-            co_return AttemptResult { AttemptOutcome::Failed, chunk.error() };
-        if (!chunk.value())
-            break;
-        auto events = it.events.add(*chunk.value());
-        if (it.events.isTooLarge())
-            co_return AttemptResult { AttemptOutcome::Failed,
-                                      mayHaveRun(ErrorCode::Truncated,
-                                                 "an event of the stream has no end") };
-        if (events.empty())
-            continue;
-        const bool isSent = co_await responder.write(std::move(events));
-        if (!isSent)
-            co_return AttemptResult { AttemptOutcome::Undeliverable, {} };
-        noteChunk(it);
-    }
-    if (it.events.hasPartialEvent())
-        co_return AttemptResult { AttemptOutcome::Failed,
-                                  mayHaveRun(ErrorCode::Truncated,
-                                             "the stream ended inside an event") };
-    const bool isEnded = co_await responder.end();
-    co_return AttemptResult { isEnded ? AttemptOutcome::Answered : AttemptOutcome::Undeliverable,
-                              {} };
-}
-
 bool RequestProxy::mayRetry(RequestContext &it, AttemptOutcome outcome)
 {
     const auto now = BootClock::now();
@@ -428,11 +206,17 @@
         if (result.outcome == AttemptOutcome::Undeliverable)
             co_return result.error;
         it.triedTargets.insert(id);
-        if (!mayRetry(it, result.outcome)) {
-            if (it.runs > 0)
-                result.error.execution = Execution::OutcomeUnknown;
-            co_return result.error;
+        if (mayRetry(it, result.outcome))
+            continue;
+        if (result.response) {
+            it.hasStartedResponse = true;
+            const bool isSent = co_await responder.send(std::move(*result.response));
+            if (isSent)
+                co_return BOOST_OUTCOME_V2_NAMESPACE::success();
         }
+        if (it.runs > 0)
+            result.error.execution = Execution::OutcomeUnknown;
+        co_return result.error;
     }
 }
 
@@ -446,12 +230,12 @@
     auto decoded = platform::decodeRequest(request);
     if (decoded) {
         it.caller = std::move(decoded.value());
-        result = resolveRequest(it);
+        result = m_admission.resolve(it);
     } else {
         result = decoded.error();
     }
     if (result)
-        result = reserveRate(it);
+        result = m_admission.reserveRate(it);
     if (result) {
         const auto id = m_nextActiveId++;
         m_active.emplace(id, &it);
@@ -465,12 +249,12 @@
         result = co_await std::move(served);
         it.cancel->remove(watch);
         m_active.erase(id);
-        refundRate(it);
+        m_admission.refundRate(it);
     }
     auto delivery = result ? Delivery::Complete : Delivery::Truncated;
     if (!result && !it.hasStartedResponse)
         delivery = co_await respondWithError(it, result.error(), responder);
-    recordOutcome(it, result, delivery);
+    recordOutcome(it, result, delivery, m_state.metrics);
 }
 
 asio::awaitable<Delivery> RequestProxy::respondWithError(const RequestContext &it, Error error,
@@ -509,52 +293,4 @@
     }
 }
 
-void RequestProxy::noteChunk(RequestContext &it)
-{
-    const auto now = BootClock::now();
-    const MetricLabels labels { it.organisation, ClassId(it.route->name), {} };
-    if (it.lastChunkAt)
-        m_state.metrics.observe("bluebell_event_gap_seconds", labels, now - *it.lastChunkAt);
-    else
-        m_state.metrics.observe("bluebell_first_event_seconds", labels, now - it.receivedAt);
-    it.lastChunkAt = now;
-}
-
-void RequestProxy::recordOutcome(const RequestContext &it, const Result<void> &result,
-                                 Delivery delivery)
-{
-    const auto outcome =
-            result ? std::string("answered") : std::string(toString(result.error().code));
-    const auto duration = BootClock::now() - it.receivedAt;
-    const MetricLabels labels { it.organisation, ClassId(it.route ? it.route->name : std::string()),
-                                outcome };
-    m_state.metrics.count("bluebell_requests_total", labels);
-    m_state.metrics.observe("bluebell_request_seconds", labels, duration);
-    m_state.metrics.observe("bluebell_target_wait_seconds", labels, it.waited);
-    if (delivery != Delivery::Complete)
-        m_state.metrics.count("bluebell_incomplete_responses_total",
-                              { it.organisation, labels.classId, std::string(toString(delivery)) });
-    log::info("request",
-              { { "request", it.caller.attempt.value() },
-                { "organisation", it.organisation.value() },
-                { "route", it.route ? it.route->name : std::string() },
-                { "replica", it.caller.replica ? toString(*it.caller.replica) : std::string() },
-                { "target", it.lastTarget.value() },
-                { "sends", std::to_string(it.sends) },
-                { "runs", std::to_string(it.runs) },
-                { "waited_ms", std::to_string(toMilliseconds(it.waited).count()) },
-                { "config", std::to_string(it.index ? it.index->version() : 0) },
-                { "outcome", outcome },
-                { "cause", result ? std::string() : result.error().message },
-                { "delivery", std::string(toString(delivery)) },
-                { "rate", toText(it.rateDetails) },
-                { "execution",
-                  result ? std::string() : std::string(toString(result.error().execution)) },
-                { "retry_after_ms",
-                  !result && result.error().retryAfter
-                          ? std::to_string(toMilliseconds(*result.error().retryAfter).count())
-                          : std::string() },
-                { "ms", std::to_string(toMilliseconds(duration).count()) } });
-}
-
 } // namespace bluebell::gateway
--- /dev/null
+++ b/programs/gateway/responserelay.cpp
@@ -0,0 +1,133 @@
+#include "gateway/responserelay.h"
+
+#include "gateway/requestlog.h"
+#include "platform/requests.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace asio = boost::asio;
+
+namespace bluebell::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Lower bound on the read timeout of a stream that can be resumed at another target.
+constexpr Duration MinResumableReadTimeout = milliseconds(800);
+constexpr unsigned StatusServerError = 500;
+
+} // namespace
+
+asio::awaitable<AttemptResult> ResponseRelay::relay(RequestContext &it, const TargetId &target,
+                                                    HttpStream stream, HttpResponder &responder)
+{
+    const auto now = BootClock::now();
+    const auto head = platform::decodeResponse(stream.head(), it.caller.attempt);
+    if (head.isNotRun) {
+        if (head.isMisdirected && it.caller.replica)
+            m_state.selector.noteNotResident(target, *it.caller.replica, now);
+        else
+            m_state.selector.noteOutcome(target, TargetOutcome::Full, now);
+        co_return AttemptResult { AttemptOutcome::NotRun,
+                                  notRun(ErrorCode::Overloaded, "the target refused the request",
+                                         milliseconds(200)) };
+    }
+    ++it.runs;
+    const bool isUntrusted =
+            !head.matchesAttempt || head.isEncoded || (head.isSuccess() && !head.isSigned);
+    if (isUntrusted) {
+        m_state.selector.noteOutcome(target, TargetOutcome::Broken, now);
+        co_return AttemptResult { AttemptOutcome::Failed,
+                                  mayHaveRun(ErrorCode::Unavailable,
+                                             "the answer is not the target's own") };
+    }
+    const bool isStream = it.route->kind == RequestKind::Streaming && head.isSuccess();
+    if (!isStream) {
+        auto relayed = relayBody(it, target, std::move(stream), responder);
+        co_return co_await std::move(relayed);
+    }
+    if (!it.hasStartedResponse) {
+        it.hasStartedResponse = true;
+        const bool isSent = co_await responder.begin(platform::encodeResponse(stream.head()));
+        if (!isSent)
+            co_return AttemptResult { AttemptOutcome::Undeliverable, {} };
+    }
+    auto events = relayEvents(it, std::move(stream), responder);
+    auto result = co_await std::move(events);
+    if (result.outcome == AttemptOutcome::Answered)
+        m_state.selector.noteOutcome(target, TargetOutcome::Answered, BootClock::now());
+    else if (result.outcome == AttemptOutcome::Failed && !it.cancel->isCancelled())
+        m_state.selector.noteOutcome(target, TargetOutcome::Broken, BootClock::now());
+    co_return result;
+}
+
+asio::awaitable<AttemptResult> ResponseRelay::relayBody(RequestContext &it, const TargetId &target,
+                                                        HttpStream stream, HttpResponder &responder)
+{
+    auto response = platform::encodeResponse(stream.head());
+    for (;;) {
+        const auto left = std::max<Duration>(it.deadline - BootClock::now(), milliseconds(1));
+        auto chunk = co_await stream.read(left);
+        if (!chunk) {
+            if (!it.cancel->isCancelled())
+                m_state.selector.noteOutcome(target, TargetOutcome::Broken, BootClock::now());
+            co_return AttemptResult { AttemptOutcome::Failed, chunk.error() };
+        }
+        if (!chunk.value())
+            break;
+        response.body += *chunk.value();
+    }
+    const bool isError = response.status >= StatusServerError;
+    m_state.selector.noteOutcome(target, isError ? TargetOutcome::Failed : TargetOutcome::Answered,
+                                 BootClock::now());
+    if (it.hasStartedResponse)
+        co_return AttemptResult { AttemptOutcome::Undeliverable,
+                                  mayHaveRun(ErrorCode::Truncated, "the stream did not go on") };
+    if (isError) {
+        auto error = mayHaveRun(ErrorCode::Unavailable, "the target failed");
+        co_return AttemptResult { AttemptOutcome::Failed, std::move(error), std::move(response) };
+    }
+    it.hasStartedResponse = true;
+    const bool isSent = co_await responder.send(std::move(response));
+    co_return AttemptResult { isSent ? AttemptOutcome::Answered : AttemptOutcome::Undeliverable,
+                              {} };
+}
+
+asio::awaitable<AttemptResult> ResponseRelay::relayEvents(RequestContext &it, HttpStream stream,
+                                                          HttpResponder &responder)
+{
+    it.events.discardPartialEvent();
+    for (;;) {
+        const auto now = BootClock::now();
+        auto timeout = std::max<Duration>(it.deadline - now, milliseconds(1));
+        if (it.route->isResumable && it.runs < it.route->maxTargets)
+            timeout = std::min(timeout,
+                               std::max(MinResumableReadTimeout, 4 * it.route->eventGapGoal));
+        auto chunk = co_await stream.read(timeout);
+        if (!chunk)
+            co_return AttemptResult { AttemptOutcome::Failed, chunk.error() };
+        if (!chunk.value())
+            break;
+        auto events = it.events.add(*chunk.value());
+        if (it.events.isTooLarge())
+            co_return AttemptResult { AttemptOutcome::Failed,
+                                      mayHaveRun(ErrorCode::Truncated,
+                                                 "an event of the stream has no end") };
+        if (events.empty())
+            continue;
+        const bool isSent = co_await responder.write(std::move(events));
+        if (!isSent)
+            co_return AttemptResult { AttemptOutcome::Undeliverable, {} };
+        noteChunk(it, m_state.metrics);
+    }
+    if (it.events.hasPartialEvent())
+        co_return AttemptResult { AttemptOutcome::Failed,
+                                  mayHaveRun(ErrorCode::Truncated,
+                                             "the stream ended inside an event") };
+    const bool isEnded = co_await responder.end();
+    co_return AttemptResult { isEnded ? AttemptOutcome::Answered : AttemptOutcome::Undeliverable,
+                              {} };
+}
+
+} // namespace bluebell::gateway
--- /dev/null
+++ b/programs/gateway/responserelay.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "gateway/gatewaystate.h"
+#include "gateway/requestcontext.h"
+#include "http/client.h"
+#include "http/server.h"
+
+#include <boost/asio/awaitable.hpp>
+
+/// \file
+/// Passes targets' responses on to callers.
+
+namespace bluebell::gateway {
+
+/// Maximum size of a response that is kept in memory until it is complete, and of a stream, which
+/// is not. A target that sends more is in trouble.
+constexpr std::uint64_t MaxResponseBytes = 4U << 20U;
+constexpr std::uint64_t MaxStreamBytes = 64U << 20U;
+
+/// Checks a target's response and passes it on to the caller.
+class ResponseRelay
+{
+public:
+    explicit ResponseRelay(GatewayState &state) : m_state(state) { }
+
+    /// Relays the response to one attempt, of which the head has been read.
+    [[nodiscard]] boost::asio::awaitable<AttemptResult>
+    relay(RequestContext &it, const TargetId &target, HttpStream stream, HttpResponder &responder);
+
+private:
+    /// Reads the complete body and then sends the response. An error response of the target is
+    /// returned, not sent.
+    boost::asio::awaitable<AttemptResult> relayBody(RequestContext &it, const TargetId &target,
+                                                    HttpStream stream, HttpResponder &responder);
+    /// Forwards the events of a stream as they arrive.
+    boost::asio::awaitable<AttemptResult> relayEvents(RequestContext &it, HttpStream stream,
+                                                      HttpResponder &responder);
+
+    GatewayState &m_state;
+};
+
+} // namespace bluebell::gateway
