--- a/tests/platformstandin.cpp
+++ b/tests/platformstandin.cpp
@@ -119,24 +119,31 @@
 {
     auto response = statusOnly(200);
     const auto attempt = std::string(request.header("X-Attempt-Id"));
-    response.headers.push_back(
-            { "X-Attempt-Id", behaviour.usesWrongAttemptId ? "another" : attempt });
+    if (!behaviour.omitsAttemptId)
+        response.headers.push_back(
+                { "X-Attempt-Id", behaviour.usesWrongAttemptId ? "another" : attempt });
     const auto model = std::string(request.header("X-Model"));
     if (behaviour.isFull || (isEngine && !models.contains(model))) {
         response.status = behaviour.isFull ? 503 : 421;
         response.headers.push_back({ "X-Not-Executed", "1" });
+        ++refusals;
         (void)co_await responder.send(std::move(response));
         co_return;
     }
     runs.push_back(attempt);
     lastHeaders = request.headers;
-    co_await sleepFor(behaviour.workDuration);
+    co_await sleepFor(behaviour.headDelay + behaviour.workDuration);
     if (behaviour.dropsRequests)
         co_return;
     response.headers.push_back({ "X-Server-Seal", "seal-of-" + m_id });
     if (behaviour.fails)
         response.status = 500;
     response.body = "answer of " + m_id;
+    const bool isResumed = !request.header("Last-Event-Id").empty();
+    if (isResumed && !resume(response)) {
+        (void)co_await responder.send(std::move(response));
+        co_return;
+    }
     if (isEngine && response.status == 200) {
         auto streaming = stream(request, std::move(response), responder);
         co_await std::move(streaming);
@@ -145,6 +152,32 @@
     (void)co_await responder.send(std::move(response));
 }
 
+bool TargetStandIn::resume(HttpResponse &response) const
+{
+    switch (behaviour.resumption) {
+    case Resumption::Fails:
+        response.status = 500;
+        return false;
+    case Resumption::IsUnknown:
+        response.status = 404;
+        return false;
+    case Resumption::SendsText:
+        response.contentType = "text/plain";
+        return false;
+    default:
+        return true;
+    }
+}
+
+int TargetStandIn::firstEvent(const HttpRequest &request) const
+{
+    const auto last = request.header("Last-Event-Id");
+    if (last.empty() || behaviour.resumption == Resumption::RepeatsEvents)
+        return 1;
+    const auto next = std::stoi(std::string(last)) + 1;
+    return behaviour.resumption == Resumption::SkipsAnEvent ? next + 1 : next;
+}
+
 asio::awaitable<void> TargetStandIn::stream(const HttpRequest &request, HttpResponse head,
                                             HttpResponder &responder)
 {
@@ -152,9 +185,8 @@
     const bool hasBegun = co_await responder.begin(std::move(head));
     if (!hasBegun)
         co_return;
-    const auto last = request.header("Last-Event-Id");
     int sent = 0;
-    for (int n = last.empty() ? 1 : std::stoi(std::string(last)) + 1; n <= events; ++n) {
+    for (int n = firstEvent(request); n <= events; ++n) {
         if (behaviour.cutAfterEvents > 0 && sent == behaviour.cutAfterEvents) {
             // A crash may cut the stream in the middle of an event.
             (void)co_await responder.write("id: " + std::to_string(n) + "\nda");
@@ -165,6 +197,8 @@
             co_return;
         ++sent;
         co_await sleepFor(behaviour.workDuration);
+        if (sent == behaviour.silentAfterEvents)
+            co_await sleepFor(behaviour.silence);
     }
     (void)co_await responder.end();
 }
--- a/tests/platformstandin.h
+++ b/tests/platformstandin.h
@@ -19,6 +19,21 @@
 
 namespace bluebell::testing {
 
+/// How a target continues a stream after the event that the request names.
+enum class Resumption : std::uint8_t {
+    Continues,
+    /// Responds with status 500 and a text.
+    Fails,
+    /// Responds with status 404 and a text.
+    IsUnknown,
+    /// Responds with status 200 and a text that is no event stream.
+    SendsText,
+    /// Sends the complete stream again.
+    RepeatsEvents,
+    /// Omits the first event that is due.
+    SkipsAnEvent,
+};
+
 /// Faults and timing of a target stand-in.
 struct TargetBehaviour
 {
@@ -26,12 +41,20 @@
     bool dropsRequests = false;
     /// Cuts a stream after this many events; 0 for complete streams.
     int cutAfterEvents = 0;
+    /// Sends nothing for `silence` after this many events of a stream; 0 for steady streams.
+    int silentAfterEvents = 0;
+    Duration silence {};
+    Resumption resumption = Resumption::Continues;
     /// Responds with the id of another attempt.
     bool usesWrongAttemptId = false;
+    /// Responds without the id of the attempt.
+    bool omitsAttemptId = false;
     /// Responds with status 500 and a valid signature.
     bool fails = false;
     /// Refuses requests with status 503 and the header that says they were not executed.
     bool isFull = false;
+    /// Added to the time before a response.
+    Duration headDelay {};
     /// Time before a response, and after each event of a stream.
     Duration workDuration = std::chrono::milliseconds(2);
 };
@@ -58,6 +81,8 @@
     TargetBehaviour behaviour;
     /// Ids of the executed attempts, in order.
     std::vector<std::string> runs;
+    /// Number of requests that were refused because the target is full.
+    std::size_t refusals = 0;
     /// Headers of the last executed request.
     std::vector<HttpHeader> lastHeaders;
     /// Accepted orders, as `load MODEL` or `unload MODEL`.
@@ -68,6 +93,12 @@
     boost::asio::awaitable<void> run(const HttpRequest &request, HttpResponder &responder);
     boost::asio::awaitable<void> stream(const HttpRequest &request, HttpResponse head,
                                         HttpResponder &responder);
+    /// Changes the response to a request that resumes a stream.
+    ///
+    /// \returns whether the stream continues
+    [[nodiscard]] bool resume(HttpResponse &response) const;
+    /// \returns the id of the first event that is sent
+    [[nodiscard]] int firstEvent(const HttpRequest &request) const;
     HttpResponse acceptOrder(const std::string &body);
     [[nodiscard]] nlohmann::json state() const;
 
