Leave a silent target only if the request can go on elsewhere

What callers saw: a resumable stream, or an idempotent request, ended without its answer although its target was sound and went on after a second. Worst when many requests were at the same target.

Cause: two timeouts closed the connection before it was known whether another attempt was possible: a resumable stream after max(800 ms, 4 x gap goal) without a byte, the head of a retryable request after max(250 ms, 2 x latency goal).

The gateway agrees only if the request may run again, another target can serve it now and the budget has a retry, which is taken in the same step: the requests at one silent target ask one after another, and all would see the last retry as free. The connection is closed before the next attempt starts.

--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -73,6 +73,8 @@
     /// Splits the stream, so that the caller gets complete events only.
     EventSplitter events;
     TargetId lastTarget;
+    /// Whether a retry was taken from the budget for the next attempt.
+    bool isRetryReserved = false;
 };
 
 /// Result of one attempt at a target.
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "gateway/requestlog.h"
 #include "platform/requests.h"
+#include "routing/silencedecision.h"
 
 #include <algorithm>
 #include <utility>
@@ -32,6 +33,12 @@
 /// Minimum time that a running request gets after its key was withdrawn.
 constexpr Duration WithdrawnKeyGracePeriod = std::chrono::seconds(4);
 
+/// \returns the gap in a stream, or the time before it, after which its caller gives up
+Duration callersPatience(const Route &route)
+{
+    return streamFirstByteTimeout(route.latencyGoal, route.eventGapGoal);
+}
+
 } // namespace
 
 bool RequestProxy::isTooLateToStart(const RequestContext &it, TimePoint now) const
@@ -111,18 +118,46 @@
         facts.firstByteTimeout = it.route->latencyGoal;
         return facts;
     }
-    facts.firstByteTimeout = streamFirstByteTimeout(it.route->latencyGoal, it.route->eventGapGoal);
+    facts.firstByteTimeout = callersPatience(*it.route);
     facts.readyAt = m_state.readyAt(it.service->name, it.caller.replica->model, now);
     return facts;
 }
 
-Duration RequestProxy::attemptTimeout(const RequestContext &it, TimePoint now) const
+std::optional<SilencePolicy> RequestProxy::silencePolicy(RequestContext &it, Duration limit)
+{
+    if (!it.route->isRetryable())
+        return std::nullopt;
+    const auto runs = it.runs + 1;
+    return SilencePolicy { limit, [this, &it, runs] {
+                              return tryLeaveTarget(it, runs);
+                          } };
+}
+
+bool RequestProxy::hasOtherTarget(const RequestContext &it, TimePoint now)
 {
-    const auto left = std::max<Duration>(it.deadline - now, milliseconds(1));
-    if (!it.route->isRetryable() || it.runs + 1 >= it.route->maxTargets)
-        return left;
-    const auto attemptLimit = std::max<Duration>(2 * it.route->latencyGoal, milliseconds(250));
-    return std::min(left, attemptLimit);
+    auto requirements = targetRequirements(it);
+    requirements.excluded.insert(it.lastTarget);
+    return m_state.selector
+            .choose(requirements, m_state.registry.targets(), m_state.residents(now), now)
+            .has_value();
+}
+
+bool RequestProxy::tryLeaveTarget(RequestContext &it, std::uint32_t runs)
+{
+    const auto now = BootClock::now();
+    auto &budget = m_state.retryBudgetOf(it.service->name);
+    SilenceFacts facts;
+    facts.isWanted = !it.cancel->isCancelled() && now < it.deadline && it.sends < MaxSends
+            && !isTooLateToStart(it, now);
+    facts.isRetryable = it.route->isRetryable();
+    facts.runs = runs;
+    facts.maxTargets = it.route->maxTargets;
+    facts.hasRetry = budget.hasRetry();
+    if (!canLeaveSilentTarget(facts) || !hasOtherTarget(it, now))
+        return false;
+    // Taken at once: other requests at the same silent target ask next.
+    it.isRetryReserved = budget.takeRetry();
+    return it.isRetryReserved;
 }
 
 asio::awaitable<AttemptResult> RequestProxy::attempt(RequestContext &it, TargetId id,
@@ -143,9 +178,11 @@
     call.endpoint = target->address;
     call.request = platform::encodeForward(*it.http, details);
     call.bodyLimit = it.route->kind == RequestKind::Streaming ? MaxStreamBytes : MaxResponseBytes;
-    call.timeout = attemptTimeout(it, now);
+    call.timeout = std::max<Duration>(it.deadline - now, milliseconds(1));
+    call.silence = silencePolicy(it, responseSilenceLimit(it.route->latencyGoal));
     call.connectTimeout = ConnectTimeout;
     call.cancel = it.cancel;
+    const auto streamSilence = silencePolicy(it, streamSilenceLimit(callersPatience(*it.route)));
     const auto key = it.service->engine ? it.caller.replica : std::nullopt;
     m_state.selector.noteStarted(id, key);
     it.lastTarget = id;
@@ -153,7 +190,7 @@
     auto stream = co_await openStream(std::move(call));
     AttemptResult result;
     if (stream) {
-        auto relayed = m_relay.relay(it, id, std::move(stream.value()), responder);
+        auto relayed = m_relay.relay(it, id, std::move(stream.value()), responder, streamSilence);
         result = co_await std::move(relayed);
     } else {
         const bool isNotSent = stream.error().execution == Execution::NotRun;
@@ -181,6 +218,8 @@
         if (!isAllowed)
             return false;
     }
+    if (std::exchange(it.isRetryReserved, false))
+        return true;
     return m_state.retryBudgetOf(it.service->name).takeRetry();
 }
 
--- a/programs/gateway/requestproxy.h
+++ b/programs/gateway/requestproxy.h
@@ -58,8 +58,18 @@
     [[nodiscard]] bool isTooLateToStart(const RequestContext &it, TimePoint now) const;
     [[nodiscard]] TargetRequirements targetRequirements(const RequestContext &it) const;
     [[nodiscard]] WaitFacts waitFacts(const RequestContext &it, TimePoint now) const;
-    /// \returns the time until the deadline, or less if another target can be tried afterwards
-    [[nodiscard]] Duration attemptTimeout(const RequestContext &it, TimePoint now) const;
+    /// \returns the policy for an attempt that begins now, or nothing if the request cannot be sent
+    /// again
+    ///
+    /// \param limit time without a byte after which the target may be given up
+    [[nodiscard]] std::optional<SilencePolicy> silencePolicy(RequestContext &it, Duration limit);
+    /// \returns whether another target than the current one can serve the request now
+    [[nodiscard]] bool hasOtherTarget(const RequestContext &it, TimePoint now);
+    /// Takes a retry from the budget if the request can be sent to another target than its current
+    /// one now.
+    ///
+    /// \param runs targets that may have executed the request, the current one included
+    [[nodiscard]] bool tryLeaveTarget(RequestContext &it, std::uint32_t runs);
     /// Sends the error response of a request that has got no response yet.
     ///
     /// \returns what the caller has got
--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -13,14 +13,13 @@
 
 using std::chrono::milliseconds;
 
-/// Lower bound on the read timeout of a stream that can be resumed at another target.
-constexpr Duration MinResumableReadTimeout = milliseconds(800);
 constexpr unsigned StatusServerError = 500;
 
 } // namespace
 
 asio::awaitable<AttemptResult> ResponseRelay::relay(RequestContext &it, const TargetId &target,
-                                                    HttpStream stream, HttpResponder &responder)
+                                                    HttpStream stream, HttpResponder &responder,
+                                                    const std::optional<SilencePolicy> &silence)
 {
     const auto now = BootClock::now();
     const auto head = platform::decodeResponse(stream.head(), it.caller.attempt);
@@ -53,7 +52,7 @@
         if (!isSent)
             co_return AttemptResult { AttemptOutcome::Undeliverable, {} };
     }
-    auto events = relayEvents(it, std::move(stream), responder);
+    auto events = relayEvents(it, std::move(stream), responder, silence);
     auto result = co_await std::move(events);
     if (result.outcome == AttemptOutcome::Answered)
         m_state.selector.noteOutcome(target, TargetOutcome::Answered, BootClock::now());
@@ -94,17 +93,14 @@
                               {} };
 }
 
-asio::awaitable<AttemptResult> ResponseRelay::relayEvents(RequestContext &it, HttpStream stream,
-                                                          HttpResponder &responder)
+asio::awaitable<AttemptResult>
+ResponseRelay::relayEvents(RequestContext &it, HttpStream stream, HttpResponder &responder,
+                           const std::optional<SilencePolicy> &silence)
 {
     it.events.discardPartialEvent();
     for (;;) {
-        const auto now = BootClock::now();
-        auto timeout = std::max<Duration>(it.deadline - now, milliseconds(1));
-        if (it.route->isResumable && it.runs < it.route->maxTargets)
-            timeout = std::min(timeout,
-                               std::max(MinResumableReadTimeout, 4 * it.route->eventGapGoal));
-        auto chunk = co_await stream.read(timeout);
+        const auto left = std::max<Duration>(it.deadline - BootClock::now(), milliseconds(1));
+        auto chunk = co_await stream.read(left, silence);
         if (!chunk)
             co_return AttemptResult { AttemptOutcome::Failed, chunk.error() };
         if (!chunk.value())
--- a/programs/gateway/responserelay.h
+++ b/programs/gateway/responserelay.h
@@ -24,8 +24,11 @@
     explicit ResponseRelay(GatewayState &state) : m_state(state) { }
 
     /// Relays the response to one attempt, of which the head has been read.
+    ///
+    /// \param silence decides when a target is given up that is silent within a stream
     [[nodiscard]] boost::asio::awaitable<AttemptResult>
-    relay(RequestContext &it, const TargetId &target, HttpStream stream, HttpResponder &responder);
+    relay(RequestContext &it, const TargetId &target, HttpStream stream, HttpResponder &responder,
+          const std::optional<SilencePolicy> &silence);
 
 private:
     /// Reads the complete body and then sends the response. An error response of the target is
@@ -34,7 +37,8 @@
                                                     HttpStream stream, HttpResponder &responder);
     /// Forwards the events of a stream as they arrive.
     boost::asio::awaitable<AttemptResult> relayEvents(RequestContext &it, HttpStream stream,
-                                                      HttpResponder &responder);
+                                                      HttpResponder &responder,
+                                                      const std::optional<SilencePolicy> &silence);
 
     GatewayState &m_state;
 };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,7 @@
 #include "http/client.h"
 
+#include "http/silencewatch.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -50,6 +52,8 @@
     }
     ~HttpClientConnection()
     {
+        if (m_watch)
+            m_watch->stop();
         if (m_cancelSource)
             m_cancelSource->remove(m_registration);
     }
@@ -69,25 +73,68 @@
         m_isClosed = true;
         m_stream.socket().close(ec);
     }
-    asio::awaitable<Result<void>> send(HttpRequest request, Duration connectTimeout,
-                                       Duration timeout);
-    asio::awaitable<Result<std::optional<std::string>>> read(Duration timeout);
+    asio::awaitable<Result<void>> send(HttpCall call);
+    asio::awaitable<Result<std::optional<std::string>>> read(Duration timeout,
+                                                             std::optional<SilencePolicy> silence);
 
     [[nodiscard]] const auto &head() const { return m_parser.get(); }
 
 private:
+    /// Starts to apply the policy to the silence that begins now.
+    void startWatch(std::optional<SilencePolicy> silence);
+    /// Ends the silence.
+    ///
+    /// \returns the error of the operation that has ended with `ec`
+    [[nodiscard]] std::optional<Error> stopWatch(std::string_view step, beast::error_code ec);
+    [[nodiscard]] bool hasUnreadBytes();
+
     Endpoint m_endpoint;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     http::response_parser<http::buffer_body> m_parser;
     std::shared_ptr<CancelSource> m_cancelSource;
     CancelSource::Registration m_registration = 0;
+    std::shared_ptr<SilenceWatch> m_watch;
     bool m_isClosed = false;
 };
 
-asio::awaitable<Result<void>> HttpClientConnection::send(HttpRequest request,
-                                                         Duration connectTimeout, Duration timeout)
+bool HttpClientConnection::hasUnreadBytes()
+{
+    beast::error_code ec;
+    return m_stream.socket().available(ec) > 0 && !ec;
+}
+
+void HttpClientConnection::startWatch(std::optional<SilencePolicy> silence)
+{
+    if (!silence)
+        return;
+    // Bytes may have arrived while this process was suspended.
+    auto tryGiveUp = [this, policy = std::move(silence->tryGiveUp)] {
+        return !hasUnreadBytes() && policy();
+    };
+    m_watch = std::make_shared<SilenceWatch>(m_stream.get_executor(),
+                                             SilencePolicy { silence->limit, std::move(tryGiveUp) },
+                                             [this] { close(); });
+    m_watch->start();
+}
+
+std::optional<Error> HttpClientConnection::stopWatch(std::string_view step, beast::error_code ec)
+{
+    const auto watch = std::exchange(m_watch, nullptr);
+    if (watch)
+        watch->stop();
+    if (!ec)
+        return std::nullopt;
+    if (watch && watch->hasGivenUp())
+        return Error { ErrorCode::Unavailable,
+                       toString(m_endpoint) + ": given up because the server was silent",
+                       Execution::OutcomeUnknown, std::nullopt };
+    return transportError(m_endpoint, step, ec, Execution::OutcomeUnknown);
+}
+
+asio::awaitable<Result<void>> HttpClientConnection::send(HttpCall call)
 {
+    auto &request = call.request;
     beast::error_code addressError;
     const auto address = asio::ip::make_address(m_endpoint.host, addressError);
     if (addressError)
@@ -95,12 +142,12 @@
     if (m_isClosed)
         co_return transportError(m_endpoint, "connect", asio::error::operation_aborted,
                                  Execution::NotRun);
-    m_stream.expires_after(std::min(connectTimeout, timeout));
+    m_stream.expires_after(std::min(call.connectTimeout, call.timeout));
     const auto [connectError] =
             co_await m_stream.async_connect(tcp::endpoint(address, m_endpoint.port), Await);
     if (connectError || m_isClosed)
         co_return transportError(m_endpoint, "connect", connectError, Execution::NotRun);
-    m_stream.expires_after(timeout);
+    m_stream.expires_after(call.timeout);
     beast::error_code ignored;
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
 
@@ -115,17 +162,19 @@
     message.keep_alive(false);
     message.body() = std::move(request.body);
     message.prepare_payload();
+    startWatch(std::move(call.silence));
     const auto [writeError, written] = co_await http::async_write(m_stream, message, Await);
     if (writeError)
-        co_return transportError(m_endpoint, "send", writeError, Execution::OutcomeUnknown);
+        co_return *stopWatch("send", writeError);
     const auto [readError, n] =
             co_await http::async_read_header(m_stream, m_buffer, m_parser, Await);
-    if (readError)
-        co_return transportError(m_endpoint, "receive", readError, Execution::OutcomeUnknown);
+    if (auto error = stopWatch("receive", readError))
+        co_return std::move(*error);
     co_return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-asio::awaitable<Result<std::optional<std::string>>> HttpClientConnection::read(Duration timeout)
+asio::awaitable<Result<std::optional<std::string>>>
+HttpClientConnection::read(Duration timeout, std::optional<SilencePolicy> silence)
 {
     if (m_parser.is_done())
         co_return std::optional<std::string>();
@@ -134,11 +183,12 @@
     body.data = buf.data();
     body.size = buf.size();
     m_stream.expires_after(timeout);
+    startWatch(std::move(silence));
     auto [ec, n] = co_await http::async_read_some(m_stream, m_buffer, m_parser, Await);
     if (ec == http::error::need_buffer)
         ec = {};
-    if (ec)
-        co_return transportError(m_endpoint, "receive", ec, Execution::OutcomeUnknown);
+    if (auto error = stopWatch("receive", ec))
+        co_return std::move(*error);
     const auto size = buf.size() - m_parser.get().body().size;
     if (size == 0 && m_parser.is_done())
         co_return std::optional<std::string>();
@@ -179,9 +229,10 @@
     return response;
 }
 
-asio::awaitable<Result<std::optional<std::string>>> HttpStream::read(Duration timeout)
+asio::awaitable<Result<std::optional<std::string>>>
+HttpStream::read(Duration timeout, std::optional<SilencePolicy> silence)
 {
-    return m_connection->read(timeout);
+    return m_connection->read(timeout, std::move(silence));
 }
 
 asio::awaitable<Result<HttpStream>> openStream(HttpCall call)
@@ -190,8 +241,7 @@
     auto connection = std::make_unique<detail::HttpClientConnection>(
             executor, std::move(call.endpoint), call.bodyLimit);
     connection->closeOnCancel(std::move(call.cancel));
-    auto sent =
-            co_await connection->send(std::move(call.request), call.connectTimeout, call.timeout);
+    auto sent = co_await connection->send(std::move(call));
     if (!sent)
         co_return sent.error();
     co_return HttpStream(std::move(connection));
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -37,9 +37,11 @@
     /// Reads the next chunk of the body.
     ///
     /// \param timeout maximum time to wait for data
+    /// \param silence gives up earlier, if given
     /// \returns the chunk, `std::nullopt` after the complete body, or an error when the connection
-    ///          failed, timed out or closed before the end of the body
-    [[nodiscard]] boost::asio::awaitable<Result<std::optional<std::string>>> read(Duration timeout);
+    ///          failed, timed out, was given up or closed before the end of the body
+    [[nodiscard]] boost::asio::awaitable<Result<std::optional<std::string>>>
+    read(Duration timeout, std::optional<SilencePolicy> silence = std::nullopt);
 
 private:
     std::unique_ptr<detail::HttpClientConnection> m_connection;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,6 +69,16 @@
     bool m_isCancelled = false;
 };
 
+/// Decides when to give up a server that sends nothing. Servers that are sound may be silent for a
+/// while, so a silence alone does not end an exchange.
+struct SilencePolicy
+{
+    /// Time without a byte after which `tryGiveUp` is called, at first and then repeatedly.
+    Duration limit {};
+    /// Returns whether to end the exchange; called no more after it has returned true.
+    std::function<bool()> tryGiveUp;
+};
+
 /// A request with its destination and timeouts.
 struct HttpCall
 {
@@ -76,6 +87,8 @@
     /// Maximum time from the established connection to the response headers; also bounds
     /// connecting.
     Duration timeout = std::chrono::seconds(5);
+    /// Applies to the time from the established connection to the response headers, if given.
+    std::optional<SilencePolicy> silence = std::nullopt;
     /// Maximum time to establish the connection.
     Duration connectTimeout = std::chrono::seconds(5);
     /// Maximum size of the response's body.
--- a/src/streams/streamassembler.cpp
+++ b/src/streams/streamassembler.cpp
@@ -83,7 +83,7 @@
 
 bool RetryBudget::takeRetry() noexcept
 {
-    if (m_balance < 1)
+    if (!hasRetry())
         return false;
     m_balance -= 1;
     return true;
--- a/src/streams/streamassembler.h
+++ b/src/streams/streamassembler.h
@@ -131,6 +131,8 @@
     }
 
     void noteFirstAttempt() noexcept;
+    /// \returns whether takeRetry() would allow a retry now
+    [[nodiscard]] bool hasRetry() const noexcept { return m_balance >= 1; }
     /// Takes one retry from the balance.
     ///
     /// \returns whether the balance allowed a retry
