Take a refusal that names another attempt as no promise

What callers saw: 'not run, try again' for a request that a target may have run, or that request at a second target.

Cause: the relay acted on the refusal before it looked at the id of the attempt, so a refusal of another request, late or sent twice by a faulty target, was believed.

After: sent once and answered 502; an idempotent one is sent to two targets, as its route allows, and each counts as a run.

A refusal without an id is still accepted (ARefusalWithoutAnIdIsTheTargetsOwn, which passed before): the protocol shows refusals without it (421 of another target at the address, 503 of a full one), and each request has a connection of its own, so that no other request can be meant. What follows a refusal on its connection is never read, since the connection is closed.

--- a/programs/gateway/request.h
+++ b/programs/gateway/request.h
@@ -51,6 +51,8 @@
     unsigned status = 0;
     /// Whether the response carries the id of the attempt that was sent.
     bool matchesAttempt = false;
+    /// Whether the response carries the id of another attempt, so that it says nothing of this one.
+    bool namesOtherAttempt = false;
     /// Whether the response carries the target's signature, as every response of a target does.
     bool isSigned = false;
     /// Whether the target states that it did not execute the request.
--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -23,7 +23,8 @@
 {
     const auto now = BootClock::now();
     const auto head = platform::decodeResponse(stream.head(), it.caller.attempt);
-    if (head.isNotRun) {
+    // Targets may omit the id when they refuse; the connection has carried no other request.
+    if (head.isNotRun && !head.namesOtherAttempt) {
         if (head.isMisdirected && it.caller.replica)
             m_state.selector.noteNotResident(target, *it.caller.replica, now);
         else
