Measure a caller's patience within a stream from its latest event

What callers saw: a resumable stream that broke off later than its caller would wait for the first event was cut at once, although the target, or another one, could have continued it a moment later. During a stop it was always cut.

Cause: the wait for a target was judged by the time since the request was received, also within a stream; and a stopping daemon refused the next attempt as if the response had not begun, though no other daemon can complete it.

The patience is counted from the latest event that was sent, and a response that has begun is continued until the daemon's requests have to end.

--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -46,6 +46,9 @@
     if (!m_state.stopRequestedAt)
         return false;
     const auto end = *m_state.stopRequestedAt + m_state.settings.stopTimeout - StopMargin;
+    // No other daemon can complete a response that has begun.
+    if (it.hasStartedResponse)
+        return now >= end;
     const bool isStream = it.route->kind == RequestKind::Streaming;
     return end - now < (isStream ? MinTimeForStream : MinTimeForRequest);
 }
@@ -110,7 +113,7 @@
 WaitFacts RequestProxy::waitFacts(const RequestContext &it, TimePoint now) const
 {
     WaitFacts facts;
-    facts.receivedAt = it.receivedAt;
+    facts.receivedAt = it.lastChunkAt.value_or(it.receivedAt);
     facts.deadline = it.deadline;
     facts.latencyGoal = it.route->latencyGoal;
     if (!it.service->engine || !it.caller.replica) {
--- a/programs/gateway/requestproxy.h
+++ b/programs/gateway/requestproxy.h
@@ -54,7 +54,7 @@
     /// \returns whether another attempt is allowed; takes it from the retry budget
     [[nodiscard]] bool mayRetry(RequestContext &it, AttemptOutcome outcome);
     /// \returns whether the request might not finish before this daemon stops; the caller should
-    /// then retry at another daemon
+    /// then retry at another daemon. A response that has begun is continued as long as possible.
     [[nodiscard]] bool isTooLateToStart(const RequestContext &it, TimePoint now) const;
     [[nodiscard]] TargetRequirements targetRequirements(const RequestContext &it) const;
     [[nodiscard]] WaitFacts waitFacts(const RequestContext &it, TimePoint now) const;
--- a/src/queue/waitdecision.h
+++ b/src/queue/waitdecision.h
@@ -12,6 +12,7 @@
 /// Times that decide whether a request waits for a model.
 struct WaitFacts
 {
+    /// When the request was received or, within a stream, when its latest event was sent.
     TimePoint receivedAt;
     /// Time by which the caller must have its final response.
     TimePoint deadline;
