Pass on nothing of a resumption that does not continue the stream

What callers saw: after a stream had broken off, events a second time, events missing, or the text of an error within the stream, which then ended as if it were complete; or a stream cut because the next target answered with an error, although an attempt was left.

Cause: a successful response was taken as the continuation whatever its events were, and an error response ended the request.

A resumption must have a successful status and the media type of the stream, and its first event must follow the last one that the caller has: a higher id, and where ids have increased by the same step from the beginning, by no more than that step. Else the attempt has failed, and the next one starts as budget and targets allow. A stream with an event without an id is not resumed, as no target could know where. Not covered: an empty stream that ends cleanly as a resumption can't be told from a stream that had only its end left.

--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -68,6 +68,8 @@
     Duration waited {};
     /// Whether the response head has been sent to the caller.
     bool hasStartedResponse = false;
+    /// Media type of a stream that has begun.
+    std::string mediaType;
     /// When the latest chunk of a stream was sent to the caller.
     std::optional<TimePoint> lastChunkAt;
     /// Splits the stream, so that the caller gets complete events only.
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -152,7 +152,7 @@
     SilenceFacts facts;
     facts.isWanted = !it.cancel->isCancelled() && now < it.deadline && it.sends < MaxSends
             && !isTooLateToStart(it, now);
-    facts.isRetryable = it.route->isRetryable();
+    facts.isRetryable = it.route->isRetryable() && it.events.canResume();
     facts.runs = runs;
     facts.maxTargets = it.route->maxTargets;
     facts.hasRetry = budget.hasRetry();
@@ -217,7 +217,8 @@
     if (outcome == AttemptOutcome::NotSent)
         return true;
     if (outcome == AttemptOutcome::Failed) {
-        const bool isAllowed = it.route->isRetryable() && it.runs < it.route->maxTargets;
+        const bool isAllowed =
+                it.route->isRetryable() && it.events.canResume() && it.runs < it.route->maxTargets;
         if (!isAllowed)
             return false;
     }
--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -15,6 +15,13 @@
 
 constexpr unsigned StatusServerError = 500;
 
+/// \returns the content type without parameters
+std::string mediaTypeOf(const HttpStream &stream)
+{
+    const auto type = stream.header("Content-Type");
+    return type.substr(0, type.find(';'));
+}
+
 } // namespace
 
 asio::awaitable<AttemptResult> ResponseRelay::relay(RequestContext &it, const TargetId &target,
@@ -42,6 +49,11 @@
                                   mayHaveRun(ErrorCode::Unavailable,
                                              "the answer is not the target's own") };
     }
+    if (it.hasStartedResponse && (!head.isSuccess() || mediaTypeOf(stream) != it.mediaType)) {
+        m_state.selector.noteOutcome(target, TargetOutcome::Failed, now);
+        co_return AttemptResult { AttemptOutcome::Failed,
+                                  mayHaveRun(ErrorCode::Truncated, "the stream did not go on") };
+    }
     const bool isStream = it.route->kind == RequestKind::Streaming && head.isSuccess();
     if (!isStream) {
         auto relayed = relayBody(it, target, std::move(stream), responder);
@@ -49,6 +61,7 @@
     }
     if (!it.hasStartedResponse) {
         it.hasStartedResponse = true;
+        it.mediaType = mediaTypeOf(stream);
         const bool isSent = co_await responder.begin(platform::encodeResponse(stream.head()));
         if (!isSent)
             co_return AttemptResult { AttemptOutcome::Undeliverable, {} };
@@ -81,9 +94,6 @@
     const bool isError = response.status >= StatusServerError;
     m_state.selector.noteOutcome(target, isError ? TargetOutcome::Failed : TargetOutcome::Answered,
                                  BootClock::now());
-    if (it.hasStartedResponse)
-        co_return AttemptResult { AttemptOutcome::Undeliverable,
-                                  mayHaveRun(ErrorCode::Truncated, "the stream did not go on") };
     if (isError) {
         auto error = mayHaveRun(ErrorCode::Unavailable, "the target failed");
         co_return AttemptResult { AttemptOutcome::Failed, std::move(error), std::move(response) };
@@ -111,6 +121,10 @@
             co_return AttemptResult { AttemptOutcome::Failed,
                                       mayHaveRun(ErrorCode::Truncated,
                                                  "an event of the stream has no end") };
+        if (it.events.isOutOfOrder())
+            co_return AttemptResult { AttemptOutcome::Failed,
+                                      mayHaveRun(ErrorCode::Truncated,
+                                                 "the target did not continue the stream") };
         if (events.empty())
             continue;
         const bool isSent = co_await responder.write(std::move(events));
--- a/src/streams/eventsplitter.cpp
+++ b/src/streams/eventsplitter.cpp
@@ -24,26 +24,15 @@
     const auto n = completeEventsSize(m_partial);
     auto events = m_partial.substr(0, n);
     m_partial.erase(0, n);
-    updateLastId(events);
-    return events;
+    m_isOutOfOrder = m_isOutOfOrder || !m_order.accept(events);
+    return m_isOutOfOrder ? std::string() : events;
 }
 
-void EventSplitter::updateLastId(std::string_view events)
+void EventSplitter::discardPartialEvent()
 {
-    constexpr std::string_view Field = "id:";
-    for (std::size_t from = 0; from < events.size();) {
-        const auto end = std::min(events.find('\n', from), events.size());
-        auto line = events.substr(from, end - from);
-        from = end + 1;
-        if (!line.starts_with(Field))
-            continue;
-        line.remove_prefix(Field.size());
-        if (line.starts_with(' '))
-            line.remove_prefix(1);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        m_lastId = std::string(line);
-    }
+    m_partial.clear();
+    m_isOutOfOrder = false;
+    m_order.startResumption();
 }
 
 } // namespace bluebell
--- a/src/streams/eventsplitter.h
+++ b/src/streams/eventsplitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "streams/eventorder.h"
+
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -26,17 +28,23 @@
     [[nodiscard]] bool hasPartialEvent() const noexcept { return !m_partial.empty(); }
     /// \returns whether the incomplete event is larger than MaxEventBytes
     [[nodiscard]] bool isTooLarge() const noexcept { return m_partial.size() > MaxEventBytes; }
+    /// \returns whether the stream was resumed with events that do not follow the last one; they
+    /// are not returned
+    [[nodiscard]] bool isOutOfOrder() const noexcept { return m_isOutOfOrder; }
     /// \returns the last event id of the complete events, or nothing when none had an id
-    [[nodiscard]] const std::optional<std::string> &lastId() const noexcept { return m_lastId; }
+    [[nodiscard]] const std::optional<std::string> &lastId() const noexcept
+    {
+        return m_order.lastId();
+    }
+    /// \returns whether another target can continue the stream
+    [[nodiscard]] bool canResume() const noexcept { return m_order.canResume(); }
     /// Discards the bytes of an incomplete event, before the stream resumes at another target.
-    void discardPartialEvent() { m_partial.clear(); }
+    void discardPartialEvent();
 
 private:
-    /// Stores the last `id` field of `events`.
-    void updateLastId(std::string_view events);
-
     std::string m_partial;
-    std::optional<std::string> m_lastId;
+    EventOrder m_order;
+    bool m_isOutOfOrder = false;
 };
 
 } // namespace bluebell
--- a/tests/platformstandin.cpp
+++ b/tests/platformstandin.cpp
@@ -163,6 +163,7 @@
         return false;
     case Resumption::SendsText:
         response.contentType = "text/plain";
+        response.body += "\n\n";
         return false;
     default:
         return true;
--- a/tests/tst_adapter_resumedstreams.cpp
+++ b/tests/tst_adapter_resumedstreams.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+const std::string TwoEvents = "id: 1\ndata: t\n\nid: 2\ndata: t\n\n";
+
 /// What a caller has received of a stream.
 struct PartialReply
 {
@@ -46,8 +48,77 @@
     }
 };
 
+class FaultyResumptions : public ResumedStreams, public ::testing::WithParamInterface<Resumption>
+{
+protected:
+    /// Begins a stream at a target that cuts it, and adds a target that does not continue it.
+    std::shared_ptr<PartialReply> begin()
+    {
+        auto &first = addTarget("e1", "engines", { "m0" });
+        first.behaviour.cutAfterEvents = 2;
+        first.behaviour.workDuration = 400ms;
+        addGateway("vm-1");
+        EXPECT_TRUE(awaitReady(0));
+        run(300ms);
+        auto reply = stream("/review/x");
+        EXPECT_TRUE(runUntil([&] { return first.runs.size() == 1; }));
+        auto &faulty = addTarget("e2", "engines", { "m0" });
+        faulty.behaviour.headDelay = 400ms;
+        faulty.behaviour.resumption = GetParam();
+        return reply;
+    }
+};
+
+std::string nameOf(const ::testing::TestParamInfo<Resumption> &it)
+{
+    switch (it.param) {
+    case Resumption::Fails:
+        return "Fails";
+    case Resumption::IsUnknown:
+        return "IsUnknown";
+    case Resumption::SendsText:
+        return "SendsText";
+    case Resumption::RepeatsEvents:
+        return "RepeatsEvents";
+    case Resumption::SkipsAnEvent:
+        return "SkipsAnEvent";
+    case Resumption::Continues:
+        break;
+    }
+    return "Continues";
+}
+
 } // namespace
 
+TEST_P(FaultyResumptions, TheStreamGoesOnAtAThirdTarget)
+{
+    const auto reply = begin();
+    ASSERT_TRUE(runUntil([&] { return targets[1]->runs.size() == 1; }));
+    auto &third = addTarget("e3", "engines", { "m0" });
+    ASSERT_TRUE(runUntil([&] { return reply->isFinished; }));
+    EXPECT_EQ(reply->body, FiveEvents);
+    EXPECT_TRUE(reply->isComplete);
+    EXPECT_EQ(third.runs.size(), 1U);
+}
+
+TEST_P(FaultyResumptions, TheStreamEndsWithoutAnyByteOfThemIfNoAttemptIsLeft)
+{
+    auto config = siteConfig(2, 1);
+    config["Routes"][1]["MaxAttempts"] = 2;
+    setConfig(config);
+    const auto reply = begin();
+    ASSERT_TRUE(runUntil([&] { return reply->isFinished; }));
+    EXPECT_EQ(reply->body, TwoEvents);
+    EXPECT_FALSE(reply->isComplete);
+    EXPECT_EQ(targets[1]->runs.size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(, FaultyResumptions,
+                         ::testing::Values(Resumption::Fails, Resumption::IsUnknown,
+                                           Resumption::SendsText, Resumption::RepeatsEvents,
+                                           Resumption::SkipsAnEvent),
+                         nameOf);
+
 TEST_F(ResumedStreams, ABreakLateInAStreamIsWaitedOutLikeAnEarlyOne)
 {
     auto &engine = addTarget("e1", "engines", { "m0" });
