Do not tell a caller that has closed its sending side that its key is invalid

What callers saw: a caller that had sent its request and closed its sending side while the request waited for a model got 401 for a valid key.

Cause: the wait ends the same way for a disconnect and for a withdrawn key, with the code for the latter.

After: 503 with the execution 'not run', which is true, and the log says that the caller has disconnected. A withdrawn key is still answered with 401 (GatewayTest.CancelsAWaitingRequestWhenItsKeyIsWithdrawn).

--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -67,7 +67,9 @@
 RequestProxy::selectTarget(RequestContext &it, std::optional<WaitId> &wait, TimePoint now)
 {
     if (it.cancel->isCancelled())
-        return notRun(ErrorCode::KeyWithdrawn, "the caller has gone", milliseconds(0));
+        return it.isKeyWithdrawn
+                ? notRun(ErrorCode::KeyWithdrawn, "the key was withdrawn", Duration::zero())
+                : notRun(ErrorCode::Unavailable, "the caller has disconnected", Duration::zero());
     if (isTooLateToStart(it, now))
         return notRun(ErrorCode::Unavailable, "the daemon is stopping", Duration::zero());
     const auto requirements = targetRequirements(it);
