Count a withdrawn key's stream from its caller's time

The three quarters are counted from the caller's time, and the deadline still ends it. Without a time of the caller the route's timeout counts, as before.

--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -329,7 +329,8 @@
                     { "left_ms", std::to_string(toMilliseconds(it->deadline - now).count()) },
                     { "sends", std::to_string(it->sends) } });
         // The key was valid when the request was sent to a target; it is cut only if it runs long.
-        const auto threeQuartersPoint = it->receivedAt + (it->deadline - it->receivedAt) * 3 / 4;
+        const auto callersTime = it->caller.timeLeft.value_or(it->route->timeout);
+        const auto threeQuartersPoint = it->receivedAt + callersTime * 3 / 4;
         if (it->sends > 0)
             it->deadline = std::min(it->deadline,
                                     std::max(now + WithdrawnKeyGracePeriod, threeQuartersPoint));
--- a/programs/gateway/requestproxy.h
+++ b/programs/gateway/requestproxy.h
@@ -31,7 +31,7 @@
     /// Ends requests whose key is no longer valid in the new configuration.
     ///
     /// Requests that were not sent to a target are cancelled immediately. The deadline of the
-    /// others is cut to three quarters of their time, but not below a grace period.
+    /// others is cut to three quarters of their callers' time, but not below a grace period.
     void applyConfig();
 
     /// \returns number of requests that wait or run
--- a/tests/tst_adapter_withdrawnkeys.cpp
+++ b/tests/tst_adapter_withdrawnkeys.cpp
@@ -62,3 +62,25 @@
     EXPECT_TRUE((*reply)->starts_with("HTTP/1.1 503 ")) << **reply;
     EXPECT_TRUE(engine.runs.empty());
 }
+
+TEST_F(WithdrawnKeys, AStreamIsNotCutBeforeItsRoutesTimeoutWhileItsCallerHasMoreTime)
+{
+    auto &engine = addTarget("e1", "engines", { "m0" });
+    engine.behaviour.workDuration = 900ms;
+    auto first = siteConfig(2, 1);
+    first["Routes"][0]["TimeoutMs"] = 6000;
+    setConfig(first);
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    run(300ms);
+    auto headers = ModelZero;
+    headers.push_back({ "X-Deadline-Ms", "12000" });
+    const auto reply = send(0, "/chat/x", "key-1", headers);
+    run(200ms);
+    auto next = first;
+    next["Version"] = 3;
+    next["Tenants"][0]["ApiKeys"] = nlohmann::json::array();
+    setConfig(next);
+    EXPECT_TRUE(runUntil([&] { return reply->result.has_value(); }));
+    EXPECT_EQ(reply->body(), FiveEvents);
+}
