--- /dev/null
+++ b/src/http/httplistener.cpp
@@ -0,0 +1,80 @@
+#include "http/httplistener.h"
+
+#include "core/log.h"
+#include "http/httpsession.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace bluebell::detail {
+namespace {
+
+constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+
+} // namespace
+
+Result<Endpoint> HttpListener::listen(const Endpoint &endpoint)
+{
+    boost::system::error_code ec;
+    const auto address = asio::ip::make_address(endpoint.host, ec);
+    const tcp::endpoint local(address, endpoint.port);
+    if (!ec)
+        m_acceptor.open(local.protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(local, ec);
+    if (!ec)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    if (ec)
+        return makeError(ErrorCode::Unavailable,
+                         "cannot listen on " + toString(endpoint) + ": " + ec.message());
+    asio::co_spawn(m_acceptor.get_executor(), acceptLoop(shared_from_this()), asio::detached);
+    return Endpoint { endpoint.host, m_acceptor.local_endpoint().port() };
+}
+
+asio::awaitable<void> HttpListener::acceptLoop(std::shared_ptr<HttpListener> self)
+{
+    while (!self->m_isStopping) {
+        auto [ec, socket] = co_await self->m_acceptor.async_accept(Await);
+        if (ec == asio::error::operation_aborted || !self->m_acceptor.is_open())
+            co_return;
+        if (ec || self->m_sessions.size() >= self->m_limits.connections)
+            continue;
+        auto session = std::make_shared<HttpSession>(std::move(socket), *self);
+        self->m_sessions.insert(session);
+        asio::co_spawn(self->m_acceptor.get_executor(), serve(self, session), asio::detached);
+    }
+}
+
+asio::awaitable<void> HttpListener::serve(std::shared_ptr<HttpListener> self,
+                                          std::shared_ptr<HttpSession> session)
+{
+    try {
+        co_await session->run();
+    } catch (const std::exception &e) {
+        log::error("request handler failed", { { "cause", e.what() } });
+        session->close();
+    }
+    self->m_sessions.erase(session);
+}
+
+void HttpListener::stop(bool closeAll)
+{
+    m_isStopping = true;
+    boost::system::error_code ec;
+    m_acceptor.close(ec);
+    for (const auto &session : m_sessions)
+        if (closeAll || session->isIdle())
+            session->close();
+}
+
+} // namespace bluebell::detail
