Close a connection by limits that are in force, and never with a request unread

What callers saw: a kept connection was closed although IdleTimeoutMs had been raised meanwhile, or with a request in it that had arrived just before.

Cause: the limits were copied once before the first byte; the stream's own timeout closes the socket without a look at what has arrived; the timer of a request that was being read took precedence over input that had arrived.

Change: a connection is idle, reading, handling or ending; one timer per connection asks at its end for the longer one of the limit at the start of the phase and the one in force. An idle connection ends only if no byte has arrived. A request that is late gets another 100 ms in which input that has arrived is read; the cancel is then repeated, as a read that has completed can't be cancelled and the rest would be read without a limit. The watch for a disconnect looks at the input itself, so a wake without input is no disconnect. A caller that closes its sending side counts as gone, as it can't be told from one that has closed; what the handler sends still reaches it. A connection that ends because the caller has gone is no longer logged as unanswered.

The watch's wake without input was not played.

--- a/src/http/httplistener.cpp
+++ b/src/http/httplistener.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <optional>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -18,9 +19,13 @@
 namespace {
 
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
-
 } // namespace
 
+HttpListener::HttpListener(asio::io_context &context, HttpLimits limits, HttpHandler handler)
+    : m_acceptor(context), m_limits(limits), m_handler(std::move(handler))
+{
+}
+
 Result<Endpoint> HttpListener::listen(const Endpoint &endpoint)
 {
     boost::system::error_code ec;
@@ -45,36 +50,49 @@
 {
     while (!self->m_isStopping) {
         auto [ec, socket] = co_await self->m_acceptor.async_accept(Await);
-        if (ec == asio::error::operation_aborted || !self->m_acceptor.is_open())
+        if (!ec && self->m_sessions.size() < self->m_limits.connections)
+            self->startSession(std::move(socket));
+        else if (!self->m_acceptor.is_open())
             co_return;
-        if (ec || self->m_sessions.size() >= self->m_limits.connections)
-            continue;
-        auto session = std::make_shared<HttpSession>(std::move(socket), *self);
-        self->m_sessions.insert(session);
-        asio::co_spawn(self->m_acceptor.get_executor(), serve(self, session), asio::detached);
     }
 }
 
+void HttpListener::startSession(tcp::socket socket)
+{
+    auto session = std::make_shared<HttpSession>(std::move(socket), *this);
+    m_sessions.insert(session);
+    asio::co_spawn(m_acceptor.get_executor(), serve(shared_from_this(), std::move(session)),
+                   asio::detached);
+}
+
 asio::awaitable<void> HttpListener::serve(std::shared_ptr<HttpListener> self,
                                           std::shared_ptr<HttpSession> session)
 {
     try {
         co_await session->run();
     } catch (const std::exception &e) {
-        log::error("request handler failed", { { "cause", e.what() } });
+        log::error("connection failed", { { "cause", e.what() } });
         session->close();
     }
     self->m_sessions.erase(session);
 }
 
-void HttpListener::stop(bool closeAll)
+void HttpListener::stop()
+{
+    m_isStopping = true;
+    boost::system::error_code ec;
+    m_acceptor.close(ec);
+    for (const auto &it : m_sessions)
+        it->closeIfWaiting();
+}
+
+void HttpListener::close()
 {
     m_isStopping = true;
     boost::system::error_code ec;
     m_acceptor.close(ec);
-    for (const auto &session : m_sessions)
-        if (closeAll || session->isIdle())
-            session->close();
+    for (const auto &it : m_sessions)
+        it->close();
 }
 
 } // namespace bluebell::detail
--- a/src/http/httplistener.h
+++ b/src/http/httplistener.h
@@ -18,13 +18,14 @@
 class HttpListener : public std::enable_shared_from_this<HttpListener>
 {
 public:
-    HttpListener(boost::asio::io_context &context, HttpLimits limits, HttpHandler handler)
-        : m_acceptor(context), m_limits(limits), m_handler(std::move(handler))
-    {
-    }
+    HttpListener(boost::asio::io_context &context, HttpLimits limits, HttpHandler handler);
 
+    /// \returns the bound address, or Unavailable
     Result<Endpoint> listen(const Endpoint &endpoint);
-    void stop(bool closeAll);
+    /// Closes the listening socket and the connections that have no request.
+    void stop();
+    /// Closes the listening socket and all connections.
+    void close();
     void disableKeepAlive() noexcept { m_isKeepAliveDisabled = true; }
     void setLimits(const HttpLimits &limits) { m_limits = limits; }
     [[nodiscard]] bool isStopping() const noexcept { return m_isStopping; }
@@ -41,6 +42,7 @@
     static boost::asio::awaitable<void> acceptLoop(std::shared_ptr<HttpListener> self);
     static boost::asio::awaitable<void> serve(std::shared_ptr<HttpListener> self,
                                               std::shared_ptr<HttpSession> session);
+    void startSession(boost::asio::ip::tcp::socket socket);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     HttpLimits m_limits;
--- a/src/http/httpsession.cpp
+++ b/src/http/httpsession.cpp
@@ -4,11 +4,12 @@
 #include "http/httplistener.h"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -19,14 +20,12 @@
 namespace bluebell::detail {
 namespace {
 
-constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+using std::chrono::milliseconds;
 
-/// State shared by the read of a request and its timeout timer.
-struct ReadDeadline
-{
-    bool isComplete = false;
-    bool hasExpired = false;
-};
+constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t ReadBufferBytes = 4096;
+/// Time in which input that has arrived is read before the request counts as late.
+constexpr Duration OverdueGracePeriod = milliseconds(100);
 
 HttpRequest toRequest(http::request<http::string_body> &&message)
 {
@@ -43,116 +42,160 @@
 
 HttpSession::HttpSession(tcp::socket socket, HttpListener &listener)
     : m_stream(std::move(socket)), m_listener(listener.weak_from_this()),
-      m_limits(listener.limits()), m_handler(listener.handler())
+      m_limits(listener.limits()), m_handler(listener.handler()), m_timer(m_stream.get_executor()),
+      m_phaseStartedAt(BootClock::now())
 {
 }
 
 void HttpSession::close()
 {
-    logUnfinished("stop of the server");
+    m_endCause = "the server was closed";
+    logUnfinished();
     beast::error_code ec;
+    m_timer.cancel();
     m_stream.socket().close(ec);
 }
 
+void HttpSession::closeIfWaiting()
+{
+    if (m_phase == Phase::Idle)
+        close();
+}
+
 asio::awaitable<void> HttpSession::run()
 {
-    m_stream.socket().set_option(tcp::no_delay(true));
+    beast::error_code ec;
+    m_stream.socket().set_option(tcp::no_delay(true), ec);
+    // Affects only calls that do not suspend.
+    m_stream.socket().non_blocking(true, ec);
     for (;;) {
         // Stored in a variable: GCC 12 evaluates an operand of && too early when the other operand
         // contains a co_await.
         const bool hasRequest = co_await readRequest();
         if (!hasRequest)
             break;
-        m_isIdle = false;
-        m_hasBegun = false;
-        m_hasEnded = false;
-        HttpResponder responder(*this);
-        co_await m_handler(*m_request, responder);
-        stopDisconnectWatch();
-        m_isIdle = true;
+        co_await handleRequest();
         const auto listener = m_listener.lock();
         if (!m_keepAlive || !m_hasEnded || !listener || listener->isStopping())
             break;
     }
-    logUnfinished(m_endCause);
-    beast::error_code ec;
+    logUnfinished();
+    startPhase(Phase::Ending);
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
 }
 
-void HttpSession::logUnfinished(std::string_view cause)
+void HttpSession::startPhase(Phase phase)
 {
-    beast::error_code ec;
-    const auto unread = m_buffer.size() + m_stream.socket().available(ec);
-    const bool isIncomplete = m_hasBegun && !m_hasEnded;
-    if (unread == 0 && m_isIdle && !isIncomplete)
-        return;
-    log::warning("connection closed before all was answered",
-                 { { "cause", std::string(cause) },
-                   { "unread_bytes", std::to_string(unread) },
-                   { "response",
-                     isIncomplete       ? "truncated"
-                             : m_isIdle ? "complete"
-                                        : "none" } });
+    m_phase = phase;
+    m_phaseStartedAt = BootClock::now();
+    m_isOverdue = false;
+    m_hasExpired = false;
+    if (const auto listener = m_listener.lock())
+        m_limits = listener->limits();
+    updateDeadline();
 }
 
-void HttpSession::cancelOnDisconnect(const std::shared_ptr<CancelSource> &source)
+TimePoint HttpSession::phaseEnd() const
 {
-    m_disconnectSource = source;
-    m_stream.socket().async_wait(tcp::socket::wait_read,
-                                 [self = shared_from_this(), source](beast::error_code ec) {
-                                     if (ec || self->m_disconnectSource != source)
-                                         return;
-                                     // Readable bytes are a pipelined request; readable without
-                                     // bytes means that the peer has closed the connection.
-                                     const auto n = self->m_stream.socket().available(ec);
-                                     if (ec || n == 0)
-                                         source->cancel();
-                                 });
+    const auto listener = m_listener.lock();
+    if (!listener)
+        return m_phaseStartedAt;
+    // A caller may rely on the limit that was in force when the phase began, or on a newer one.
+    if (m_phase == Phase::Reading)
+        return m_phaseStartedAt
+                + std::max(m_limits.transferTimeout, listener->limits().transferTimeout);
+    return m_phaseStartedAt + std::max(m_limits.idleTimeout, listener->limits().idleTimeout);
 }
 
-void HttpSession::stopDisconnectWatch()
+bool HttpSession::isReceiving() const noexcept
 {
-    if (!m_disconnectSource)
+    return m_phase == Phase::Idle || m_phase == Phase::Reading;
+}
+
+void HttpSession::updateDeadline()
+{
+    if (isReceiving())
+        startTimer(std::max(phaseEnd() - BootClock::now(), Duration::zero()));
+    else
+        m_timer.cancel();
+}
+
+void HttpSession::startTimer(Duration d)
+{
+    m_timer.expires_after(d);
+    m_timer.async_wait([weak = weak_from_this()](beast::error_code ec) {
+        if (const auto self = weak.lock(); self && !ec)
+            self->expirePhase();
+    });
+}
+
+void HttpSession::expirePhase()
+{
+    if (!isReceiving())
         return;
-    m_disconnectSource.reset();
+    if (BootClock::now() < phaseEnd()) {
+        updateDeadline();
+        return;
+    }
+    // The read that is under way completes with these bytes.
+    if (m_phase == Phase::Idle && unreadBytes() > 0)
+        return;
+    if (m_phase == Phase::Reading) {
+        // Runs again, as a read that has completed already can't be cancelled.
+        startTimer(OverdueGracePeriod);
+        if (!std::exchange(m_isOverdue, true))
+            return;
+    }
+    m_hasExpired = true;
+    m_stream.cancel();
+}
+
+std::size_t HttpSession::unreadBytes()
+{
     beast::error_code ec;
-    m_stream.socket().cancel(ec);
+    const auto n = m_stream.socket().available(ec);
+    return ec ? 0 : n;
 }
 
-asio::awaitable<bool> HttpSession::readRequest()
+asio::awaitable<bool> HttpSession::awaitRequest()
 {
-    if (const auto listener = m_listener.lock())
-        m_limits = listener->limits();
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
-    parser.body_limit(m_limits.bodyBytes);
-    if (m_buffer.size() == 0) {
-        m_stream.expires_after(m_limits.idleTimeout);
-        auto [ec, n] = co_await m_stream.async_read_some(m_buffer.prepare(4096), Await);
-        if (ec) {
-            m_endCause = ec == beast::error::timeout ? "idle timeout" : "closed by the caller";
+    // The stream's own timeout would close the socket without a look at what has arrived.
+    m_stream.expires_never();
+    if (m_buffer.size() > 0)
+        co_return true;
+    startPhase(Phase::Idle);
+    for (;;) {
+        auto [ec, n] = co_await m_stream.async_read_some(m_buffer.prepare(ReadBufferBytes), Await);
+        if (!ec) {
+            m_buffer.commit(n);
+            co_return true;
+        }
+        const bool hasArrivedMeanwhile = m_hasExpired && unreadBytes() > 0;
+        if (!hasArrivedMeanwhile) {
+            m_isCallerGone = !m_hasExpired;
             co_return false;
         }
-        m_buffer.commit(n);
+        m_hasExpired = false;
     }
-    m_isIdle = false;
-    // The stream's own timeout would close the socket before an error response can be sent.
-    m_stream.expires_never();
-    asio::steady_timer timer(m_stream.get_executor());
-    timer.expires_after(m_limits.transferTimeout);
-    auto deadline = std::make_shared<ReadDeadline>();
-    timer.async_wait([self = shared_from_this(), deadline](beast::error_code waitError) {
-        if (waitError || deadline->isComplete)
-            return;
-        deadline->hasExpired = true;
-        self->m_stream.cancel();
-    });
+}
+
+asio::awaitable<bool> HttpSession::readRequest()
+{
+    const bool hasBytes = co_await awaitRequest();
+    if (!hasBytes)
+        co_return false;
+    startPhase(Phase::Reading);
+    m_hasBegun = false;
+    m_hasEnded = false;
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
+            m_limits.headerBytes, std::numeric_limits<std::uint32_t>::max())));
+    parser.body_limit(m_limits.bodyBytes);
     auto [ec, n] = co_await http::async_read(m_stream, m_buffer, parser, Await);
-    deadline->isComplete = true;
-    timer.cancel();
-    if (deadline->hasExpired)
+    if (ec && m_hasExpired)
         ec = beast::error::timeout;
     if (ec) {
+        startPhase(Phase::Ending);
         m_endCause = "the request could not be read";
         co_await reject(ec);
         co_return false;
@@ -165,7 +208,9 @@
 
 asio::awaitable<void> HttpSession::reject(beast::error_code ec)
 {
-    if (ec == http::error::end_of_stream || ec == asio::error::connection_reset)
+    m_isCallerGone = ec == http::error::end_of_stream || ec == asio::error::connection_reset
+            || ec == asio::error::operation_aborted;
+    if (m_isCallerGone)
         co_return;
     m_keepAlive = false;
     auto error = makeError(ErrorCode::InvalidArgument, "malformed HTTP: " + ec.message());
@@ -177,6 +222,69 @@
     (void)co_await send(std::move(response));
 }
 
+asio::awaitable<void> HttpSession::handleRequest()
+{
+    startPhase(Phase::Handling);
+    HttpResponder responder(*this);
+    co_await m_handler(*m_request, responder);
+    stopDisconnectWatch();
+}
+
+void HttpSession::cancelOnDisconnect(const std::shared_ptr<CancelSource> &source)
+{
+    m_disconnectSource = source;
+    watchForDisconnect(source);
+}
+
+void HttpSession::watchForDisconnect(const std::shared_ptr<CancelSource> &source)
+{
+    m_stream.socket().async_wait(tcp::socket::wait_read,
+                                 [self = shared_from_this(), source](beast::error_code ec) {
+                                     if (ec || self->m_disconnectSource != source)
+                                         return;
+                                     if (!self->hasCallerClosed())
+                                         return;
+                                     self->m_isCallerGone = true;
+                                     source->cancel();
+                                 });
+}
+
+bool HttpSession::hasCallerClosed()
+{
+    char c = 0;
+    beast::error_code ec;
+    const auto n = m_stream.socket().receive(asio::buffer(&c, 1), tcp::socket::message_peek, ec);
+    if (ec == asio::error::would_block) {
+        // Woken without input.
+        watchForDisconnect(m_disconnectSource);
+        return false;
+    }
+    // Bytes are a pipelined request.
+    return ec || n == 0;
+}
+
+void HttpSession::stopDisconnectWatch()
+{
+    if (!m_disconnectSource)
+        return;
+    m_disconnectSource.reset();
+    beast::error_code ec;
+    m_stream.socket().cancel(ec);
+}
+
+void HttpSession::logUnfinished()
+{
+    const auto unread = m_buffer.size() + unreadBytes();
+    const bool isUnanswered = m_phase != Phase::Idle && !m_hasEnded;
+    if (m_phase == Phase::Ending || m_isCallerGone || (unread == 0 && !isUnanswered))
+        return;
+    const auto *response = !isUnanswered ? "complete" : m_hasBegun ? "truncated" : "none";
+    log::warning("connection closed before all was answered",
+                 { { "cause", std::string(m_endCause) },
+                   { "unread_bytes", std::to_string(unread) },
+                   { "response", response } });
+}
+
 template<typename Message>
 void HttpSession::fillHead(Message &message, const HttpResponse &response) const
 {
@@ -189,6 +297,19 @@
     message.keep_alive(m_keepAlive);
 }
 
+void HttpSession::updateKeepAlive()
+{
+    const auto listener = m_listener.lock();
+    if (!listener || listener->closesAfterResponse())
+        m_keepAlive = false;
+}
+
+bool HttpSession::noteWritten(beast::error_code ec)
+{
+    m_isCallerGone = m_isCallerGone || ec;
+    return !ec;
+}
+
 asio::awaitable<bool> HttpSession::send(HttpResponse response)
 {
     updateKeepAlive();
@@ -200,14 +321,7 @@
     m_stream.expires_after(m_limits.transferTimeout);
     const auto [ec, n] = co_await http::async_write(m_stream, message, Await);
     m_hasEnded = !ec;
-    co_return !ec;
-}
-
-void HttpSession::updateKeepAlive()
-{
-    const auto listener = m_listener.lock();
-    if (!listener || listener->closesAfterResponse())
-        m_keepAlive = false;
+    co_return noteWritten(ec);
 }
 
 asio::awaitable<bool> HttpSession::begin(HttpResponse head)
@@ -220,7 +334,7 @@
     m_hasBegun = true;
     m_stream.expires_after(m_limits.transferTimeout);
     const auto [ec, n] = co_await http::async_write_header(m_stream, serializer, Await);
-    co_return !ec;
+    co_return noteWritten(ec);
 }
 
 asio::awaitable<bool> HttpSession::write(std::string chunk)
@@ -228,7 +342,7 @@
     m_stream.expires_after(m_limits.transferTimeout);
     const auto [ec, n] =
             co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(chunk)), Await);
-    co_return !ec;
+    co_return noteWritten(ec);
 }
 
 asio::awaitable<bool> HttpSession::end()
@@ -236,7 +350,7 @@
     m_stream.expires_after(m_limits.transferTimeout);
     const auto [ec, n] = co_await asio::async_write(m_stream, http::make_chunk_last(), Await);
     m_hasEnded = !ec;
-    co_return !ec;
+    co_return noteWritten(ec);
 }
 
 } // namespace bluebell::detail
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -50,7 +50,7 @@
 
 HttpServer::~HttpServer()
 {
-    m_listener->stop(true);
+    m_listener->close();
 }
 
 Result<Endpoint> HttpServer::listen(const Endpoint &endpoint)
@@ -70,7 +70,7 @@
 
 void HttpServer::stopAccepting()
 {
-    m_listener->stop(false);
+    m_listener->stop();
 }
 
 std::size_t HttpServer::connectionCount() const noexcept
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -54,7 +54,7 @@
     std::size_t headerBytes = 16U << 10U;
     /// Maximum size of a request body.
     std::size_t bodyBytes = 1U << 20U;
-    /// Maximum number of open connections; further ones are closed on accept.
+    /// Maximum number of open connections.
     std::size_t connections = 4096;
     /// Maximum time to receive a request after its first bytes, and to write a response or a chunk.
     Duration transferTimeout = std::chrono::seconds(10);
@@ -80,7 +80,8 @@
     /// \returns the bound address, or Unavailable
     Result<Endpoint> listen(const Endpoint &endpoint);
 
-    /// Applies new limits, starting with the next request on each connection.
+    /// Applies new limits. A connection that waits for a request, or reads one, keeps the longer
+    /// one of the time that it had and the new one.
     void setLimits(const HttpLimits &limits);
 
     /// Keeps accepting, but closes each connection after its next response.
--- /dev/null
+++ b/tests/tst_adapter_keptconnections.cpp
@@ -0,0 +1,238 @@
+#include "http/server.h"
+#include "io/notifier.h"
+#include "rawcaller.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <thread>
+#include <vector>
+
+/// Guards against connections that a server closes although a request has arrived on them, or
+/// although the limits in force still allow callers to use them.
+
+namespace asio = boost::asio;
+
+using namespace bluebell;
+using namespace bluebell::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+class KeptConnections : public ::testing::Test
+{
+protected:
+    void start(HttpLimits limits)
+    {
+        server = std::make_unique<HttpServer>(
+                context, limits, [this](const HttpRequest &request, HttpResponder &responder) {
+                    return handle(request, responder);
+                });
+        address = server->listen({ "127.0.0.1", 0 }).value();
+    }
+
+    asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder)
+    {
+        if (request.path == "/fail")
+            throw std::runtime_error("handler");
+        if (request.path == "/slow")
+            co_await sleepFor(300ms);
+        if (request.path == "/watched") {
+            responder.cancelOnDisconnect(disconnect);
+            co_await sleepFor(300ms);
+        }
+        HttpResponse response;
+        response.body = "answer to " + request.path;
+        (void)co_await responder.send(std::move(response));
+    }
+
+    ::testing::AssertionResult runUntil(const std::function<bool()> &condition, Duration limit = 3s)
+    {
+        const auto end = BootClock::now() + limit;
+        while (!condition()) {
+            if (BootClock::now() > end)
+                return ::testing::AssertionFailure() << "the condition did not hold in time";
+            if (context.stopped())
+                context.restart();
+            context.run_for(1ms);
+        }
+        return ::testing::AssertionSuccess();
+    }
+
+    void run(Duration length)
+    {
+        const auto end = BootClock::now() + length;
+        (void)runUntil([&] { return BootClock::now() > end; }, length + 1s);
+    }
+
+    ::testing::AssertionResult isAnswered(RawCaller &caller, const std::string &path)
+    {
+        return runUntil(
+                [&] { return caller.received().find("answer to " + path) != std::string::npos; });
+    }
+
+    static HttpLimits limitsWithIdleTimeout(Duration idleTimeout)
+    {
+        HttpLimits it;
+        it.idleTimeout = idleTimeout;
+        return it;
+    }
+
+    static HttpLimits limitsWithTransferTimeout(Duration transferTimeout)
+    {
+        HttpLimits it;
+        it.transferTimeout = transferTimeout;
+        return it;
+    }
+
+    static HttpLimits limitsWithConnections(std::size_t connections)
+    {
+        HttpLimits it;
+        it.connections = connections;
+        return it;
+    }
+
+    asio::io_context context;
+    std::unique_ptr<HttpServer> server;
+    Endpoint address;
+    std::shared_ptr<CancelSource> disconnect = std::make_shared<CancelSource>();
+};
+
+} // namespace
+
+TEST_F(KeptConnections, ARaisedIdleTimeoutHoldsForAConnectionThatIsIdleAlready)
+{
+    start(limitsWithIdleTimeout(200ms));
+    RawCaller caller(address);
+    caller.request("/a");
+    ASSERT_TRUE(isAnswered(caller, "/a"));
+    server->setLimits(limitsWithIdleTimeout(5s));
+    run(500ms);
+    caller.request("/b");
+    EXPECT_TRUE(isAnswered(caller, "/b"));
+}
+
+TEST_F(KeptConnections, ALoweredIdleTimeoutDoesNotCloseAConnectionEarlierThanAnnounced)
+{
+    start(limitsWithIdleTimeout(1s));
+    RawCaller caller(address);
+    caller.request("/a");
+    ASSERT_TRUE(isAnswered(caller, "/a"));
+    server->setLimits(limitsWithIdleTimeout(100ms));
+    run(500ms);
+    caller.request("/b");
+    EXPECT_TRUE(isAnswered(caller, "/b"));
+    run(300ms);
+    EXPECT_TRUE(caller.isClosed());
+}
+
+TEST_F(KeptConnections, ARequestThatArrivesWhileTheIdleTimeoutIsHandledIsAnswered)
+{
+    start(limitsWithIdleTimeout(100ms));
+    RawCaller caller(address);
+    caller.request("/a");
+    ASSERT_TRUE(isAnswered(caller, "/a"));
+    // The second handler runs after the timer has been found expired and before its handler.
+    asio::post(context, [&] {
+        std::this_thread::sleep_for(200ms);
+        asio::post(context, [&] { caller.request("/b"); });
+    });
+    EXPECT_TRUE(isAnswered(caller, "/b"));
+}
+
+TEST_F(KeptConnections, AStopClosesIdleConnections)
+{
+    start(HttpLimits());
+    RawCaller used(address);
+    RawCaller unused(address);
+    used.request("/a");
+    ASSERT_TRUE(isAnswered(used, "/a"));
+    server->stopAccepting();
+    EXPECT_TRUE(runUntil([&] { return used.isClosed(); }, 500ms));
+    EXPECT_TRUE(runUntil([&] { return unused.isClosed(); }, 2s));
+    EXPECT_TRUE(runUntil([&] { return server->connectionCount() == 0; }));
+}
+
+TEST_F(KeptConnections, ARaisedTransferTimeoutHoldsForARequestThatIsBeingRead)
+{
+    start(limitsWithTransferTimeout(200ms));
+    RawCaller caller(address);
+    caller.send("GET /a HTTP/1.1\r\n");
+    run(50ms);
+    server->setLimits(limitsWithTransferTimeout(5s));
+    run(500ms);
+    caller.send("Host: shop.example\r\n\r\n");
+    EXPECT_TRUE(isAnswered(caller, "/a"));
+}
+
+TEST_F(KeptConnections, ARequestCompletedWhileTheEventLoopStoodStillIsAnswered)
+{
+    start(limitsWithTransferTimeout(200ms));
+    const std::string body(500000, 'x');
+    RawCaller caller(address);
+    caller.send("POST /a HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 500000\r\n\r\n");
+    run(50ms);
+    std::string_view rest = body;
+    while (!rest.empty() && caller.sendPart(rest))
+        std::this_thread::sleep_for(rest.size() > 400000 ? 1ms : 300ms);
+    EXPECT_TRUE(runUntil([&] {
+        caller.sendPart(rest);
+        return caller.received().find("answer to /a") != std::string::npos;
+    }));
+}
+
+TEST_F(KeptConnections, ACallerThatHasClosedItsSendingSideIsAnswered)
+{
+    start(HttpLimits());
+    RawCaller caller(address);
+    caller.request("/slow");
+    caller.shutdownSend();
+    EXPECT_TRUE(isAnswered(caller, "/slow"));
+}
+
+TEST_F(KeptConnections, ACallerThatHasClosedItsSendingSideCountsAsGoneAndIsAnswered)
+{
+    start(HttpLimits());
+    RawCaller caller(address);
+    caller.request("/watched");
+    run(50ms);
+    EXPECT_FALSE(disconnect->isCancelled());
+    caller.shutdownSend();
+    EXPECT_TRUE(runUntil([&] { return disconnect->isCancelled(); }, 100ms));
+    EXPECT_TRUE(isAnswered(caller, "/watched"));
+}
+
+TEST_F(KeptConnections, APipelinedRequestIsNoDisconnect)
+{
+    start(HttpLimits());
+    RawCaller caller(address);
+    caller.request("/watched");
+    run(50ms);
+    caller.request("/b");
+    EXPECT_TRUE(isAnswered(caller, "/watched"));
+    EXPECT_TRUE(isAnswered(caller, "/b"));
+    EXPECT_FALSE(disconnect->isCancelled());
+}
+
+TEST_F(KeptConnections, AServerThatIsDestroyedClosesItsConnections)
+{
+    start(limitsWithConnections(3));
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (const auto *request :
+         { "GET /watched HTTP/1.1\r\n\r\n", "GET /slow HTTP/1.1\r\n\r\n", "GET /part" }) {
+        callers.push_back(std::make_unique<RawCaller>(address));
+        callers.back()->send(request);
+    }
+    run(50ms);
+    RawCaller waiting(address);
+    waiting.request("/c");
+    run(10ms);
+    server.reset();
+    // The event loop does not run again.
+    for (const auto &it : callers)
+        EXPECT_TRUE(it->isClosed());
+}
