Serve what has arrived when the server stops accepting

What callers saw: a request on an idle connection, a connection in the accept queue or a connection that had just been opened was closed without an answer when a daemon stopped.

Cause: the stop closed the listening socket with its queue, and every connection without a request read.

Change: the queue is drained first; idle connections end by the rule of the idle timeout, so one with bytes is read and answered with "Connection: close". A caller that has not sent a request yet has 1 s.

--- a/src/http/httplistener.cpp
+++ b/src/http/httplistener.cpp
@@ -77,13 +77,29 @@
     self->m_sessions.erase(session);
 }
 
+void HttpListener::acceptPending()
+{
+    boost::system::error_code ec;
+    m_acceptor.non_blocking(true, ec);
+    if (!ec) // Otherwise such an error makes accept() wait for the next connection.
+        m_acceptor.set_option(asio::socket_base::enable_connection_aborted(true), ec);
+    while (!ec || ec == asio::error::connection_aborted) {
+        tcp::socket socket(m_acceptor.get_executor());
+        m_acceptor.accept(socket, ec);
+        if (!ec)
+            startSession(std::move(socket));
+    }
+}
+
 void HttpListener::stop()
 {
+    if (!m_isStopping && m_acceptor.is_open())
+        acceptPending();
     m_isStopping = true;
     boost::system::error_code ec;
     m_acceptor.close(ec);
     for (const auto &it : m_sessions)
-        it->closeIfWaiting();
+        it->updateDeadline();
 }
 
 void HttpListener::close()
--- a/src/http/httplistener.h
+++ b/src/http/httplistener.h
@@ -22,7 +22,8 @@
 
     /// \returns the bound address, or Unavailable
     Result<Endpoint> listen(const Endpoint &endpoint);
-    /// Closes the listening socket and the connections that have no request.
+    /// Accepts what waits to be accepted, then closes the listening socket. Connections end when
+    /// they have no request.
     void stop();
     /// Closes the listening socket and all connections.
     void close();
@@ -43,6 +44,8 @@
     static boost::asio::awaitable<void> serve(std::shared_ptr<HttpListener> self,
                                               std::shared_ptr<HttpSession> session);
     void startSession(boost::asio::ip::tcp::socket socket);
+    /// Starts sessions for the connections in the queue of the operating system.
+    void acceptPending();
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     HttpLimits m_limits;
--- a/src/http/httpsession.cpp
+++ b/src/http/httpsession.cpp
@@ -24,6 +24,9 @@
 
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t ReadBufferBytes = 4096;
+/// Time in which a caller that has just connected is expected to send its first request to a server
+/// that stops.
+constexpr Duration NewConnectionGracePeriod = milliseconds(1000);
 /// Time in which input that has arrived is read before the request counts as late.
 constexpr Duration OverdueGracePeriod = milliseconds(100);
 
@@ -56,12 +59,6 @@
     m_stream.socket().close(ec);
 }
 
-void HttpSession::closeIfWaiting()
-{
-    if (m_phase == Phase::Idle)
-        close();
-}
-
 asio::awaitable<void> HttpSession::run()
 {
     beast::error_code ec;
@@ -75,8 +72,7 @@
         if (!hasRequest)
             break;
         co_await handleRequest();
-        const auto listener = m_listener.lock();
-        if (!m_keepAlive || !m_hasEnded || !listener || listener->isStopping())
+        if (!m_keepAlive || !m_hasEnded || m_listener.expired())
             break;
     }
     logUnfinished();
@@ -104,7 +100,9 @@
     if (m_phase == Phase::Reading)
         return m_phaseStartedAt
                 + std::max(m_limits.transferTimeout, listener->limits().transferTimeout);
-    return m_phaseStartedAt + std::max(m_limits.idleTimeout, listener->limits().idleTimeout);
+    if (!listener->isStopping())
+        return m_phaseStartedAt + std::max(m_limits.idleTimeout, listener->limits().idleTimeout);
+    return m_hasServed ? m_phaseStartedAt : m_phaseStartedAt + NewConnectionGracePeriod;
 }
 
 bool HttpSession::isReceiving() const noexcept
@@ -225,6 +223,7 @@
 asio::awaitable<void> HttpSession::handleRequest()
 {
     startPhase(Phase::Handling);
+    m_hasServed = true;
     HttpResponder responder(*this);
     co_await m_handler(*m_request, responder);
     stopDisconnectWatch();
--- a/src/http/httpsession.h
+++ b/src/http/httpsession.h
@@ -35,8 +35,8 @@
     /// Closes the connection immediately.
     void close();
 
-    /// Closes the connection if no byte of a request has been read.
-    void closeIfWaiting();
+    /// Applies the stop of the listener to the request that is awaited or read.
+    void updateDeadline();
 
     boost::asio::awaitable<bool> send(HttpResponse response);
     boost::asio::awaitable<bool> begin(HttpResponse head);
@@ -62,7 +62,6 @@
     [[nodiscard]] bool isReceiving() const noexcept;
     /// \returns when the current phase ends if nothing arrives
     [[nodiscard]] TimePoint phaseEnd() const;
-    void updateDeadline();
     void startTimer(Duration d);
     /// Ends the current phase if its time is over.
     void expirePhase();
@@ -111,6 +110,8 @@
     bool m_keepAlive = true;
     bool m_hasBegun = false;
     bool m_hasEnded = false;
+    /// Whether a request was handled.
+    bool m_hasServed = false;
     bool m_isCallerGone = false;
     /// Why the connection ends.
     std::string_view m_endCause = "the last response has ended";
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -87,7 +87,9 @@
     /// Keeps accepting, but closes each connection after its next response.
     void disableKeepAlive();
 
-    /// Stops accepting, closes idle connections and closes the others after their next response.
+    /// Stops accepting, closes idle connections and closes the others after their next response. A
+    /// connection on which bytes have arrived is not idle, and callers that have just connected
+    /// have a moment for their first request.
     void stopAccepting();
 
     [[nodiscard]] std::size_t connectionCount() const noexcept;
--- a/tests/tst_adapter_keptconnections.cpp
+++ b/tests/tst_adapter_keptconnections.cpp
@@ -144,6 +144,44 @@
     EXPECT_TRUE(isAnswered(caller, "/b"));
 }
 
+TEST_F(KeptConnections, AStopAnswersARequestThatHasArrivedOnAnIdleConnection)
+{
+    start(HttpLimits());
+    RawCaller caller(address);
+    caller.request("/a");
+    ASSERT_TRUE(isAnswered(caller, "/a"));
+    caller.request("/b");
+    server->stopAccepting();
+    EXPECT_TRUE(isAnswered(caller, "/b"));
+    EXPECT_TRUE(runUntil([&] { return caller.isClosed(); }));
+    EXPECT_NE(caller.received().find("Connection: close"), std::string::npos);
+}
+
+TEST_F(KeptConnections, AStopServesAConnectionThatWaitsToBeAccepted)
+{
+    start(HttpLimits());
+    run(10ms);
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int n = 0; n < 5; ++n) {
+        callers.push_back(std::make_unique<RawCaller>(address));
+        callers.back()->request("/a");
+    }
+    server->stopAccepting();
+    for (const auto &it : callers)
+        EXPECT_TRUE(isAnswered(*it, "/a"));
+}
+
+TEST_F(KeptConnections, AStopServesACallerThatHasJustConnected)
+{
+    start(HttpLimits());
+    RawCaller caller(address);
+    run(20ms);
+    server->stopAccepting();
+    run(100ms);
+    caller.request("/a");
+    EXPECT_TRUE(isAnswered(caller, "/a"));
+}
+
 TEST_F(KeptConnections, AStopClosesIdleConnections)
 {
     start(HttpLimits());
