Answer a request whose handler fails

What callers saw: the connection was closed without an answer.

Cause: the exception left the session's loop, which only closed the socket.

Change: the session catches it and sends a 500 whose execution is outcome_unknown, unless a response has begun; the connection then ends. What the handler itself leaves behind is not part of this.

Result: the test passes.

--- a/src/http/httpsession.cpp
+++ b/src/http/httpsession.cpp
@@ -224,9 +224,24 @@
 {
     startPhase(Phase::Handling);
     m_hasServed = true;
-    HttpResponder responder(*this);
-    co_await m_handler(*m_request, responder);
+    bool hasFailed = false;
+    try {
+        HttpResponder responder(*this);
+        auto handled = m_handler(*m_request, responder);
+        co_await std::move(handled);
+    } catch (const std::exception &e) {
+        log::error("request handler failed", { { "cause", e.what() } });
+        m_endCause = "the request handler failed";
+        hasFailed = true;
+    }
     stopDisconnectWatch();
+    if (!hasFailed || m_hasBegun)
+        co_return;
+    m_keepAlive = false;
+    auto error = makeError(ErrorCode::Internal, "the request could not be handled");
+    error.execution = Execution::OutcomeUnknown;
+    auto response = errorResponse(error, std::string_view());
+    (void)co_await send(std::move(response));
 }
 
 void HttpSession::cancelOnDisconnect(const std::shared_ptr<CancelSource> &source)
--- a/src/http/httpsession.h
+++ b/src/http/httpsession.h
@@ -72,7 +72,7 @@
     boost::asio::awaitable<bool> readRequest();
     /// Responds to a request that could not be read.
     boost::asio::awaitable<void> reject(boost::beast::error_code ec);
-    /// Runs the handler.
+    /// Runs the handler. If it fails before it has begun a response, sends an error response.
     boost::asio::awaitable<void> handleRequest();
     void watchForDisconnect(const std::shared_ptr<CancelSource> &source);
     void stopDisconnectWatch();
--- a/tests/tst_adapter_keptconnections.cpp
+++ b/tests/tst_adapter_keptconnections.cpp
@@ -195,6 +195,16 @@
     EXPECT_TRUE(runUntil([&] { return server->connectionCount() == 0; }));
 }
 
+TEST_F(KeptConnections, AFailedHandlerIsAnswered)
+{
+    start(HttpLimits());
+    RawCaller caller(address);
+    caller.request("/fail");
+    EXPECT_TRUE(runUntil([&] { return caller.isClosed(); }));
+    EXPECT_EQ(caller.received().rfind("HTTP/1.1 500", 0), 0U);
+    EXPECT_NE(caller.received().find("\"execution\":\"outcome_unknown\""), std::string::npos);
+}
+
 TEST_F(KeptConnections, ARaisedTransferTimeoutHoldsForARequestThatIsBeingRead)
 {
     start(limitsWithTransferTimeout(200ms));
