Read what is left before a connection is closed

What callers saw: a reset in the place of a response. A caller that was still sending a body beyond the limit failed in its write, and input behind a last request reset the connection that carried the response.

Cause: closing a socket with unread input resets the connection.

Change: the sending side is closed first; if input is unread or a request was rejected, up to 4 MiB are read and discarded for at most 1 s.

--- a/src/http/httpsession.cpp
+++ b/src/http/httpsession.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <utility>
 
@@ -29,6 +30,9 @@
 constexpr Duration NewConnectionGracePeriod = milliseconds(1000);
 /// Time in which input that has arrived is read before the request counts as late.
 constexpr Duration OverdueGracePeriod = milliseconds(100);
+/// Bounds on the input that is discarded after a request was rejected.
+constexpr Duration DiscardTimeout = milliseconds(1000);
+constexpr std::size_t MaxDiscardedBytes = 4U << 20U;
 
 HttpRequest toRequest(http::request<http::string_body> &&message)
 {
@@ -77,7 +81,7 @@
     }
     logUnfinished();
     startPhase(Phase::Ending);
-    m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    co_await finish();
 }
 
 void HttpSession::startPhase(Phase phase)
@@ -211,6 +215,7 @@
     if (m_isCallerGone)
         co_return;
     m_keepAlive = false;
+    m_hasRejected = true;
     auto error = makeError(ErrorCode::InvalidArgument, "malformed HTTP: " + ec.message());
     if (ec == http::error::body_limit || ec == http::error::header_limit)
         error.code = ErrorCode::PayloadTooLarge;
@@ -244,6 +249,26 @@
     (void)co_await send(std::move(response));
 }
 
+asio::awaitable<void> HttpSession::finish()
+{
+    beast::error_code ec;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    if (m_hasRejected || unreadBytes() > 0)
+        co_await discardInput();
+}
+
+asio::awaitable<void> HttpSession::discardInput()
+{
+    std::array<char, ReadBufferBytes> buf {};
+    m_stream.expires_after(DiscardTimeout);
+    for (std::size_t total = 0; total < MaxDiscardedBytes;) {
+        const auto [ec, n] = co_await m_stream.async_read_some(asio::buffer(buf), Await);
+        if (ec)
+            co_return;
+        total += n;
+    }
+}
+
 void HttpSession::cancelOnDisconnect(const std::shared_ptr<CancelSource> &source)
 {
     m_disconnectSource = source;
--- a/src/http/httpsession.h
+++ b/src/http/httpsession.h
@@ -74,6 +74,11 @@
     boost::asio::awaitable<void> reject(boost::beast::error_code ec);
     /// Runs the handler. If it fails before it has begun a response, sends an error response.
     boost::asio::awaitable<void> handleRequest();
+    /// Closes the connection for writing and discards unread input for a short time. Closing it
+    /// with unread bytes would reset it, and the caller could lose a response that it has not read
+    /// yet.
+    boost::asio::awaitable<void> finish();
+    boost::asio::awaitable<void> discardInput();
     void watchForDisconnect(const std::shared_ptr<CancelSource> &source);
     void stopDisconnectWatch();
     /// \returns whether the caller has closed the connection, as far as is known
@@ -112,6 +117,8 @@
     bool m_hasEnded = false;
     /// Whether a request was handled.
     bool m_hasServed = false;
+    /// Whether a request was rejected before all of it was read.
+    bool m_hasRejected = false;
     bool m_isCallerGone = false;
     /// Why the connection ends.
     std::string_view m_endCause = "the last response has ended";
--- a/tests/tst_adapter_keptconnections.cpp
+++ b/tests/tst_adapter_keptconnections.cpp
@@ -205,6 +205,41 @@
     EXPECT_NE(caller.received().find("\"execution\":\"outcome_unknown\""), std::string::npos);
 }
 
+TEST_F(KeptConnections, ACallerThatStillSendsATooLargeBodyIsNotReset)
+{
+    HttpLimits limits;
+    limits.bodyBytes = 1024;
+    start(limits);
+    RawCaller caller(address);
+    caller.send("POST /a HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 3000000\r\n\r\n");
+    run(50ms);
+    const std::string body(3000000, 'x');
+    std::string_view rest = body;
+    bool isOpen = true;
+    ASSERT_TRUE(runUntil([&] {
+        isOpen = isOpen && caller.sendPart(rest);
+        return rest.empty() || !isOpen;
+    }));
+    EXPECT_TRUE(isOpen);
+    EXPECT_EQ(caller.received().rfind("HTTP/1.1 413", 0), 0U);
+    EXPECT_NE(caller.received().find("payload_too_large"), std::string::npos);
+    run(50ms);
+    EXPECT_FALSE(caller.wasReset());
+}
+
+TEST_F(KeptConnections, TheLastResponseIsNotLostToUnreadInput)
+{
+    start(HttpLimits());
+    RawCaller caller(address);
+    caller.send("GET /slow HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\n\r\n");
+    run(50ms);
+    caller.request("/b");
+    EXPECT_TRUE(isAnswered(caller, "/slow"));
+    EXPECT_TRUE(runUntil([&] { return caller.isClosed(); }));
+    run(50ms);
+    EXPECT_FALSE(caller.wasReset());
+}
+
 TEST_F(KeptConnections, ARaisedTransferTimeoutHoldsForARequestThatIsBeingRead)
 {
     start(limitsWithTransferTimeout(200ms));
