Make room for new callers instead of dropping their connections

What callers saw: a connection beyond the limit was closed without an answer, or, with all descriptors in use, never accepted while the daemon used a whole core.

Cause: the accept loop dropped what was beyond the limit and retried at once on an error.

Change: the connection that has been idle for longest makes room, one without a first request only after 1 s; without an idle one the next caller waits to be accepted. After an error the loop pauses for 20 ms, and frees a descriptor if none was left.

Result: the tests pass.

--- a/src/http/httplistener.cpp
+++ b/src/http/httplistener.cpp
@@ -18,11 +18,28 @@
 namespace bluebell::detail {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
+/// Pause after an accept that failed, for instance because no descriptor is free.
+constexpr Duration AcceptRetryDelay = milliseconds(20);
+/// Maximum time between two checks for a free connection.
+constexpr Duration CapacityCheckInterval = milliseconds(50);
+
+/// \returns whether an accept failed because the process or the system lacks a resource
+bool isExhausted(const boost::system::error_code &ec)
+{
+    return ec == boost::system::errc::too_many_files_open
+            || ec == boost::system::errc::too_many_files_open_in_system
+            || ec == boost::system::errc::no_buffer_space
+            || ec == boost::system::errc::not_enough_memory;
+}
+
 } // namespace
 
 HttpListener::HttpListener(asio::io_context &context, HttpLimits limits, HttpHandler handler)
-    : m_acceptor(context), m_limits(limits), m_handler(std::move(handler))
+    : m_acceptor(context), m_limits(limits), m_handler(std::move(handler)),
+      m_sessionEnded(context.get_executor())
 {
 }
 
@@ -48,12 +65,30 @@
 
 asio::awaitable<void> HttpListener::acceptLoop(std::shared_ptr<HttpListener> self)
 {
+    bool isFailing = false;
     while (!self->m_isStopping) {
         auto [ec, socket] = co_await self->m_acceptor.async_accept(Await);
-        if (!ec && self->m_sessions.size() < self->m_limits.connections)
+        if (!ec) {
+            isFailing = false;
+            co_await self->awaitCapacity();
             self->startSession(std::move(socket));
-        else if (!self->m_acceptor.is_open())
+            continue;
+        }
+        if (!self->m_acceptor.is_open())
             co_return;
+        if (!std::exchange(isFailing, true))
+            log::warning("failed to accept a connection", { { "cause", ec.message() } });
+        if (isExhausted(ec))
+            self->closeLongestIdle();
+        co_await sleepFor(AcceptRetryDelay);
+    }
+}
+
+asio::awaitable<void> HttpListener::awaitCapacity()
+{
+    while (!m_isStopping && m_sessions.size() >= m_limits.connections) {
+        closeLongestIdle();
+        co_await m_sessionEnded.wait(CapacityCheckInterval);
     }
 }
 
@@ -75,6 +110,18 @@
         session->close();
     }
     self->m_sessions.erase(session);
+    self->m_sessionEnded.notify();
+}
+
+void HttpListener::closeLongestIdle()
+{
+    std::shared_ptr<HttpSession> longest;
+    for (const auto &it : m_sessions)
+        if (const auto since = it->idleSince();
+            since && (!longest || *since < *longest->idleSince()))
+            longest = it;
+    if (longest)
+        longest->closeIfIdle();
 }
 
 void HttpListener::acceptPending()
--- a/src/http/httplistener.h
+++ b/src/http/httplistener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/server.h"
+#include "io/notifier.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -43,13 +44,19 @@
     static boost::asio::awaitable<void> acceptLoop(std::shared_ptr<HttpListener> self);
     static boost::asio::awaitable<void> serve(std::shared_ptr<HttpListener> self,
                                               std::shared_ptr<HttpSession> session);
+    /// Waits until another connection may be served. Meanwhile further callers wait in the queue of
+    /// the operating system.
+    boost::asio::awaitable<void> awaitCapacity();
     void startSession(boost::asio::ip::tcp::socket socket);
     /// Starts sessions for the connections in the queue of the operating system.
     void acceptPending();
+    /// Closes the connection that has been idle for longest, if there is one.
+    void closeLongestIdle();
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     HttpLimits m_limits;
     HttpHandler m_handler;
+    Notifier m_sessionEnded;
     std::set<std::shared_ptr<HttpSession>> m_sessions;
     bool m_isStopping = false;
     bool m_isKeepAliveDisabled = false;
--- a/src/http/httpsession.cpp
+++ b/src/http/httpsession.cpp
@@ -25,8 +25,8 @@
 
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t ReadBufferBytes = 4096;
-/// Time in which a caller that has just connected is expected to send its first request to a server
-/// that stops.
+/// Time in which a caller that has just connected is expected to send its first request, when the
+/// server stops or has too many connections.
 constexpr Duration NewConnectionGracePeriod = milliseconds(1000);
 /// Time in which input that has arrived is read before the request counts as late.
 constexpr Duration OverdueGracePeriod = milliseconds(100);
@@ -159,6 +159,25 @@
     return ec ? 0 : n;
 }
 
+bool HttpSession::closeIfIdle()
+{
+    if (!idleSince() || unreadBytes() > 0)
+        return false;
+    m_endCause = "closed for another connection";
+    m_hasExpired = true;
+    m_stream.cancel();
+    return true;
+}
+
+std::optional<TimePoint> HttpSession::idleSince() const
+{
+    if (m_phase != Phase::Idle || m_hasExpired)
+        return std::nullopt;
+    if (!m_hasServed && BootClock::now() < m_phaseStartedAt + NewConnectionGracePeriod)
+        return std::nullopt;
+    return m_phaseStartedAt;
+}
+
 asio::awaitable<bool> HttpSession::awaitRequest()
 {
     // The stream's own timeout would close the socket without a look at what has arrived.
--- a/src/http/httpsession.h
+++ b/src/http/httpsession.h
@@ -38,6 +38,15 @@
     /// Applies the stop of the listener to the request that is awaited or read.
     void updateDeadline();
 
+    /// Ends the connection if it is idle and no byte has arrived.
+    ///
+    /// \returns whether the connection ends
+    bool closeIfIdle();
+
+    /// \returns since when the connection waits for a request; nothing if it has one, or if the
+    /// caller has just connected
+    [[nodiscard]] std::optional<TimePoint> idleSince() const;
+
     boost::asio::awaitable<bool> send(HttpResponse response);
     boost::asio::awaitable<bool> begin(HttpResponse head);
     boost::asio::awaitable<bool> write(std::string chunk);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -54,7 +54,8 @@
     std::size_t headerBytes = 16U << 10U;
     /// Maximum size of a request body.
     std::size_t bodyBytes = 1U << 20U;
-    /// Maximum number of open connections.
+    /// Maximum number of open connections. For a further one the connection that has been idle for
+    /// longest is closed; without an idle one it waits to be accepted.
     std::size_t connections = 4096;
     /// Maximum time to receive a request after its first bytes, and to write a response or a chunk.
     Duration transferTimeout = std::chrono::seconds(10);
--- a/tests/tst_adapter_keptconnections.cpp
+++ b/tests/tst_adapter_keptconnections.cpp
@@ -6,6 +6,9 @@
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <functional>
 #include <memory>
 #include <stdexcept>
@@ -58,7 +61,7 @@
                 return ::testing::AssertionFailure() << "the condition did not hold in time";
             if (context.stopped())
                 context.restart();
-            context.run_for(1ms);
+            handlerCount += context.run_for(1ms);
         }
         return ::testing::AssertionSuccess();
     }
@@ -99,9 +102,32 @@
     asio::io_context context;
     std::unique_ptr<HttpServer> server;
     Endpoint address;
+    /// Number of handlers that the event loop has run.
+    std::size_t handlerCount = 0;
     std::shared_ptr<CancelSource> disconnect = std::make_shared<CancelSource>();
 };
 
+/// Lets the process open no further descriptor while it exists.
+class DescriptorLimit
+{
+public:
+    DescriptorLimit()
+    {
+        ::getrlimit(RLIMIT_NOFILE, &m_previous);
+        const auto lowestFree = ::dup(STDERR_FILENO);
+        ::close(lowestFree);
+        rlimit lowered = m_previous;
+        lowered.rlim_cur = static_cast<rlim_t>(lowestFree);
+        ::setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+    ~DescriptorLimit() { ::setrlimit(RLIMIT_NOFILE, &m_previous); }
+    DescriptorLimit(const DescriptorLimit &) = delete;
+    DescriptorLimit &operator=(const DescriptorLimit &) = delete;
+
+private:
+    rlimit m_previous {};
+};
+
 } // namespace
 
 TEST_F(KeptConnections, ARaisedIdleTimeoutHoldsForAConnectionThatIsIdleAlready)
@@ -301,6 +327,77 @@
     EXPECT_FALSE(disconnect->isCancelled());
 }
 
+TEST_F(KeptConnections, AConnectionBeyondTheLimitReplacesAnIdleOne)
+{
+    start(limitsWithConnections(2));
+    RawCaller first(address);
+    first.request("/a");
+    ASSERT_TRUE(isAnswered(first, "/a"));
+    RawCaller second(address);
+    second.request("/b");
+    ASSERT_TRUE(isAnswered(second, "/b"));
+    RawCaller third(address);
+    third.request("/c");
+    EXPECT_TRUE(isAnswered(third, "/c"));
+    EXPECT_TRUE(first.isClosed());
+    EXPECT_FALSE(second.isClosed());
+}
+
+TEST_F(KeptConnections, AConnectionBeyondTheLimitWaitsWhileAllAreBusy)
+{
+    start(limitsWithConnections(2));
+    RawCaller first(address);
+    first.request("/slow");
+    RawCaller second(address);
+    second.request("/slow");
+    run(50ms);
+    RawCaller third(address);
+    third.request("/c");
+    EXPECT_TRUE(isAnswered(third, "/c"));
+    EXPECT_TRUE(isAnswered(first, "/slow"));
+    EXPECT_TRUE(isAnswered(second, "/slow"));
+}
+
+TEST_F(KeptConnections, SilentConnectionsDoNotKeepOthersOut)
+{
+    start(limitsWithConnections(2));
+    RawCaller first(address);
+    RawCaller second(address);
+    run(50ms);
+    RawCaller third(address);
+    third.request("/c");
+    EXPECT_TRUE(isAnswered(third, "/c"));
+}
+
+TEST_F(KeptConnections, ACallerIsServedAlthoughNoDescriptorIsFree)
+{
+    start(HttpLimits());
+    RawCaller first(address);
+    first.request("/a");
+    ASSERT_TRUE(isAnswered(first, "/a"));
+    RawCaller second(address);
+    second.request("/b");
+    const DescriptorLimit limit;
+    EXPECT_TRUE(isAnswered(second, "/b"));
+    EXPECT_TRUE(first.isClosed());
+}
+
+TEST_F(KeptConnections, AFailingAcceptDoesNotKeepTheProcessorBusy)
+{
+    start(HttpLimits());
+    RawCaller first(address);
+    first.request("/slow");
+    run(50ms);
+    RawCaller second(address);
+    second.request("/b");
+    const DescriptorLimit limit;
+    handlerCount = 0;
+    run(200ms);
+    EXPECT_LT(handlerCount, 100U);
+    EXPECT_TRUE(isAnswered(first, "/slow"));
+    EXPECT_TRUE(isAnswered(second, "/b"));
+}
+
 TEST_F(KeptConnections, AServerThatIsDestroyedClosesItsConnections)
 {
     start(limitsWithConnections(3));
