Reject a request that arrives too late with 408

What callers saw: 504, which promises nothing, for a request that was never run, so that one that must not run twice could not be sent again.

Cause: the status was taken from the code deadline_exceeded, which fits a request that may have run.

Change: the session sends 408. Result: the test passes.

--- a/src/http/httpsession.cpp
+++ b/src/http/httpsession.cpp
@@ -33,6 +33,8 @@
 /// Bounds on the input that is discarded after a request was rejected.
 constexpr Duration DiscardTimeout = milliseconds(1000);
 constexpr std::size_t MaxDiscardedBytes = 4U << 20U;
+/// Unlike 504, says that the request was not run.
+constexpr unsigned RequestTimeoutStatus = 408;
 
 HttpRequest toRequest(http::request<http::string_body> &&message)
 {
@@ -241,6 +243,8 @@
     if (ec == beast::error::timeout)
         error = makeError(ErrorCode::DeadlineExceeded, "the request did not arrive in time");
     auto response = errorResponse(error, std::string_view());
+    if (ec == beast::error::timeout)
+        response.status = RequestTimeoutStatus;
     (void)co_await send(std::move(response));
 }
 
--- a/tests/tst_adapter_keptconnections.cpp
+++ b/tests/tst_adapter_keptconnections.cpp
@@ -294,6 +294,18 @@
     }));
 }
 
+TEST_F(KeptConnections, ARequestThatArrivesTooLateIsRejectedAsNotRun)
+{
+    start(limitsWithTransferTimeout(200ms));
+    RawCaller caller(address);
+    caller.send("GET /a HTTP/1.1\r\n");
+    EXPECT_TRUE(runUntil([&] { return caller.isClosed(); }));
+    EXPECT_EQ(caller.received().rfind("HTTP/1.1 408", 0), 0U) << caller.received();
+    EXPECT_NE(caller.received().find("\"execution\":\"not_run\""), std::string::npos);
+    run(50ms);
+    EXPECT_FALSE(caller.wasReset());
+}
+
 TEST_F(KeptConnections, ACallerThatHasClosedItsSendingSideIsAnswered)
 {
     start(HttpLimits());
