Limit connections by the descriptors of the VM

Cause: the limit for callers was 4096 whatever the VM has. With MaxFds 4100, of which 200 are kept for files, accepted callers could use up the descriptors that their own requests need for a connection to a target.

Change: the settings have the number of descriptors; a function gives callers half of what is left after files, the daemon's own sockets and the three other servers, and each of these 1/32.

No failing test came before: the function and the field are new. That a daemon applies the limits is not tested.

--- /dev/null
+++ b/programs/gateway/connectionlimits.cpp
@@ -0,0 +1,33 @@
+#include "gateway/connectionlimits.h"
+
+#include <algorithm>
+
+namespace bluebell::gateway {
+namespace {
+
+/// Descriptors that are not available for sockets.
+constexpr std::size_t FileDescriptors = 200;
+/// Listening and datagram sockets, and connections to the store and to peers.
+constexpr std::size_t OwnSockets = 120;
+constexpr std::size_t SystemServers = 3;
+/// Fraction of the sockets that each of the other servers may use.
+constexpr std::size_t SystemDivisor = 32;
+constexpr std::size_t MinConnections = 16;
+constexpr ConnectionLimits Unknown { .callers = 4096, .system = 256 };
+
+} // namespace
+
+ConnectionLimits connectionLimits(std::uint32_t descriptors) noexcept
+{
+    if (descriptors == 0)
+        return Unknown;
+    constexpr auto Reserved = FileDescriptors + OwnSockets;
+    const auto sockets = std::max<std::size_t>(descriptors, Reserved) - Reserved;
+    const auto system = std::min(sockets / SystemDivisor, Unknown.system);
+    // One for the caller and one for the target.
+    const auto callers = std::min((sockets - SystemServers * system) / 2, Unknown.callers);
+    return { .callers = std::max(callers, MinConnections),
+             .system = std::max(system, MinConnections) };
+}
+
+} // namespace bluebell::gateway
--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clockwatch.h"
 #include "core/log.h"
+#include "gateway/connectionlimits.h"
 #include "peer/statuscodec.h"
 #include "platform/requests.h"
 #include "routing/calleraddresses.h"
@@ -33,10 +34,19 @@
 /// Time for reading the body of a request, in addition to the header timeout.
 constexpr Duration BodyTimeout = std::chrono::seconds(10);
 
-HttpLimits systemLimits()
+/// \returns the limits until a configuration is known
+HttpLimits initialLimits(const GatewaySettings &settings)
+{
+    HttpLimits it;
+    it.connections = connectionLimits(settings.maxDescriptors).callers;
+    return it;
+}
+
+HttpLimits systemLimits(const GatewaySettings &settings)
 {
     HttpLimits it;
     it.bodyBytes = 64U << 10U;
+    it.connections = connectionLimits(settings.maxDescriptors).system;
     return it;
 }
 
@@ -53,9 +63,9 @@
     return "the time of day jumped";
 }
 
-HttpLimits callerLimits(const CallerLimits &limits)
+HttpLimits callerLimits(const CallerLimits &limits, const GatewaySettings &settings)
 {
-    HttpLimits it;
+    auto it = initialLimits(settings);
     it.headerBytes = limits.headerBytes;
     it.bodyBytes = limits.bodyBytes;
     it.transferTimeout = limits.headerTimeout + BodyTimeout;
@@ -72,19 +82,19 @@
       m_coordinator(context, m_state), m_proxy(m_state),
       m_link(context.get_executor(),
              [this](const DaemonStatus &status) { m_state.noteStatus(status, BootClock::now()); }),
-      m_callerServer(context, HttpLimits(),
+      m_callerServer(context, initialLimits(m_state.settings),
                      [this](const HttpRequest &request, HttpResponder &responder) {
                          return m_proxy.handle(request, responder);
                      }),
-      m_readinessServer(context, systemLimits(),
+      m_readinessServer(context, systemLimits(m_state.settings),
                         [this](const HttpRequest &request, HttpResponder &responder) {
                             return handleSystemRequest(request, responder);
                         }),
-      m_directoryServer(context, systemLimits(),
+      m_directoryServer(context, systemLimits(m_state.settings),
                         [this](const HttpRequest &request, HttpResponder &responder) {
                             return handleSystemRequest(request, responder);
                         }),
-      m_controlServer(context, systemLimits(),
+      m_controlServer(context, systemLimits(m_state.settings),
                       [this](const HttpRequest &request, HttpResponder &responder) {
                           return handleControlRequest(request, responder);
                       })
@@ -130,7 +140,7 @@
 void Daemon::applyConfig()
 {
     const auto &config = m_state.index->config();
-    m_callerServer.setLimits(callerLimits(config.limits));
+    m_callerServer.setLimits(callerLimits(config.limits, m_state.settings));
     const auto now = BootClock::now();
     std::erase_if(m_state.rates, [&](const auto &it) {
         const auto *organisation = m_state.index->findOrganisation(it.first);
--- a/programs/gateway/settings.h
+++ b/programs/gateway/settings.h
@@ -31,6 +31,8 @@
     Endpoint relay;
     /// Processor share of the VM in thousandths of a core; 0 if unknown.
     std::uint32_t capacity = 0;
+    /// Maximum number of file descriptors of the process; 0 if unknown.
+    std::uint32_t maxDescriptors = 0;
     /// Address of the platform's store.
     Endpoint store;
     /// Whether all daemons of the site start for the first time, at the same moment.
--- a/tests/tst_adapter_platform.cpp
+++ b/tests/tst_adapter_platform.cpp
@@ -63,6 +63,8 @@
 Front = "10.1.0.25:8221"
 Ready = "10.1.0.25:8224"
 Directory = "10.1.0.25:8220"
+[Limits]
+MaxFds = 4100
 [Bounds]
 GraceS = 8
 LeaseMs = 3000
@@ -234,6 +236,9 @@
     EXPECT_EQ(it.value().stopTimeout, 8s);
     EXPECT_EQ(it.value().minTakeoverDelay, 3s);
     EXPECT_EQ(toString(it.value().peers), "10.1.0.25:7600");
+    EXPECT_EQ(it.value().maxDescriptors, 4100U);
+    const SettingsFile unlimited(replaced(Settings, "MaxFds", "Other"));
+    EXPECT_EQ(platform::readSettings(unlimited.path()).value().maxDescriptors, 0U);
 }
 
 TEST(PlatformSettings, ReportsMissingFieldsAndMalformedFiles)
