--- a/src/http/server.h
+++ b/src/http/server.h
@@ -54,7 +54,8 @@
     std::size_t headerBytes = 16U << 10U;
     /// Maximum size of a request body.
     std::size_t bodyBytes = 1U << 20U;
-    /// Maximum number of open connections; further ones are closed on accept.
+    /// Maximum number of open connections. For a further one the connection that has been idle for
+    /// longest is closed; without an idle one it waits to be accepted.
     std::size_t connections = 4096;
     /// Maximum time to receive a request after its first bytes, and to write a response or a chunk.
     Duration transferTimeout = std::chrono::seconds(10);
@@ -80,13 +81,16 @@
     /// \returns the bound address, or Unavailable
     Result<Endpoint> listen(const Endpoint &endpoint);
 
-    /// Applies new limits, starting with the next request on each connection.
+    /// Applies new limits. A connection that waits for a request, or reads one, keeps the longer
+    /// one of the time that it had and the new one.
     void setLimits(const HttpLimits &limits);
 
     /// Keeps accepting, but closes each connection after its next response.
     void disableKeepAlive();
 
-    /// Stops accepting, closes idle connections and closes the others after their next response.
+    /// Stops accepting, closes idle connections and closes the others after their next response. A
+    /// connection on which bytes have arrived is not idle, and callers that have just connected
+    /// have a moment for their first request.
     void stopAccepting();
 
     [[nodiscard]] std::size_t connectionCount() const noexcept;
