Send no new request to a target that states in a response that it is leaving

What callers saw: a target that leaves says so in all its responses now (Server-Leaving: 1). The gateway did not read it and went on sending requests there until the store said 'draining' or removed the entry, and without the store for as long as the store was away. Those requests broke when the target ended.

Cause: only the entry in the store decided whether a target is draining.

The registry now keeps the statement, by target id and start time of the run to which the request was sent, and shows the entry as draining whatever a later entry, a peer's or a relay's copy says, also when the entry is removed and comes back. A later run starts clean; a late response of an earlier run marks nothing; an outdated entry of an earlier run counts as leaving, as a request there would reach the run that leaves. Statements that no entry shows are dropped, the oldest first, above 4096. The statement is applied at the head of a response, before any part of it is passed on, for requests, refusals, reports and orders. The rows that relays pass on stay what the store says, so no message changes: the leader learns it from its own report call to the engine.

Ruled out: marking by address. Another target at the same address would be marked, and the next run under the same id.

--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -1,6 +1,7 @@
 #include "gateway/placementcoordinator.h"
 
 #include "core/log.h"
+#include "gateway/targetnotices.h"
 #include "placement/planpace.h"
 #include "platform/engineclient.h"
 
@@ -215,19 +216,21 @@
 {
     const auto *target = m_state.registry.find(order.target);
     const auto now = BootClock::now();
-    auto outcome = OrderOutcome::NotSent;
+    platform::OrderResponse response { OrderOutcome::NotSent };
     if (target && m_state.leadership.maySendOrders(now)) {
+        const auto startTimeMs = target->startTimeMs;
         m_state.leadership.noteOrder(now);
-        outcome = co_await platform::sendOrder(*target, order, m_state.settings.vm,
-                                               m_state.leadership.epoch(), OrderTimeout);
+        response = co_await platform::sendOrder(*target, order, m_state.settings.vm,
+                                                m_state.leadership.epoch(), OrderTimeout);
+        applyNotices(m_state, order.target, startTimeMs, response.notices, BootClock::now());
     }
     log::info("order",
               { { "target", order.target.value() },
                 { "action", order.action == IntentAction::Load ? "load" : "unload" },
                 { "replica", toString(order.key) },
                 { "sequence", std::to_string(order.expectedSequence) },
-                { "outcome", std::string(nameOf(outcome)) } });
-    m_state.planner.noteOutcome(order, outcome, BootClock::now());
+                { "outcome", std::string(nameOf(response.outcome)) } });
+    m_state.planner.noteOutcome(order, response.outcome, BootClock::now());
     m_state.notifyChange();
 }
 
@@ -236,9 +239,11 @@
     const auto *target = m_state.registry.find(id);
     if (!target)
         co_return;
+    const auto startTimeMs = target->startTimeMs;
     ++m_reportsInFlight;
-    const auto report = co_await platform::fetchReport(*target, ReportTimeout);
+    const auto [report, notices] = co_await platform::fetchReport(*target, ReportTimeout);
     --m_reportsInFlight;
+    applyNotices(m_state, id, startTimeMs, notices, BootClock::now());
     if (report) {
         log::debug("report",
                    { { "target", id.value() },
--- a/programs/gateway/request.h
+++ b/programs/gateway/request.h
@@ -45,6 +45,13 @@
     std::string lastEventId;
 };
 
+/// What a target states of itself in the head of any response.
+struct TargetNotices
+{
+    /// Whether the target is leaving and must get no new request.
+    bool isLeaving = false;
+};
+
 /// Properties of a response that can be read from its head.
 struct ResponseHead
 {
@@ -59,6 +66,7 @@
     bool isMisdirected = false;
     /// Whether the body has a content encoding, which targets do not use.
     bool isEncoded = false;
+    TargetNotices notices;
 
     [[nodiscard]] bool isSuccess() const noexcept { return status >= 200 && status < 300; }
 };
--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -36,6 +36,22 @@
     None,
 };
 
+enum class NoticeKind : std::uint8_t {
+    /// The target states that it is leaving.
+    Leaving,
+};
+
+/// A target's notice that has affected a request.
+struct TargetNotice
+{
+    NoticeKind kind = NoticeKind::Leaving;
+    TargetId target;
+    /// Start time of the run of the target, see TargetEntry::startTimeMs.
+    std::uint64_t startTimeMs = 0;
+    /// When the target gave it.
+    TimePoint at;
+};
+
 /// State of one request while it is processed.
 struct RequestContext
 {
@@ -73,6 +89,10 @@
     /// Splits the stream, so that the caller gets complete events only.
     EventSplitter events;
     TargetId lastTarget;
+    /// Start time of the run of `lastTarget` to which the request was sent.
+    std::uint64_t lastTargetStartTimeMs = 0;
+    /// The latest notice that has affected the request.
+    std::optional<TargetNotice> notice;
 };
 
 /// Result of one attempt at a target.
--- a/programs/gateway/requestlog.cpp
+++ b/programs/gateway/requestlog.cpp
@@ -15,6 +15,23 @@
                        details->level, details->liveDaemons, details->daemons);
 }
 
+std::string_view nameOf(NoticeKind kind)
+{
+    switch (kind) {
+    case NoticeKind::Leaving:
+        break;
+    }
+    return "leaving";
+}
+
+std::string toText(const std::optional<TargetNotice> &notice, TimePoint now)
+{
+    if (!notice)
+        return {};
+    return fmt::format("{} {}, age {} ms, started {}", notice->target.value(), nameOf(notice->kind),
+                       toMilliseconds(now - notice->at).count(), notice->startTimeMs);
+}
+
 } // namespace
 
 void noteChunk(RequestContext &it, Metrics &metrics)
@@ -33,7 +50,8 @@
 {
     const auto outcome =
             result ? std::string("answered") : std::string(toString(result.error().code));
-    const auto duration = BootClock::now() - it.receivedAt;
+    const auto now = BootClock::now();
+    const auto duration = now - it.receivedAt;
     const MetricLabels labels { it.organisation, ClassId(it.route ? it.route->name : std::string()),
                                 outcome };
     metrics.count("bluebell_requests_total", labels);
@@ -56,6 +74,7 @@
                 { "cause", result ? std::string() : result.error().message },
                 { "delivery", std::string(toString(delivery)) },
                 { "rate", toText(it.rateDetails) },
+                { "target_notice", toText(it.notice, now) },
                 { "execution",
                   result ? std::string() : std::string(toString(result.error().execution)) },
                 { "retry_after_ms",
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -149,6 +149,7 @@
     const auto key = it.service->engine ? it.caller.replica : std::nullopt;
     m_state.selector.noteStarted(id, key);
     it.lastTarget = id;
+    it.lastTargetStartTimeMs = target->startTimeMs;
     ++it.sends;
     auto stream = co_await openStream(std::move(call));
     AttemptResult result;
--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/responserelay.h"
 
 #include "gateway/requestlog.h"
+#include "gateway/targetnotices.h"
 #include "platform/requests.h"
 
 #include <algorithm>
@@ -24,6 +25,7 @@
 {
     const auto now = BootClock::now();
     const auto head = platform::decodeResponse(stream.head(), it.caller.attempt);
+    applyNotices(m_state, it, head.notices, now);
     if (head.isNotRun) {
         if (head.isMisdirected && it.caller.replica)
             m_state.selector.noteNotResident(target, *it.caller.replica, now);
--- a/programs/gateway/siteupdates.cpp
+++ b/programs/gateway/siteupdates.cpp
@@ -57,12 +57,15 @@
         log::warning("entry of a target refused",
                      { { "target", row.key }, { "cause", entry.error().message } });
     auto accepted = entry ? std::optional(std::move(entry.value())) : std::nullopt;
-    const auto *before = m_state.registry.find(TargetId(row.key));
-    if (accepted && (!before || before->isDraining != accepted->isDraining))
-        log::info(accepted->isDraining ? "target is draining" : "target is ready",
-                  { { "target", row.key }, { "address", toString(accepted->address) } });
+    const TargetId id(row.key);
+    const auto *known = m_state.registry.find(id);
+    const auto wasDraining = known ? std::optional(known->isDraining) : std::nullopt;
     m_state.targetRows.put(row.key, relayedRow(accepted), version);
     m_state.registry.put(row.key, std::move(accepted));
+    const auto *stored = m_state.registry.find(id);
+    if (stored && wasDraining != stored->isDraining)
+        log::info(stored->isDraining ? "target is draining" : "target is ready",
+                  { { "target", row.key }, { "address", toString(stored->address) } });
 }
 
 void SiteUpdates::updateTargets(const std::vector<StoreRow> &rows, RowVersion version)
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -200,13 +200,14 @@
 asio::awaitable<Result<HttpResponse>> exchange(HttpCall call)
 {
     const auto deadline = BootClock::now() + call.timeout;
+    const auto keptHeaders = std::move(call.keptHeaders);
     auto stream = co_await openStream(std::move(call));
     if (!stream)
         co_return stream.error();
     HttpResponse response;
     response.status = stream.value().status();
     response.contentType = stream.value().header("Content-Type");
-    for (const auto *name : { "Execution", "Retry-After" })
+    for (const auto &name : keptHeaders)
         if (auto value = stream.value().header(name); !value.empty())
             response.headers.push_back({ name, std::move(value) });
     for (;;) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -51,8 +51,8 @@
 /// request was sent, and Execution::OutcomeUnknown otherwise.
 [[nodiscard]] boost::asio::awaitable<Result<HttpStream>> openStream(HttpCall call);
 
-/// Sends a request and reads the whole response. Of the headers, only `Execution` and `Retry-After`
-/// are kept, next to the content type.
+/// Sends a request and reads the whole response. Of the headers, only HttpCall::keptHeaders are
+/// kept, next to the content type.
 ///
 /// Errors carry Execution::NotRun when the connection was not established, so that no part of the
 /// request was sent, and Execution::OutcomeUnknown otherwise.
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -78,6 +78,8 @@
     Duration timeout = std::chrono::seconds(5);
     /// Maximum time to establish the connection.
     Duration connectTimeout = std::chrono::seconds(5);
+    /// Headers that exchange() keeps in the response.
+    std::vector<std::string> keptHeaders = { "Execution", "Retry-After" };
     /// Maximum size of the response's body.
     std::uint64_t bodyLimit = std::uint64_t(16) << 20U;
     /// Closes the connection when triggered; may be null.
--- a/src/site/targetregistry.cpp
+++ b/src/site/targetregistry.cpp
@@ -28,9 +28,51 @@
         if (order(*entry) < order(*known))
             return;
     }
+    if (leavingSince(*entry))
+        entry->isDraining = true;
     m_targets.insert_or_assign(id, std::move(*entry));
 }
 
+bool TargetRegistry::noteLeaving(const TargetId &id, std::uint64_t startTimeMs, TimePoint now)
+{
+    const auto entry = m_targets.find(id);
+    if (entry != m_targets.end() && startTimeMs < entry->second.startTimeMs)
+        return false;
+    const auto [it, isNew] = m_leaving.try_emplace(id, LeavingTarget { startTimeMs, now });
+    if (!isNew && startTimeMs <= it->second.startTimeMs)
+        return false;
+    it->second = { startTimeMs, now };
+    if (entry != m_targets.end())
+        entry->second.isDraining = true;
+    boundLeavingTargets();
+    return true;
+}
+
+void TargetRegistry::boundLeavingTargets()
+{
+    while (m_leaving.size() > MaxLeavingTargets) {
+        auto oldest = m_leaving.end();
+        for (auto it = m_leaving.begin(); it != m_leaving.end(); ++it) {
+            const auto *entry = find(it->first);
+            const bool isInUse = entry && entry->startTimeMs <= it->second.startTimeMs;
+            if (!isInUse && (oldest == m_leaving.end() || it->second.since < oldest->second.since))
+                oldest = it;
+        }
+        if (oldest == m_leaving.end())
+            return;
+        m_leaving.erase(oldest);
+    }
+}
+
+std::optional<TimePoint> TargetRegistry::leavingSince(const TargetEntry &entry) const
+{
+    // An entry of an earlier run is out of date: a request would reach the leaving run.
+    const auto it = m_leaving.find(entry.id);
+    if (it == m_leaving.end() || entry.startTimeMs > it->second.startTimeMs)
+        return std::nullopt;
+    return it->second.since;
+}
+
 bool TargetRegistry::isInRecoveryGrace(TimePoint now) const
 {
     return m_recoveredAt && now - *m_recoveredAt < RecoveryGrace;
--- a/src/site/targetregistry.h
+++ b/src/site/targetregistry.h
@@ -5,6 +5,7 @@
 #include "core/time.h"
 #include "placement/ledger.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -59,6 +60,10 @@
 /// Targets cannot renew their entries during an outage of the store, so entries of live targets may
 /// expire. Those targets register again soon after the store has recovered. Until then, entries
 /// that are missing after an outage are kept for a short time.
+///
+/// A target may state in a response that it is leaving. It then counts as draining until its
+/// process has ended, whatever its entry says: the statement belongs to the run of the target, not
+/// to the entry, so it also outlives the removal of the entry.
 class TargetRegistry
 {
 public:
@@ -66,6 +71,9 @@
     static constexpr Duration RecoveryGrace = std::chrono::milliseconds(1900);
     /// Time without a reply of the store after which entries may have expired.
     static constexpr Duration OutageThreshold = std::chrono::milliseconds(2500);
+    /// Number of remembered leaving targets above which those without an entry, or with an entry of
+    /// a later run, are forgotten, the oldest first.
+    static constexpr std::size_t MaxLeavingTargets = 4096;
 
     // Events.
 
@@ -82,6 +90,12 @@
     /// Replaces all entries; known ones that are not in `entries` are removed as by remove().
     void replaceAll(const std::map<std::string, std::optional<TargetEntry>> &entries,
                     TimePoint now);
+    /// Notes that a target has stated in a response that it is leaving.
+    ///
+    /// \param startTimeMs start time of the run to which the request was sent, see
+    ///        TargetEntry::startTimeMs; a statement of an earlier run than the known one is ignored
+    /// \returns whether this run was not known to be leaving
+    bool noteLeaving(const TargetId &id, std::uint64_t startTimeMs, TimePoint now);
     /// Removes entries that have been missing for too long.
     ///
     /// \returns whether any was removed
@@ -94,14 +108,27 @@
         return m_targets;
     }
     [[nodiscard]] const TargetEntry *find(const TargetId &id) const;
+    /// \returns when the run of the target that `entry` describes has first stated that it is
+    /// leaving, or nothing
+    [[nodiscard]] std::optional<TimePoint> leavingSince(const TargetEntry &entry) const;
 
 private:
+    struct LeavingTarget
+    {
+        std::uint64_t startTimeMs = 0;
+        TimePoint since;
+    };
+
+    /// Forgets leaving targets that no entry shows while there are too many.
+    void boundLeavingTargets();
     /// \returns whether the store recovered from an outage less than RecoveryGrace ago
     [[nodiscard]] bool isInRecoveryGrace(TimePoint now) const;
 
     std::map<TargetId, TargetEntry> m_targets;
     /// Targets whose rows are missing, and until when their entries are kept.
     std::map<TargetId, TimePoint> m_missing;
+    /// The latest run of each target that has stated that it is leaving.
+    std::map<TargetId, LeavingTarget> m_leaving;
     std::optional<TimePoint> m_lastContact;
     /// When the store recovered from the last outage.
     std::optional<TimePoint> m_recoveredAt;
--- a/tests/platformstandin.cpp
+++ b/tests/platformstandin.cpp
@@ -47,7 +47,7 @@
 
 json TargetStandIn::state() const
 {
-    json it = { { "born", 1000 }, { "Sequence", m_sequence } };
+    json it = { { "born", startTimeMs }, { "Sequence", m_sequence } };
     if (!isEngine)
         return it;
     it["Models"] = json::array();
@@ -97,12 +97,33 @@
     return statusOnly(202);
 }
 
+void TargetStandIn::addNotices(HttpResponse &response) const
+{
+    if (behaviour.isLeaving)
+        response.headers.push_back({ "Server-Leaving", "1" });
+    if (!behaviour.retryAfter.empty())
+        response.headers.push_back({ "Retry-After", behaviour.retryAfter });
+}
+
+HttpResponse TargetStandIn::holdOff(const HttpRequest &request) const
+{
+    auto response = statusOnly(503);
+    response.headers.push_back({ "X-Attempt-Id", std::string(request.header("X-Attempt-Id")) });
+    response.headers.push_back({ "X-Server-Seal", "seal-of-" + m_id });
+    if (behaviour.statesNotRun)
+        response.headers.push_back({ "X-Not-Executed", "1" });
+    return response;
+}
+
 asio::awaitable<void> TargetStandIn::handle(const HttpRequest &request, HttpResponder &responder)
 {
+    ++calls;
     HttpResponse response;
     const bool isExpectedTarget = request.header("X-Expect-Instance") == m_id;
     if (!isExpectedTarget) {
         response = statusOnly(421);
+    } else if (!behaviour.retryAfter.empty()) {
+        response = holdOff(request);
     } else if (request.path == "/-/report") {
         response.body = state().dump();
     } else if (request.path == "/-/order") {
@@ -112,6 +133,7 @@
         co_await std::move(running);
         co_return;
     }
+    addNotices(response);
     (void)co_await responder.send(std::move(response));
 }
 
@@ -121,6 +143,7 @@
     const auto attempt = std::string(request.header("X-Attempt-Id"));
     response.headers.push_back(
             { "X-Attempt-Id", behaviour.usesWrongAttemptId ? "another" : attempt });
+    addNotices(response);
     const auto model = std::string(request.header("X-Model"));
     if (behaviour.isFull || (isEngine && !models.contains(model))) {
         response.status = behaviour.isFull ? 503 : 421;
--- a/tests/platformstandin.h
+++ b/tests/platformstandin.h
@@ -32,6 +32,13 @@
     bool fails = false;
     /// Refuses requests with status 503 and the header that says they were not executed.
     bool isFull = false;
+    /// Every response states that the target is leaving.
+    bool isLeaving = false;
+    /// Every call is answered with status 503 and this value of the header Retry-After; empty for
+    /// none.
+    std::string retryAfter;
+    /// Whether such a response states that the call was not executed.
+    bool statesNotRun = true;
     /// Time before a response, and after each event of a stream.
     Duration workDuration = std::chrono::milliseconds(2);
 };
@@ -56,6 +63,10 @@
     Duration loadTime = std::chrono::milliseconds(100);
     int events = 5;
     TargetBehaviour behaviour;
+    /// Start time of the target's process in its entry and reports.
+    std::uint64_t startTimeMs = 1000;
+    /// Calls of any kind that have arrived.
+    std::size_t calls = 0;
     /// Ids of the executed attempts, in order.
     std::vector<std::string> runs;
     /// Headers of the last executed request.
@@ -69,6 +80,9 @@
     boost::asio::awaitable<void> stream(const HttpRequest &request, HttpResponse head,
                                         HttpResponder &responder);
     HttpResponse acceptOrder(const std::string &body);
+    /// Adds the headers by which the target states that it is leaving, or when it may be called.
+    void addNotices(HttpResponse &response) const;
+    [[nodiscard]] HttpResponse holdOff(const HttpRequest &request) const;
     [[nodiscard]] nlohmann::json state() const;
 
     boost::asio::io_context &m_context;
--- /dev/null
+++ b/tests/tst_targetnotices.cpp
@@ -0,0 +1,237 @@
+#include "relay/digest.h"
+#include "routing/targetselector.h"
+#include "site/targetregistry.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+using namespace bluebell;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start { 100s };
+const ServiceId Plain("plain");
+
+TargetEntry entry(const std::string &name, std::uint64_t heartbeat = 1,
+                  std::uint64_t startTimeMs = 1)
+{
+    TargetEntry it;
+    it.id = TargetId(name);
+    it.service = Plain;
+    it.heartbeat = heartbeat;
+    it.startTimeMs = startTimeMs;
+    return it;
+}
+
+TargetRequirements requirements()
+{
+    TargetRequirements it;
+    it.service = Plain;
+    return it;
+}
+
+bool isDraining(const TargetRegistry &registry, const std::string &name = "t")
+{
+    const auto *it = registry.find(TargetId(name));
+    return it && it->isDraining;
+}
+
+} // namespace
+
+TEST(LeavingTargets, StatementOverridesLaterReadyEntries)
+{
+    TargetRegistry registry;
+    registry.put("t", entry("t"));
+    EXPECT_TRUE(registry.noteLeaving(TargetId("t"), 1, Start));
+    EXPECT_TRUE(isDraining(registry));
+    registry.put("t", entry("t", 2));
+    EXPECT_TRUE(isDraining(registry));
+    registry.replaceAll({ { "t", entry("t", 3) } }, Start + 1s);
+    EXPECT_TRUE(isDraining(registry));
+    EXPECT_FALSE(registry.noteLeaving(TargetId("t"), 1, Start + 1s));
+    EXPECT_EQ(registry.leavingSince(*registry.find(TargetId("t"))), Start);
+}
+
+TEST(LeavingTargets, StatementAfterADrainingEntryChangesNothing)
+{
+    TargetRegistry registry;
+    auto draining = entry("t", 2);
+    draining.isDraining = true;
+    registry.put("t", draining);
+    registry.noteLeaving(TargetId("t"), 1, Start);
+    registry.put("t", entry("t", 3));
+    EXPECT_TRUE(isDraining(registry));
+}
+
+TEST(LeavingTargets, StatementOutlivesTheEntry)
+{
+    TargetRegistry registry;
+    registry.put("t", entry("t"));
+    registry.noteLeaving(TargetId("t"), 1, Start);
+    registry.remove("t", Start + 1s);
+    EXPECT_EQ(registry.find(TargetId("t")), nullptr);
+    registry.put("t", entry("t", 2));
+    EXPECT_TRUE(isDraining(registry));
+    registry.put("t", std::nullopt);
+    registry.put("t", entry("t", 3));
+    EXPECT_TRUE(isDraining(registry));
+}
+
+TEST(LeavingTargets, StatementOfATargetWithoutAnEntryIsKept)
+{
+    TargetRegistry registry;
+    EXPECT_TRUE(registry.noteLeaving(TargetId("t"), 1, Start));
+    registry.put("t", entry("t"));
+    EXPECT_TRUE(isDraining(registry));
+}
+
+TEST(LeavingTargets, NextRunStartsClean)
+{
+    TargetRegistry registry;
+    registry.put("t", entry("t", 9, 1));
+    registry.noteLeaving(TargetId("t"), 1, Start);
+    registry.put("t", entry("t", 1, 2));
+    EXPECT_FALSE(isDraining(registry));
+    registry.put("t", entry("t", 2, 2));
+    EXPECT_FALSE(isDraining(registry));
+}
+
+TEST(LeavingTargets, LateResponseOfAnEarlierRunDoesNotMarkTheNextOne)
+{
+    TargetRegistry registry;
+    registry.put("t", entry("t", 1, 2));
+    EXPECT_FALSE(registry.noteLeaving(TargetId("t"), 1, Start));
+    EXPECT_FALSE(isDraining(registry));
+    registry.remove("t", Start);
+    registry.noteLeaving(TargetId("t"), 1, Start);
+    registry.put("t", entry("t", 1, 2));
+    EXPECT_FALSE(isDraining(registry));
+}
+
+TEST(LeavingTargets, StatementOfANewerRunCoversOutdatedEntries)
+{
+    TargetRegistry registry;
+    registry.noteLeaving(TargetId("t"), 2, Start);
+    EXPECT_FALSE(registry.noteLeaving(TargetId("t"), 1, Start));
+    registry.put("t", entry("t", 7, 1));
+    EXPECT_TRUE(isDraining(registry));
+    registry.put("t", entry("t", 1, 2));
+    EXPECT_TRUE(isDraining(registry));
+}
+
+TEST(LeavingTargets, AnotherTargetAtTheSameAddressStartsClean)
+{
+    TargetRegistry registry;
+    auto first = entry("t");
+    first.address = { "127.0.0.1", 4000 };
+    registry.put("t", first);
+    registry.noteLeaving(TargetId("t"), 1, Start);
+    auto second = entry("u");
+    second.address = first.address;
+    registry.put("u", second);
+    EXPECT_TRUE(isDraining(registry, "t"));
+    EXPECT_FALSE(isDraining(registry, "u"));
+}
+
+TEST(LeavingTargets, ACopyFromARelayDoesNotOverrideTheStatement)
+{
+    TargetRegistry registry;
+    registry.put("t", entry("t", 4));
+    registry.noteLeaving(TargetId("t"), 1, Start);
+    const auto row = relayedRow(entry("t", 5));
+    registry.put("t", row.entry);
+    EXPECT_TRUE(isDraining(registry));
+    EXPECT_FALSE(row.entry->isDraining);
+}
+
+TEST(LeavingTargets, StatementSurvivesAnOutageOfTheStore)
+{
+    TargetRegistry registry;
+    registry.noteContact(Start);
+    registry.put("t", entry("t"));
+    registry.noteLeaving(TargetId("t"), 1, Start);
+    registry.noteContact(Start + 6s);
+    registry.replaceAll({}, Start + 6s);
+    registry.expire(Start + 9s);
+    registry.put("t", entry("t", 2));
+    EXPECT_TRUE(isDraining(registry));
+}
+
+TEST(LeavingTargets, OnlyTheOldestWithoutAnEntryAreForgotten)
+{
+    TargetRegistry registry;
+    registry.put("t", entry("t"));
+    registry.noteLeaving(TargetId("t"), 1, Start);
+    const auto nameOf = [](std::size_t n) {
+        return "gone-" + std::to_string(n);
+    };
+    for (std::size_t n = 0; n < TargetRegistry::MaxLeavingTargets; ++n)
+        registry.noteLeaving(TargetId(nameOf(n)), 1, Start + 1s * static_cast<int>(n + 1));
+    registry.put("t", entry("t", 2));
+    EXPECT_TRUE(isDraining(registry));
+    registry.put(nameOf(0), entry(nameOf(0)));
+    EXPECT_FALSE(isDraining(registry, nameOf(0)));
+    registry.put(nameOf(1), entry(nameOf(1)));
+    EXPECT_TRUE(isDraining(registry, nameOf(1)));
+}
+
+/// Statements, entries, removals and outdated copies arrive in random orders.
+TEST(LeavingTargets, NoRequestIsSentToALeavingRunInAnyOrderOfEvents)
+{
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        std::mt19937 random(seed);
+        const auto pick = [&](unsigned n) {
+            return static_cast<unsigned>(random() % n);
+        };
+        TargetRegistry registry;
+        TargetSelector selector(DataCentreId("a"), "vm-1");
+        // The latest run that has started, and the latest that has stated that it is leaving.
+        std::map<std::string, std::uint64_t> started;
+        std::map<std::string, std::uint64_t> leaving;
+        std::uint64_t heartbeat = 0;
+        auto now = Start;
+        registry.noteContact(now);
+        for (int step = 0; step < 200; ++step) {
+            now += 1ms * static_cast<int>(pick(1500));
+            const auto name = "t" + std::to_string(pick(3));
+            auto &run = started.try_emplace(name, 2).first->second;
+            switch (pick(8)) {
+            case 0:
+                ++run;
+                break;
+            case 1: {
+                const auto from = run - pick(2);
+                const auto *known = registry.find(TargetId(name));
+                if (!known || known->startTimeMs <= from)
+                    leaving[name] = std::max(leaving[name], from);
+                registry.noteLeaving(TargetId(name), from, now);
+                break;
+            }
+            case 2:
+                registry.remove(name, now);
+                break;
+            case 3:
+                registry.noteContact(now);
+                break;
+            case 4:
+                registry.replaceAll({ { name, entry(name, ++heartbeat, run) } }, now);
+                break;
+            case 5:
+                registry.expire(now);
+                break;
+            default:
+                registry.put(name, entry(name, ++heartbeat, run - pick(2)));
+                break;
+            }
+            for (const auto &[id, it] : registry.targets())
+                ASSERT_EQ(it.isDraining, it.startTimeMs <= leaving[id.value()])
+                        << "seed " << seed << ", step " << step << ", " << id.value();
+            if (const auto chosen = selector.choose(requirements(), registry.targets(), {}, now)) {
+                const auto &it = *registry.find(*chosen);
+                ASSERT_FALSE(it.isDraining) << "seed " << seed << ", step " << step;
+            }
+        }
+    }
+}
