Send nothing to a target until the time that it names with status 503

What callers saw: a target may answer 503 with Retry-After, the time for which it wants nothing from this VM. The gateway ignored it: it backed off for 60 ms and then sent requests, retries, reports and orders as before, and callers got a Retry-After of its own making, far too short, while all targets had named a long one.

Cause: only our own HTTP client for callers read Retry-After; for a target's refusal there was no more than a cost.

HoldOffs keeps, by target id and start time of the run that was asked, until when a target wants nothing. A shorter time never ends a longer one; the next run starts clean, and a late response of an earlier run holds nothing off. TargetSelector never chooses such a target, the coordinator sends it no report request and no order, and the planner plans none there, resends none and takes the missing report for no failure. From two seconds on its replicas do not count as available, so a waiting model is loaded elsewhere.

When hold-offs are all that keeps the targets from a request, their soonest end takes the place of the time at which a model is ready: a request that can still be served after it waits exactly until then, and any other is refused at once with that time. A request for a model waits up to half a second for the leader to load it elsewhere first. The demand of a request that is refused so ends with it: kept for a minute, it would press the planner for nobody. A complete 503 that does not say 'not executed' is passed on as before.

The line 'request' says in 'target_notice' which target's notice has affected the request, its age and the start time. New counters: bluebell_target_retry_after_total, bluebell_target_retry_after_invalid_total.

Ruled out: the wish as a cost like the other backoffs. A costly target is still chosen when there is no better one.

--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -196,6 +196,7 @@
 {
     auto &planner = m_state.planner;
     planner.noteTargets(m_state.registry.targets(), now);
+    planner.noteHoldOffs(m_state.selector.holdOffs().inForce(m_state.registry.targets(), now), now);
     planner.noteDemand(m_state.settings.vm, m_state.demand.demand(now), m_state.inFlight(), now);
     const auto limit = MaxReportsInFlight - std::min(m_reportsInFlight, MaxReportsInFlight);
     for (const auto &it : planner.reportsDue(limit, now))
@@ -217,7 +218,8 @@
     const auto *target = m_state.registry.find(order.target);
     const auto now = BootClock::now();
     platform::OrderResponse response { OrderOutcome::NotSent };
-    if (target && m_state.leadership.maySendOrders(now)) {
+    const bool isHeldOff = target && m_state.selector.holdOffs().find(*target, now);
+    if (target && !isHeldOff && m_state.leadership.maySendOrders(now)) {
         const auto startTimeMs = target->startTimeMs;
         m_state.leadership.noteOrder(now);
         response = co_await platform::sendOrder(*target, order, m_state.settings.vm,
@@ -237,7 +239,7 @@
 asio::awaitable<void> PlacementCoordinator::fetchReport(TargetId id)
 {
     const auto *target = m_state.registry.find(id);
-    if (!target)
+    if (!target || m_state.selector.holdOffs().find(*target, BootClock::now()))
         co_return;
     const auto startTimeMs = target->startTimeMs;
     ++m_reportsInFlight;
@@ -254,7 +256,7 @@
         m_state.planner.noteReport(id, report.value().startTimeMs, report.value().state,
                                    BootClock::now());
         m_state.notifyChange();
-    } else {
+    } else if (!notices.holdOff) {
         m_state.planner.noteReportFailed(id);
         log::warning("report missing",
                      { { "target", id.value() }, { "cause", report.error().message } });
--- a/programs/gateway/request.h
+++ b/programs/gateway/request.h
@@ -50,6 +50,10 @@
 {
     /// Whether the target is leaving and must get no new request.
     bool isLeaving = false;
+    /// Time for which the target asks this daemon to send it nothing.
+    std::optional<Duration> holdOff;
+    /// Whether it states a time that is no valid one.
+    bool hasInvalidHoldOff = false;
 };
 
 /// Properties of a response that can be read from its head.
--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -39,6 +39,8 @@
 enum class NoticeKind : std::uint8_t {
     /// The target states that it is leaving.
     Leaving,
+    /// The target has asked to be sent nothing for some time.
+    HoldOff,
 };
 
 /// A target's notice that has affected a request.
@@ -91,6 +93,8 @@
     TargetId lastTarget;
     /// Start time of the run of `lastTarget` to which the request was sent.
     std::uint64_t lastTargetStartTimeMs = 0;
+    /// End of the first hold-off that the request waits for, if it waits for nothing else.
+    std::optional<TimePoint> holdOffEnd;
     /// The latest notice that has affected the request.
     std::optional<TargetNotice> notice;
 };
--- a/programs/gateway/requestlog.cpp
+++ b/programs/gateway/requestlog.cpp
@@ -19,9 +19,11 @@
 {
     switch (kind) {
     case NoticeKind::Leaving:
+        return "leaving";
+    case NoticeKind::HoldOff:
         break;
     }
-    return "leaving";
+    return "hold-off";
 }
 
 std::string toText(const std::optional<TargetNotice> &notice, TimePoint now)
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -19,6 +19,8 @@
 constexpr Duration RefusalRetryDelay = milliseconds(30);
 /// Maximum time between two attempts to select a target.
 constexpr Duration MaxSelectionInterval = milliseconds(250);
+/// Time in which the leader decides where to load a model.
+constexpr Duration PlacementTime = milliseconds(500);
 /// How long the demand of a rejected request is kept after its Retry-After time.
 constexpr Duration RetryAllowance = milliseconds(500);
 /// Maximum number of attempts for one request, including those that fail to connect.
@@ -64,6 +66,7 @@
     const auto &targets = m_state.registry.targets();
     if (auto chosen = m_state.selector.choose(requirements, targets, m_state.residents(now), now))
         return std::move(*chosen);
+    noteHoldOff(it, now);
     if (now >= it.deadline)
         return notRun(ErrorCode::Unavailable, "no target can serve the request", milliseconds(500));
     if (requirements.key && !wait) {
@@ -74,6 +77,8 @@
     const auto retryAfter = decideWait(waitFacts(it, now), now).refuseWithRetryAfter;
     if (!retryAfter)
         return std::nullopt;
+    if (it.holdOffEnd)
+        return notRun(ErrorCode::Overloaded, "the targets have asked for a hold-off", *retryAfter);
     // The caller is expected to retry after this time, so its demand is kept until then.
     if (wait)
         m_state.demand.keepUntil(*std::exchange(wait, std::nullopt),
@@ -94,9 +99,11 @@
                 m_state.demand.endWait(*wait);
             co_return std::move(*found);
         }
-        const auto pause = it.triedTargets.empty() ? MaxSelectionInterval : RefusalRetryDelay;
+        auto next = now + (it.triedTargets.empty() ? MaxSelectionInterval : RefusalRetryDelay);
+        if (it.holdOffEnd)
+            next = std::min(next, *it.holdOffEnd);
         it.triedTargets.clear();
-        co_await m_state.stateChanged.wait(std::min<Duration>(pause, it.deadline - now));
+        co_await m_state.stateChanged.wait(std::min(next, it.deadline) - now);
     }
 }
 
@@ -109,13 +116,38 @@
     if (!it.service->engine || !it.caller.replica) {
         // No model is loaded for this request: it can only wait for a target to become available.
         facts.firstByteTimeout = it.route->latencyGoal;
+        facts.readyAt = it.holdOffEnd;
         return facts;
     }
     facts.firstByteTimeout = streamFirstByteTimeout(it.route->latencyGoal, it.route->eventGapGoal);
     facts.readyAt = m_state.readyAt(it.service->name, it.caller.replica->model, now);
+    if (!it.holdOffEnd || (!facts.readyAt && mayBeLoadedElsewhere(it, now)))
+        return facts;
+    facts.readyAt = std::min(facts.readyAt.value_or(*it.holdOffEnd), *it.holdOffEnd);
     return facts;
 }
 
+void RequestProxy::noteHoldOff(RequestContext &it, TimePoint now) const
+{
+    it.holdOffEnd.reset();
+    const auto soonest = m_state.selector.soonestHoldOff(
+            targetRequirements(it), m_state.registry.targets(), m_state.residents(now), now);
+    if (!soonest)
+        return;
+    const auto &[target, holdOff] = *soonest;
+    it.holdOffEnd = holdOff.until;
+    it.notice = TargetNotice { NoticeKind::HoldOff, target, holdOff.startTimeMs, holdOff.since };
+}
+
+bool RequestProxy::mayBeLoadedElsewhere(const RequestContext &it, TimePoint now) const
+{
+    if (now - it.receivedAt >= PlacementTime)
+        return false;
+    TargetRequirements anyEngine;
+    anyEngine.service = it.service->name;
+    return m_state.selector.choose(anyEngine, m_state.registry.targets(), {}, now).has_value();
+}
+
 Duration RequestProxy::attemptTimeout(const RequestContext &it, TimePoint now) const
 {
     const auto left = std::max<Duration>(it.deadline - now, milliseconds(1));
@@ -217,6 +249,10 @@
         }
         if (it.runs > 0)
             result.error.execution = Execution::OutcomeUnknown;
+        const auto now = BootClock::now();
+        noteHoldOff(it, now);
+        if (it.holdOffEnd && result.error.retryAfter)
+            result.error.retryAfter = std::max(*result.error.retryAfter, *it.holdOffEnd - now);
         co_return result.error;
     }
 }
--- a/programs/gateway/requestproxy.h
+++ b/programs/gateway/requestproxy.h
@@ -58,6 +58,12 @@
     [[nodiscard]] bool isTooLateToStart(const RequestContext &it, TimePoint now) const;
     [[nodiscard]] TargetRequirements targetRequirements(const RequestContext &it) const;
     [[nodiscard]] WaitFacts waitFacts(const RequestContext &it, TimePoint now) const;
+    /// Notes in the request which hold-off it waits for, if hold-offs are all that keeps it from
+    /// its targets.
+    void noteHoldOff(RequestContext &it, TimePoint now) const;
+    /// \returns whether the leader may still find a target that loads the request's model sooner
+    /// than a hold-off ends
+    [[nodiscard]] bool mayBeLoadedElsewhere(const RequestContext &it, TimePoint now) const;
     /// \returns the time until the deadline, or less if another target can be tried afterwards
     [[nodiscard]] Duration attemptTimeout(const RequestContext &it, TimePoint now) const;
     /// Sends the error response of a request that has got no response yet.
--- a/programs/gateway/targetnotices.cpp
+++ b/programs/gateway/targetnotices.cpp
@@ -4,10 +4,12 @@
 
 namespace bluebell::gateway {
 
-void applyNotices(GatewayState &state, const TargetId &target, std::uint64_t startTimeMs,
-                  const TargetNotices &notices, TimePoint now)
+namespace {
+
+void applyLeaving(GatewayState &state, const TargetId &target, std::uint64_t startTimeMs,
+                  TimePoint now)
 {
-    if (!notices.isLeaving || !state.registry.noteLeaving(target, startTimeMs, now))
+    if (!state.registry.noteLeaving(target, startTimeMs, now))
         return;
     log::info("target is leaving",
               { { "target", target.value() }, { "start_time_ms", std::to_string(startTimeMs) } });
@@ -15,13 +17,42 @@
     state.stateChanged.notify();
 }
 
+void applyHoldOff(GatewayState &state, const TargetId &target, std::uint64_t startTimeMs,
+                  Duration length, TimePoint now)
+{
+    const bool isAccepted = state.selector.noteHoldOff(target, startTimeMs, length, now);
+    log::info(isAccepted ? "target asks for a hold-off" : "hold-off of a target cut",
+              { { "target", target.value() },
+                { "start_time_ms", std::to_string(startTimeMs) },
+                { "ms", std::to_string(toMilliseconds(length).count()) } });
+    state.metrics.count("bluebell_target_retry_after_total", {});
+    if (!isAccepted)
+        state.metrics.count("bluebell_target_retry_after_invalid_total", {});
+}
+
+} // namespace
+
+void applyNotices(GatewayState &state, const TargetId &target, std::uint64_t startTimeMs,
+                  const TargetNotices &notices, TimePoint now)
+{
+    if (notices.isLeaving)
+        applyLeaving(state, target, startTimeMs, now);
+    if (notices.holdOff)
+        applyHoldOff(state, target, startTimeMs, *notices.holdOff, now);
+    if (notices.hasInvalidHoldOff) {
+        log::warning("invalid hold-off of a target ignored", { { "target", target.value() } });
+        state.metrics.count("bluebell_target_retry_after_invalid_total", {});
+    }
+}
+
 void applyNotices(GatewayState &state, RequestContext &it, const TargetNotices &notices,
                   TimePoint now)
 {
     applyNotices(state, it.lastTarget, it.lastTargetStartTimeMs, notices, now);
-    if (notices.isLeaving)
-        it.notice =
-                TargetNotice { NoticeKind::Leaving, it.lastTarget, it.lastTargetStartTimeMs, now };
+    if (!notices.isLeaving && !notices.holdOff)
+        return;
+    it.notice = TargetNotice { notices.isLeaving ? NoticeKind::Leaving : NoticeKind::HoldOff,
+                               it.lastTarget, it.lastTargetStartTimeMs, now };
 }
 
 } // namespace bluebell::gateway
--- a/src/placement/enginetracker.cpp
+++ b/src/placement/enginetracker.cpp
@@ -24,6 +24,8 @@
 constexpr Duration MaxAdapterDrainTime = std::chrono::seconds(10);
 /// Backoff after a refused order or a failed connection.
 constexpr Duration FailureBackoff = milliseconds(500);
+/// Remaining hold-off from which on the engine's replicas do not count as available.
+constexpr Duration LongHoldOff = std::chrono::seconds(2);
 
 } // namespace
 
@@ -227,7 +229,8 @@
 
 std::optional<PlacementOrder> EngineTracker::takeOrderToResend(TimePoint now)
 {
-    if (!m_pending || m_pending->phase != Phase::Unknown || now < m_pending->resendAt)
+    if (!m_pending || m_pending->phase != Phase::Unknown || now < m_pending->resendAt
+        || isHeldOff())
         return std::nullopt;
     m_pending->phase = Phase::Sent;
     return m_pending->order;
@@ -235,6 +238,8 @@
 
 std::optional<TimePoint> EngineTracker::reportDueSince(Duration idleInterval, TimePoint now) const
 {
+    if (isHeldOff())
+        return std::nullopt;
     auto dueAt = m_reportAt;
     if (!dueAt && m_pending && m_pending->phase == Phase::InProgress)
         dueAt = std::max(m_reportedAt + ReportInterval, m_pending->expectedEnd);
@@ -302,14 +307,14 @@
 bool EngineTracker::isUsable(const ServiceId &service) const
 {
     return m_entry.service == service && !m_entry.isDraining
-            && m_missedReports < UnavailableAfterMissedReports;
+            && m_missedReports < UnavailableAfterMissedReports && m_holdOffLeft < LongHoldOff;
 }
 
 bool EngineTracker::acceptsOrders(const ServiceId &service) const
 {
     // The load of a former leader's order takes memory but is not reported until it completes.
     const bool isForeignOrder = m_state.isBusy && !m_pending;
-    return isUsable(service) && m_hasReport && !isForeignOrder;
+    return isUsable(service) && !isHeldOff() && m_hasReport && !isForeignOrder;
 }
 
 Megabytes EngineTracker::freeMemory(const EngineSpec &engine) const
--- a/src/placement/enginetracker.h
+++ b/src/placement/enginetracker.h
@@ -50,6 +50,8 @@
     void noteReport(const EngineState &state, TimePoint now);
     /// Records that a report request got no response.
     void noteReportFailed() noexcept { ++m_missedReports; }
+    /// Notes for how long the engine wants to be sent nothing; zero for no hold-off.
+    void noteHoldOff(Duration left) noexcept { m_holdOffLeft = left; }
     /// Records that requests use a model or an adapter.
     void noteUse(const ReplicaKey &key, TimePoint now) { m_lastUsed[key] = now; }
     /// Applies the outcome of the order in progress; outcomes of other orders are ignored.
@@ -90,13 +92,15 @@
     [[nodiscard]] std::set<ReplicaKey> serving() const;
     [[nodiscard]] bool serves(const ReplicaKey &key) const;
     [[nodiscard]] TimePoint lastUsedAt(const ReplicaKey &key) const;
-    /// \returns whether the engine belongs to the service, is not draining and responds to
-    /// report requests
+    /// \returns whether the engine belongs to the service, is not draining, responds to report
+    /// requests and has no long hold-off
     [[nodiscard]] bool isUsable(const ServiceId &service) const;
     /// \returns whether the engine accepts orders, now or after the order in progress
     [[nodiscard]] bool acceptsOrders(const ServiceId &service) const;
     /// \returns whether no order is in progress and no backoff is active
     [[nodiscard]] bool isFree(TimePoint now) const { return !m_pending && now >= m_backoffUntil; }
+    /// \returns whether the engine has asked to be sent nothing
+    [[nodiscard]] bool isHeldOff() const noexcept { return m_holdOffLeft > Duration::zero(); }
     /// \returns the expected time until isFree()
     [[nodiscard]] Duration timeUntilFree(TimePoint now) const;
     [[nodiscard]] Megabytes freeMemory(const EngineSpec &engine) const;
@@ -149,6 +153,8 @@
     bool m_hasReport = false;
     /// Consecutive report requests without a response.
     unsigned m_missedReports = 0;
+    /// Time until the end of the engine's hold-off.
+    Duration m_holdOffLeft {};
     std::map<ReplicaKey, TimePoint> m_lastUsed;
     /// A model with its adapters whose unload counts as completed by its duration, without a
     /// report. Its memory and adapter slots stay unavailable to adapters, because the engine
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -100,6 +100,14 @@
         it->second.noteReportFailed();
 }
 
+void SwapPlanner::noteHoldOffs(const std::map<TargetId, TimePoint> &ends, TimePoint now)
+{
+    for (auto &[id, it] : m_engines) {
+        const auto end = ends.find(id);
+        it.noteHoldOff(end == ends.end() ? Duration::zero() : end->second - now);
+    }
+}
+
 void SwapPlanner::noteDemand(const VmId &vm, std::vector<ModelDemand> demand,
                              std::vector<ModelInFlight> inFlight, TimePoint now)
 {
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -43,6 +43,9 @@
     /// Records that a target did not respond to a report request. After two in a row it counts as
     /// unavailable.
     void noteReportFailed(const TargetId &target);
+    /// Replaces the hold-offs in force, with their ends. Their targets get no orders and no report
+    /// requests, and with a long one their replicas do not count as available.
+    void noteHoldOffs(const std::map<TargetId, TimePoint> &ends, TimePoint now);
     /// Replaces one daemon's demand and requests in flight.
     void noteDemand(const VmId &vm, std::vector<ModelDemand> demand,
                     std::vector<ModelInFlight> inFlight, TimePoint now);
--- a/src/routing/targetselector.cpp
+++ b/src/routing/targetselector.cpp
@@ -28,6 +28,18 @@
 /// Largest cost added to order targets that are otherwise equal; the order differs by daemon.
 constexpr double MaxTieBreak = 0.01;
 
+/// \returns whether the target can serve the request, apart from its health and earlier attempts
+bool meets(const TargetRequirements &requirements, const TargetEntry &target,
+           const ResidentReplicas &residents)
+{
+    if (target.service != requirements.service || target.isDraining)
+        return false;
+    if (!requirements.key)
+        return true;
+    const auto held = residents.find(target.id);
+    return held != residents.end() && held->second.contains(*requirements.key);
+}
+
 } // namespace
 
 void TargetSelector::noteStarted(const TargetId &target, const std::optional<ReplicaKey> &key)
@@ -151,16 +163,13 @@
     std::optional<TargetId> best;
     double bestCost = 0;
     for (const auto &[id, target] : targets) {
-        if (target.service != requirements.service || target.isDraining
-            || requirements.excluded.contains(id))
+        if (!meets(requirements, target, residents) || requirements.excluded.contains(id)
+            || m_holdOffs.find(target, now))
             continue;
         const auto health = m_health.find(id);
         if (health != m_health.end() && now < health->second.unreachableUntil)
             continue;
         if (requirements.key) {
-            const auto held = residents.find(id);
-            if (held == residents.end() || !held->second.contains(*requirements.key))
-                continue;
             const auto notResident = m_notResidentUntil.find({ id, *requirements.key });
             if (notResident != m_notResidentUntil.end() && now < notResident->second)
                 continue;
@@ -174,4 +183,22 @@
     return best;
 }
 
+std::optional<TargetHoldOff>
+TargetSelector::soonestHoldOff(const TargetRequirements &requirements,
+                               const std::map<TargetId, TargetEntry> &targets,
+                               const ResidentReplicas &residents, TimePoint now) const
+{
+    std::optional<TargetHoldOff> soonest;
+    for (const auto &[id, target] : targets) {
+        if (!meets(requirements, target, residents))
+            continue;
+        const auto *holdOff = m_holdOffs.find(target, now);
+        if (!holdOff)
+            return std::nullopt;
+        if (!soonest || holdOff->until < soonest->holdOff.until)
+            soonest = TargetHoldOff { id, *holdOff };
+    }
+    return soonest;
+}
+
 } // namespace bluebell
--- a/src/routing/targetselector.h
+++ b/src/routing/targetselector.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "placement/placementupdate.h"
+#include "routing/holdoffs.h"
 #include "site/targetregistry.h"
 
 #include <cstdint>
@@ -26,6 +27,13 @@
     std::set<TargetId> excluded;
 };
 
+/// A hold-off in force and the target that asked for it.
+struct TargetHoldOff
+{
+    TargetId target;
+    HoldOff holdOff;
+};
+
 /// Outcome of an exchange with a target.
 enum class TargetOutcome : std::uint8_t {
     /// The target responded without an error of its own.
@@ -45,7 +53,8 @@
 /// Used by the gateway; Router is its counterpart in the entry daemon.
 ///
 /// A target in backoff, after a broken exchange or because it is full, has a high cost but is still
-/// chosen when there is no better one. An unreachable one is not chosen at all for a short time.
+/// chosen when there is no better one. An unreachable one is not chosen at all for a short time,
+/// and one that asked for a hold-off not before its end.
 class TargetSelector
 {
 public:
@@ -66,6 +75,12 @@
     void noteOutcome(const TargetId &target, TargetOutcome outcome, TimePoint now);
     /// Notes that the target does not hold `key`, although it is listed as resident there.
     void noteNotResident(const TargetId &target, const ReplicaKey &key, TimePoint now);
+    /// Notes that a target asked to be sent nothing for `length`; see HoldOffs::note().
+    bool noteHoldOff(const TargetId &target, std::uint64_t startTimeMs, Duration length,
+                     TimePoint now)
+    {
+        return m_holdOffs.note(target, startTimeMs, length, now);
+    }
     /// Replaces the counts of requests that another daemon has in flight, by target.
     void notePeerCounts(const VmId &vm, std::map<TargetId, std::uint32_t> counts, TimePoint now);
     /// Sets how long another daemon's counts are used when they are not renewed.
@@ -82,6 +97,15 @@
                                                  const std::map<TargetId, TargetEntry> &targets,
                                                  const ResidentReplicas &residents, TimePoint now);
 
+    /// \returns the hold-off that ends first, if hold-offs are all that keeps the targets that meet
+    /// the requirements from being chosen; targets that were tried already count as well
+    [[nodiscard]] std::optional<TargetHoldOff>
+    soonestHoldOff(const TargetRequirements &requirements,
+                   const std::map<TargetId, TargetEntry> &targets,
+                   const ResidentReplicas &residents, TimePoint now) const;
+
+    [[nodiscard]] const HoldOffs &holdOffs() const noexcept { return m_holdOffs; }
+
     /// \returns the requests of all daemons in flight at `target`
     [[nodiscard]] std::uint32_t load(const TargetId &target) const;
     /// \returns this daemon's requests in flight by target and model
@@ -127,6 +151,7 @@
     Duration m_peerCountsLifetime = std::chrono::milliseconds(1400);
     std::map<std::pair<TargetId, ReplicaKey>, std::uint32_t> m_inFlight;
     std::map<std::pair<TargetId, ReplicaKey>, TimePoint> m_notResidentUntil;
+    HoldOffs m_holdOffs;
 };
 
 } // namespace bluebell
--- a/tests/tst_adapter_platform.cpp
+++ b/tests/tst_adapter_platform.cpp
@@ -225,6 +225,43 @@
     EXPECT_TRUE(platform::decodeResponse(head, RequestId("a")).isNotRun);
 }
 
+TEST(PlatformResponses, ReadsThatATargetIsLeavingFromAnyStatus)
+{
+    HttpResponse head;
+    EXPECT_FALSE(platform::decodeNotices(head).isLeaving);
+    head.headers = { { "server-leaving", "1" } };
+    for (const auto status : { 200U, 202U, 421U, 429U, 500U, 503U }) {
+        head.status = status;
+        EXPECT_TRUE(platform::decodeNotices(head).isLeaving) << status;
+    }
+    head.headers = { { "Server-Leaving", "0" } };
+    EXPECT_FALSE(platform::decodeNotices(head).isLeaving);
+}
+
+TEST(PlatformResponses, ReadsTheTimeThatATargetNamesWithStatus503)
+{
+    HttpResponse head;
+    head.status = 503;
+    EXPECT_FALSE(platform::decodeNotices(head).holdOff);
+    EXPECT_FALSE(platform::decodeNotices(head).hasInvalidHoldOff);
+    const auto decode = [&](const std::string &value) {
+        head.headers = { { "Retry-After", value } };
+        return platform::decodeNotices(head);
+    };
+    EXPECT_EQ(decode("2").holdOff, Duration(2s));
+    EXPECT_EQ(decode("0.25").holdOff, Duration(250ms));
+    EXPECT_EQ(decode("0").holdOff, Duration::zero());
+    EXPECT_EQ(decode("86400").holdOff, Duration(24h));
+    EXPECT_GT(decode("1e300").holdOff, Duration(24h));
+    for (const auto *value :
+         { "-1", "nan", "inf", "-inf", "soon", "2 s", "1e999", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+        EXPECT_FALSE(decode(value).holdOff) << value;
+        EXPECT_TRUE(decode(value).hasInvalidHoldOff) << value;
+    }
+    head.status = 429;
+    EXPECT_FALSE(decode("2").holdOff);
+}
+
 TEST(PlatformSettings, ReadsAFileAndIgnoresUnknownFields)
 {
     const SettingsFile file(Settings);
--- a/tests/tst_adapter_targetnotices.cpp
+++ b/tests/tst_adapter_targetnotices.cpp
@@ -23,6 +23,30 @@
         return a.runs.size() > runsBefore ? std::pair<TargetStandIn &, TargetStandIn &>(a, b)
                                           : std::pair<TargetStandIn &, TargetStandIn &>(b, a);
     }
+
+    /// \returns the value of the caller's Retry-After header in seconds, or nothing
+    static std::optional<double> retryAfterOf(const Reply &reply)
+    {
+        if (!reply.result || !*reply.result)
+            return std::nullopt;
+        const auto text = std::string(reply.result->value().header("Retry-After"));
+        return text.empty() ? std::nullopt : std::optional(std::stod(text));
+    }
+
+    /// Lets requests to plain targets wait for up to two seconds.
+    void allowWaiting()
+    {
+        auto it = siteConfig(2);
+        it["Routes"][2]["LatencyGoalMs"] = 2000;
+        setConfig(it);
+    }
+
+    std::shared_ptr<Reply> ask(const std::string &path, std::vector<HttpHeader> headers = {})
+    {
+        auto reply = send(0, path, "key-1", std::move(headers));
+        EXPECT_TRUE(runUntil([&] { return reply->result.has_value(); }));
+        return reply;
+    }
 };
 
 } // namespace
@@ -133,3 +157,131 @@
     EXPECT_TRUE(runUntil([&] { return request(0, "/order/x") == 200; }, 3s));
     EXPECT_EQ(request(0, "/order/x"), 200U);
 }
+
+TEST_F(TargetNoticesTest, SendsNothingToATargetUntilTheTimeThatItNamed)
+{
+    auto &a = addTarget("p1", "plain");
+    auto &b = addTarget("p2", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    const auto byCost = inOrderOfCost(a, b, "/order/x");
+    auto &first = byCost.first;
+    auto &second = byCost.second;
+    first.behaviour.retryAfter = "1.5";
+    const auto sentAt = BootClock::now();
+    do {
+        EXPECT_EQ(request(0, "/order/x"), 200U);
+        run(20ms);
+    } while (BootClock::now() - sentAt < 1300ms);
+    EXPECT_EQ(first.calls, 2U);
+    first.behaviour.retryAfter.clear();
+    second.behaviour.isFull = true;
+    EXPECT_TRUE(runUntil([&] { return request(0, "/order/x") == 200; }, 3s));
+    EXPECT_GE(BootClock::now() - sentAt, 1500ms);
+    EXPECT_EQ(first.runs.size(), 2U);
+}
+
+TEST_F(TargetNoticesTest, AnswersWithTheSoonestTimeWhenAllTargetsNamedOne)
+{
+    auto &first = addTarget("p1", "plain");
+    auto &second = addTarget("p2", "plain");
+    allowWaiting();
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    first.behaviour.retryAfter = "60";
+    second.behaviour.retryAfter = "20";
+    const auto sentAt = BootClock::now();
+    const auto reply = ask("/order/x");
+    EXPECT_LT(BootClock::now() - sentAt, 1s);
+    EXPECT_EQ(reply->status(), 503U);
+    EXPECT_TRUE(first.runs.empty() && second.runs.empty());
+    ASSERT_TRUE(retryAfterOf(*reply));
+    EXPECT_GE(*retryAfterOf(*reply), 19.5);
+    EXPECT_LE(*retryAfterOf(*reply), 20.5);
+    EXPECT_EQ(ask("/order/x")->status(), 503U);
+    EXPECT_EQ(first.calls + second.calls, 2U);
+}
+
+TEST_F(TargetNoticesTest, ARequestWaitsForATimeThatEndsSoon)
+{
+    auto &first = addTarget("p1", "plain");
+    allowWaiting();
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    first.behaviour.retryAfter = "0.3";
+    const auto reply = send(0, "/order/x");
+    ASSERT_TRUE(runUntil([&] { return first.calls == 1; }));
+    first.behaviour.retryAfter.clear();
+    ASSERT_TRUE(runUntil([&] { return reply->result.has_value(); }));
+    EXPECT_EQ(reply->status(), 200U);
+    EXPECT_EQ(first.calls, 2U);
+}
+
+TEST_F(TargetNoticesTest, ACompleteResponseThatNamesATimeReachesTheCaller)
+{
+    auto &first = addTarget("p1", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    first.behaviour.retryAfter = "3";
+    first.behaviour.statesNotRun = false;
+    EXPECT_EQ(ask("/order/x")->status(), 503U);
+    const auto second = ask("/order/x");
+    EXPECT_EQ(second->status(), 503U);
+    EXPECT_EQ(first.calls, 1U);
+    ASSERT_TRUE(retryAfterOf(*second));
+    EXPECT_GE(*retryAfterOf(*second), 2.5);
+}
+
+TEST_F(TargetNoticesTest, AnAbsurdTimeIsIgnored)
+{
+    auto &first = addTarget("p1", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    for (const auto *value : { "-3", "nan", "inf", "soon", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+        first.behaviour.retryAfter = value;
+        EXPECT_EQ(ask("/order/x")->status(), 503U) << value;
+        first.behaviour.retryAfter.clear();
+        run(100ms);
+        EXPECT_EQ(request(0, "/order/x"), 200U) << value;
+    }
+}
+
+TEST_F(TargetNoticesTest, SendsNoReportAndNoOrderToAnEngineThatNamedATime)
+{
+    auto &first = addTarget("e1", "engines", { "m0" });
+    first.onDisk = { "m0", "m1", "m2" };
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    ASSERT_TRUE(runUntil([&] { return first.calls > 0; }));
+    run(300ms);
+    first.behaviour.retryAfter = "4";
+    const auto calls = first.calls;
+    // The first call may be the request, a report or an order.
+    (void)ask("/chat/x", ModelZero);
+    ASSERT_TRUE(runUntil([&] { return first.calls > calls; }));
+    const auto heldOffAt = BootClock::now();
+    run(400ms);
+    const auto afterFirst = first.calls;
+    const auto waiting = send(0, "/chat/x", "key-1", ModelOne);
+    while (BootClock::now() - heldOffAt < 3700ms)
+        run(100ms);
+    EXPECT_EQ(first.calls, afterFirst);
+    EXPECT_TRUE(first.orders.empty());
+    first.behaviour.retryAfter.clear();
+    EXPECT_TRUE(runUntil([&] { return request(0, "/chat/x", "key-1", ModelOne) == 200; }, 6s));
+}
+
+TEST_F(TargetNoticesTest, AModelOfAnEngineThatNamedALongTimeIsLoadedElsewhere)
+{
+    auto &first = addTarget("e1", "engines", { "m0" });
+    auto &second = addTarget("e2", "engines");
+    first.onDisk = second.onDisk = { "m0", "m1", "m2" };
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    run(300ms);
+    first.behaviour.retryAfter = "60";
+    const auto reply = ask("/chat/x", ModelZero);
+    EXPECT_EQ(reply->status(), 200U);
+    EXPECT_EQ(second.runs.size(), 1U);
+    EXPECT_TRUE(first.runs.empty());
+}
--- a/tests/tst_swapplanner.cpp
+++ b/tests/tst_swapplanner.cpp
@@ -561,3 +561,49 @@
     ASSERT_NE(it, later.end());
     EXPECT_EQ(it->target, TargetId("t2"));
 }
+
+TEST_F(SwapPlannerTest, AnEngineWithAHoldOffGetsNoOrdersAndNoReportRequests)
+{
+    addTarget("t1", {}, { "m0", "m1" });
+    start();
+    m_planner.noteHoldOffs({ { TargetId("t1"), m_now + 1s } }, m_now);
+    addDemand(model("m0"));
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+    m_now += 900ms;
+    m_planner.noteHoldOffs({ { TargetId("t1"), m_now + 100ms } }, m_now);
+    EXPECT_TRUE(m_planner.reportsDue(10, m_now + 10s).empty());
+    m_planner.noteHoldOffs({}, m_now);
+    addDemand(model("m0"));
+    EXPECT_FALSE(m_planner.reportsDue(10, m_now + 10s).empty());
+    EXPECT_FALSE(m_planner.plan(m_now).empty());
+}
+
+TEST_F(SwapPlannerTest, AnUnansweredOrderIsNotResentDuringAHoldOff)
+{
+    addTarget("t1", {}, { "m0", "m1" });
+    start();
+    addDemand(model("m0"));
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    m_planner.noteOutcome(orders.front(), OrderOutcome::Unknown, m_now);
+    m_now += 500ms;
+    m_planner.noteHoldOffs({ { TargetId("t1"), m_now + 1s } }, m_now);
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+    m_planner.noteHoldOffs({}, m_now);
+    EXPECT_EQ(m_planner.plan(m_now).size(), 1U);
+}
+
+TEST_F(SwapPlannerTest, AModelIsLoadedElsewhereOnlyDuringALongHoldOff)
+{
+    addTarget("t1", { "m0", "m1" }, { "m0", "m1" });
+    addTarget("t2", {}, { "m0", "m1" });
+    start();
+    m_planner.noteHoldOffs({ { TargetId("t1"), m_now + 500ms } }, m_now);
+    addDemand(model("m0"));
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+    m_planner.noteHoldOffs({ { TargetId("t1"), m_now + 60s } }, m_now);
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().target, TargetId("t2"));
+    EXPECT_EQ(orders.front().key, model("m0"));
+}
--- a/tests/tst_targetnotices.cpp
+++ b/tests/tst_targetnotices.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <random>
 
 using namespace bluebell;
@@ -235,3 +236,125 @@
         }
     }
 }
+
+TEST(HoldOffs, NothingIsSentUntilTheEnd)
+{
+    TargetSelector selector(DataCentreId("a"), "vm-1");
+    const std::map<TargetId, TargetEntry> all { { TargetId("t"), entry("t") } };
+    EXPECT_TRUE(selector.noteHoldOff(TargetId("t"), 1, 1500ms, Start));
+    EXPECT_FALSE(selector.choose(requirements(), all, {}, Start));
+    EXPECT_FALSE(selector.choose(requirements(), all, {}, Start + 1499ms));
+    EXPECT_EQ(selector.choose(requirements(), all, {}, Start + 1500ms), TargetId("t"));
+}
+
+TEST(HoldOffs, AShorterTimeDoesNotEndALongerOne)
+{
+    HoldOffs holdOffs;
+    holdOffs.note(TargetId("t"), 1, 3s, Start);
+    holdOffs.note(TargetId("t"), 1, 1s, Start + 1s);
+    EXPECT_TRUE(holdOffs.find(entry("t"), Start + 2900ms));
+    holdOffs.note(TargetId("t"), 1, 2s, Start + 2s);
+    EXPECT_TRUE(holdOffs.find(entry("t"), Start + 3900ms));
+    EXPECT_FALSE(holdOffs.find(entry("t"), Start + 4s));
+}
+
+TEST(HoldOffs, ALongerTimeThanTheLimitIsCut)
+{
+    HoldOffs holdOffs;
+    EXPECT_FALSE(holdOffs.note(TargetId("t"), 1, 24h, Start));
+    EXPECT_TRUE(holdOffs.find(entry("t"), Start + HoldOffs::MaxLength - 1ms));
+    EXPECT_FALSE(holdOffs.find(entry("t"), Start + HoldOffs::MaxLength));
+}
+
+TEST(HoldOffs, NextRunStartsCleanAndLateResponsesDoNotHoldItOff)
+{
+    HoldOffs holdOffs;
+    holdOffs.note(TargetId("t"), 1, 10s, Start);
+    EXPECT_TRUE(holdOffs.find(entry("t", 1, 1), Start));
+    EXPECT_FALSE(holdOffs.find(entry("t", 1, 2), Start));
+    holdOffs.note(TargetId("t"), 2, 1s, Start);
+    holdOffs.note(TargetId("t"), 1, 10s, Start);
+    EXPECT_TRUE(holdOffs.find(entry("t", 1, 2), Start));
+    EXPECT_FALSE(holdOffs.find(entry("t", 1, 2), Start + 2s));
+    EXPECT_FALSE(holdOffs.find(entry("u", 1, 1), Start));
+}
+
+TEST(HoldOffs, TheSoonestEndIsKnownOnlyIfNothingElseKeepsTheTargets)
+{
+    TargetSelector selector(DataCentreId("a"), "vm-1");
+    std::map<TargetId, TargetEntry> all { { TargetId("t"), entry("t") },
+                                          { TargetId("u"), entry("u") } };
+    auto wanted = requirements();
+    selector.noteHoldOff(TargetId("t"), 1, 20s, Start);
+    EXPECT_FALSE(selector.soonestHoldOff(wanted, all, {}, Start));
+    wanted.excluded = { TargetId("u") };
+    EXPECT_FALSE(selector.soonestHoldOff(wanted, all, {}, Start));
+    selector.noteHoldOff(TargetId("u"), 1, 5s, Start);
+    const auto soonest = selector.soonestHoldOff(wanted, all, {}, Start);
+    ASSERT_TRUE(soonest);
+    EXPECT_EQ(soonest->target, TargetId("u"));
+    EXPECT_EQ(soonest->holdOff.until, Start + 5s);
+    all.at(TargetId("u")).isDraining = true;
+    EXPECT_EQ(selector.soonestHoldOff(wanted, all, {}, Start)->target, TargetId("t"));
+    wanted.key = ReplicaKey { ModelId("m"), AdapterId() };
+    EXPECT_FALSE(selector.soonestHoldOff(wanted, all, {}, Start));
+}
+
+/// Targets name times, restart and answer late in random orders.
+TEST(HoldOffs, NoRequestIsSentWithinANamedTimeInAnyOrderOfEvents)
+{
+    for (unsigned seed = 1; seed <= 200; ++seed) {
+        std::mt19937 random(seed);
+        const auto pick = [&](unsigned n) {
+            return static_cast<unsigned>(random() % n);
+        };
+        TargetSelector selector(DataCentreId("a"), "vm-1");
+        std::map<TargetId, TargetEntry> all;
+        for (const auto *name : { "t0", "t1", "t2" })
+            all.emplace(TargetId(name), entry(name, 1, 10));
+        // Ends of the times that each run has named.
+        std::map<std::pair<TargetId, std::uint64_t>, TimePoint> named;
+        auto now = Start;
+        for (int step = 0; step < 300; ++step) {
+            now += 1ms * static_cast<int>(pick(400));
+            auto &target = all.at(TargetId("t" + std::to_string(pick(3))));
+            const auto length = 1ms * static_cast<int>(pick(3000));
+            switch (pick(6)) {
+            case 0:
+                ++target.startTimeMs;
+                break;
+            case 1:
+                selector.noteHoldOff(target.id, target.startTimeMs - 1, length, now);
+                break;
+            case 2: {
+                auto &end = named[{ target.id, target.startTimeMs }];
+                end = std::max(end, now + length);
+                selector.noteHoldOff(target.id, target.startTimeMs, length, now);
+                break;
+            }
+            default:
+                break;
+            }
+            const auto endOf = [&](const TargetEntry &it) {
+                const auto end = named.find({ it.id, it.startTimeMs });
+                return end == named.end() ? TimePoint() : end->second;
+            };
+            const auto chosen = selector.choose(requirements(), all, {}, now);
+            const auto isFree = [&](const auto &it) {
+                return endOf(it.second) <= now;
+            };
+            const bool hasFree = std::any_of(all.begin(), all.end(), isFree);
+            ASSERT_EQ(chosen.has_value(), hasFree) << "seed " << seed << ", step " << step;
+            if (chosen) {
+                ASSERT_LE(endOf(all.at(*chosen)), now) << "seed " << seed << ", step " << step;
+                continue;
+            }
+            auto soonest = TimePoint::max();
+            for (const auto &[id, it] : all)
+                soonest = std::min(soonest, endOf(it));
+            const auto held = selector.soonestHoldOff(requirements(), all, {}, now);
+            ASSERT_TRUE(held) << "seed " << seed << ", step " << step;
+            ASSERT_EQ(held->holdOff.until, soonest) << "seed " << seed << ", step " << step;
+        }
+    }
+}
