Promise waiting requests no load at a draining engine

What callers saw: a request that waited for a model went on waiting for a load at an engine that was leaving, or was refused with that load's time as its Retry-After, although no request is sent there any more.

Cause: the planner's estimates listed every load in progress; only its plans left out draining engines. It loads the model elsewhere, but the first estimate found, in the order of the engines' ids, was the one used.

Before: SwapPlannerTest.ALoadAtALeavingEngineIsNotPromisedToWaitingRequests tst_swapplanner.cpp:623: Failure, estimates are not empty After: passes, as do all 259 decision tests.

--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -445,7 +445,9 @@
     std::vector<LoadEstimate> all;
     for (const auto &[id, it] : m_engines) {
         const auto *order = it.order();
-        if (order && order->action == IntentAction::Load && !order->isForAdapter())
+        const bool isModelLoad =
+                order && order->action == IntentAction::Load && !order->isForAdapter();
+        if (isModelLoad && !it.entry().isDraining)
             all.push_back({ it.entry().service, order->key.model, it.timeLeft(now) });
     }
     return all;
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -67,7 +67,8 @@
 
     /// \returns the replicas that can serve requests at each target, without those being unloaded
     [[nodiscard]] ResidentReplicas residents() const;
-    /// \returns for each model being loaded the time until it can serve requests
+    /// \returns for each model being loaded the time until it can serve requests; loads at draining
+    /// targets, which get no requests, are left out
     [[nodiscard]] std::vector<LoadEstimate> estimates(TimePoint now) const;
 
 private:
--- a/tests/tst_swapplanner.cpp
+++ b/tests/tst_swapplanner.cpp
@@ -607,3 +607,18 @@
     EXPECT_EQ(orders.front().target, TargetId("t2"));
     EXPECT_EQ(orders.front().key, model("m0"));
 }
+
+TEST_F(SwapPlannerTest, ALoadAtALeavingEngineIsNotPromisedToWaitingRequests)
+{
+    addTarget("t1", {}, { "m0" });
+    addTarget("t2", {});
+    start(1);
+    addDemand(model("m0"));
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    ASSERT_EQ(orders.front().target, TargetId("t1"));
+    EXPECT_EQ(m_planner.estimates(m_now).size(), 1U);
+    m_entries[TargetId("t1")].isDraining = true;
+    m_planner.noteTargets(m_entries, m_now);
+    EXPECT_TRUE(m_planner.estimates(m_now).empty());
+}
