--- a/tests/tst_adapter_targetnotices.cpp
+++ b/tests/tst_adapter_targetnotices.cpp
@@ -285,3 +285,44 @@
     EXPECT_EQ(second.runs.size(), 1U);
     EXPECT_TRUE(first.runs.empty());
 }
+
+/// Another daemon is the leader, which learns from the engine's report that it leaves.
+TEST_F(TargetNoticesTest, AModelOfALeavingEngineIsLoadedElsewhereForAnotherDaemon)
+{
+    auto &first = addTarget("e1", "engines", { "m0" });
+    auto &second = addTarget("e2", "engines");
+    first.onDisk = second.onDisk = { "m0", "m1", "m2" };
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    run(600ms);
+    addGateway("vm-2");
+    ASSERT_TRUE(awaitReady(1));
+    run(600ms);
+    first.behaviour.isLeaving = true;
+    EXPECT_EQ(request(1, "/chat/x", "key-1", ModelZero), 200U);
+    EXPECT_EQ(first.runs.size(), 1U);
+    EXPECT_EQ(request(1, "/chat/x", "key-1", ModelZero), 200U);
+    EXPECT_EQ(first.runs.size(), 1U);
+    EXPECT_EQ(second.runs.size(), 1U);
+}
+
+TEST_F(TargetNoticesTest, CountsNotices)
+{
+    auto &first = addTarget("p1", "plain");
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    const auto has = [&](const std::string &line) {
+        EXPECT_EQ(requestSystem(settings[0].control, "/metrics"), 200U);
+        return lastBody.find(line + "\n") != std::string::npos;
+    };
+    first.behaviour.retryAfter = "soon";
+    first.behaviour.statesNotRun = false;
+    EXPECT_EQ(request(0, "/order/x"), 503U);
+    EXPECT_TRUE(has("bluebell_target_retry_after_invalid_total 1")) << lastBody;
+    first.behaviour.retryAfter = "86400";
+    first.behaviour.isLeaving = true;
+    EXPECT_EQ(request(0, "/order/x"), 503U);
+    EXPECT_TRUE(has("bluebell_target_retry_after_total 1")) << lastBody;
+    EXPECT_TRUE(has("bluebell_target_retry_after_invalid_total 2")) << lastBody;
+    EXPECT_TRUE(has("bluebell_targets_leaving_total 1")) << lastBody;
+}
