--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -1,6 +1,7 @@
 #include "gateway/placementcoordinator.h"
 
 #include "core/log.h"
+#include "gateway/targetnotices.h"
 #include "placement/planpace.h"
 #include "platform/engineclient.h"
 
@@ -195,6 +196,7 @@
 {
     auto &planner = m_state.planner;
     planner.noteTargets(m_state.registry.targets(), now);
+    planner.noteHoldOffs(m_state.selector.holdOffs().inForce(m_state.registry.targets(), now), now);
     planner.noteDemand(m_state.settings.vm, m_state.demand.demand(now), m_state.inFlight(), now);
     const auto limit = MaxReportsInFlight - std::min(m_reportsInFlight, MaxReportsInFlight);
     for (const auto &it : planner.reportsDue(limit, now))
@@ -215,30 +217,35 @@
 {
     const auto *target = m_state.registry.find(order.target);
     const auto now = BootClock::now();
-    auto outcome = OrderOutcome::NotSent;
-    if (target && m_state.leadership.maySendOrders(now)) {
+    platform::OrderResponse response { OrderOutcome::NotSent };
+    const bool isHeldOff = target && m_state.selector.holdOffs().find(*target, now);
+    if (target && !isHeldOff && m_state.leadership.maySendOrders(now)) {
+        const auto startTimeMs = target->startTimeMs;
         m_state.leadership.noteOrder(now);
-        outcome = co_await platform::sendOrder(*target, order, m_state.settings.vm,
-                                               m_state.leadership.epoch(), OrderTimeout);
+        response = co_await platform::sendOrder(*target, order, m_state.settings.vm,
+                                                m_state.leadership.epoch(), OrderTimeout);
+        applyNotices(m_state, order.target, startTimeMs, response.notices, BootClock::now());
     }
     log::info("order",
               { { "target", order.target.value() },
                 { "action", order.action == IntentAction::Load ? "load" : "unload" },
                 { "replica", toString(order.key) },
                 { "sequence", std::to_string(order.expectedSequence) },
-                { "outcome", std::string(nameOf(outcome)) } });
-    m_state.planner.noteOutcome(order, outcome, BootClock::now());
+                { "outcome", std::string(nameOf(response.outcome)) } });
+    m_state.planner.noteOutcome(order, response.outcome, BootClock::now());
     m_state.notifyChange();
 }
 
 asio::awaitable<void> PlacementCoordinator::fetchReport(TargetId id)
 {
     const auto *target = m_state.registry.find(id);
-    if (!target)
+    if (!target || m_state.selector.holdOffs().find(*target, BootClock::now()))
         co_return;
+    const auto startTimeMs = target->startTimeMs;
     ++m_reportsInFlight;
-    const auto report = co_await platform::fetchReport(*target, ReportTimeout);
+    const auto [report, notices] = co_await platform::fetchReport(*target, ReportTimeout);
     --m_reportsInFlight;
+    applyNotices(m_state, id, startTimeMs, notices, BootClock::now());
     if (report) {
         log::debug("report",
                    { { "target", id.value() },
@@ -249,7 +256,7 @@
         m_state.planner.noteReport(id, report.value().startTimeMs, report.value().state,
                                    BootClock::now());
         m_state.notifyChange();
-    } else {
+    } else if (!notices.holdOff) {
         m_state.planner.noteReportFailed(id);
         log::warning("report missing",
                      { { "target", id.value() }, { "cause", report.error().message } });
--- a/programs/gateway/request.h
+++ b/programs/gateway/request.h
@@ -45,6 +45,17 @@
     std::string lastEventId;
 };
 
+/// What a target states of itself in the head of any response.
+struct TargetNotices
+{
+    /// Whether the target is leaving and must get no new request.
+    bool isLeaving = false;
+    /// Time for which the target asks this daemon to send it nothing.
+    std::optional<Duration> holdOff;
+    /// Whether it states a time that is no valid one.
+    bool hasInvalidHoldOff = false;
+};
+
 /// Properties of a response that can be read from its head.
 struct ResponseHead
 {
@@ -61,6 +72,7 @@
     bool isMisdirected = false;
     /// Whether the body has a content encoding, which targets do not use.
     bool isEncoded = false;
+    TargetNotices notices;
 
     [[nodiscard]] bool isSuccess() const noexcept { return status >= 200 && status < 300; }
 };
--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -36,6 +36,24 @@
     None,
 };
 
+enum class NoticeKind : std::uint8_t {
+    /// The target states that it is leaving.
+    Leaving,
+    /// The target has asked to be sent nothing for some time.
+    HoldOff,
+};
+
+/// A target's notice that has affected a request.
+struct TargetNotice
+{
+    NoticeKind kind = NoticeKind::Leaving;
+    TargetId target;
+    /// Start time of the run of the target, see TargetEntry::startTimeMs.
+    std::uint64_t startTimeMs = 0;
+    /// When the target gave it.
+    TimePoint at;
+};
+
 /// State of one request while it is processed.
 struct RequestContext
 {
@@ -77,6 +95,12 @@
     TargetId lastTarget;
     /// Whether a retry was taken from the budget for the next attempt.
     bool isRetryReserved = false;
+    /// Start time of the run of `lastTarget` to which the request was sent.
+    std::uint64_t lastTargetStartTimeMs = 0;
+    /// End of the first hold-off that the request waits for, if it waits for nothing else.
+    std::optional<TimePoint> holdOffEnd;
+    /// The latest notice that has affected the request.
+    std::optional<TargetNotice> notice;
 };
 
 /// Result of one attempt at a target.
--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/responserelay.h"
 
 #include "gateway/requestlog.h"
+#include "gateway/targetnotices.h"
 #include "platform/requests.h"
 
 #include <algorithm>
@@ -30,6 +31,7 @@
 {
     const auto now = BootClock::now();
     const auto head = platform::decodeResponse(stream.head(), it.caller.attempt);
+    applyNotices(m_state, it, head.notices, now);
     // Targets may omit the id when they refuse; the connection has carried no other request.
     if (head.isNotRun && !head.namesOtherAttempt) {
         if (head.isMisdirected && it.caller.replica)
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -43,6 +43,9 @@
     /// Records that a target did not respond to a report request. After two in a row it counts as
     /// unavailable.
     void noteReportFailed(const TargetId &target);
+    /// Replaces the hold-offs in force, with their ends. Their targets get no orders and no report
+    /// requests, and with a long one their replicas do not count as available.
+    void noteHoldOffs(const std::map<TargetId, TimePoint> &ends, TimePoint now);
     /// Replaces one daemon's demand and requests in flight.
     void noteDemand(const VmId &vm, std::vector<ModelDemand> demand,
                     std::vector<ModelInFlight> inFlight, TimePoint now);
@@ -64,7 +67,8 @@
 
     /// \returns the replicas that can serve requests at each target, without those being unloaded
     [[nodiscard]] ResidentReplicas residents() const;
-    /// \returns for each model being loaded the time until it can serve requests
+    /// \returns for each model being loaded the time until it can serve requests; loads at draining
+    /// targets, which get no requests, are left out
     [[nodiscard]] std::vector<LoadEstimate> estimates(TimePoint now) const;
 
 private:
--- a/tests/platformstandin.h
+++ b/tests/platformstandin.h
@@ -56,6 +56,13 @@
     bool isFull = false;
     /// Added to the time before a response.
     Duration headDelay {};
+    /// Every response states that the target is leaving.
+    bool isLeaving = false;
+    /// Every call is answered with status 503 and this value of the header Retry-After; empty for
+    /// none.
+    std::string retryAfter;
+    /// Whether such a response states that the call was not executed.
+    bool statesNotRun = true;
     /// Time before a response, and after each event of a stream.
     Duration workDuration = std::chrono::milliseconds(2);
     /// Nothing is sent before this time; then the target goes on.
@@ -89,6 +96,10 @@
     TargetBehaviour behaviour;
     /// Called for each step of each request; may be empty.
     TargetObserver observer;
+    /// Start time of the target's process in its entry and reports.
+    std::uint64_t startTimeMs = 1000;
+    /// Calls of any kind that have arrived.
+    std::size_t calls = 0;
     /// Ids of the executed attempts, in order.
     std::vector<std::string> runs;
     /// Number of requests that were refused because the target is full.
@@ -112,6 +123,9 @@
     /// \returns the id of the first event that is sent
     [[nodiscard]] int firstEvent(const HttpRequest &request) const;
     HttpResponse acceptOrder(const std::string &body);
+    /// Adds the headers by which the target states that it is leaving, or when it may be called.
+    void addNotices(HttpResponse &response) const;
+    [[nodiscard]] HttpResponse holdOff(const HttpRequest &request) const;
     [[nodiscard]] nlohmann::json state() const;
 
     boost::asio::io_context &m_context;
