Order target entries by the version of the store, not by their own numbers

What callers saw: after one odd row under a server's key, with a huge `born` or `Sequence`, the daemon ignored all true entries of that server, the word 'draining' included, and kept sending requests to it.

The test before: OddEntriesTest.EntryIsFollowedAfterAnOddOneWithHugeNumbers, Value of: runUntil([&] { return request("/look/x", {}) == 503; }) Actual: false (the condition did not hold in time)

Cause: TargetRegistry::put refused an entry whose (start time, heartbeat) was lower than the known one's. These numbers are what the writer of a row claims; only the store knows the order of the rows. Class of fault: trust in a number of another writer. Ruled out: the decoder (it accepts both rows) and the following of the table (the next test follows other rows beside deeply nested ones, on the old code too: it passes there, nlohmann's parser and destructor do not recurse).

Now each entry is known with the version of the store at which it was read, by this daemon, a peer or a relay, and one read at an older version is refused. An older copy from a relay or a peer is refused as before, whatever its numbers.

EntryWithOlderHeartbeatIsIgnored asked for the old rule; EntryReadAtAnOlderVersionIsIgnored replaces it with the same steps and two more (a higher start time and a malformed row, both read earlier). The other tests of the registry only state the version.

--- a/programs/gateway/siteupdates.cpp
+++ b/programs/gateway/siteupdates.cpp
@@ -62,7 +62,7 @@
         log::info(accepted->isDraining ? "target is draining" : "target is ready",
                   { { "target", row.key }, { "address", toString(accepted->address) } });
     m_state.targetRows.put(row.key, relayedRow(accepted), version);
-    m_state.registry.put(row.key, std::move(accepted));
+    m_state.registry.put(row.key, std::move(accepted), version);
 }
 
 void SiteUpdates::updateTargets(const std::vector<StoreRow> &rows, RowVersion version)
@@ -81,6 +81,8 @@
 void SiteUpdates::replaceTargets(const std::vector<StoreRow> &rows, RowVersion version)
 {
     std::set<std::string> present;
+    if (version < m_state.registryVersion)
+        m_state.registry.forgetVersions();
     for (const auto &it : rows)
         present.insert(it.key);
     std::vector<StoreRow> all;
@@ -100,7 +102,7 @@
     return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-void SiteUpdates::applyTargets(const std::set<std::string> &changed)
+void SiteUpdates::applyTargets(const std::set<std::string> &changed, RowVersion version)
 {
     const auto now = BootClock::now();
     for (const auto &key : changed) {
@@ -113,7 +115,7 @@
         const auto *known = m_state.registry.find(TargetId(key));
         if (entry && known && known->startTimeMs == entry->startTimeMs)
             entry->engine = known->engine;
-        m_state.registry.put(key, std::move(entry));
+        m_state.registry.put(key, std::move(entry), version);
     }
     if (!changed.empty())
         m_state.selector.retainOnly(m_state.registry.targets());
@@ -181,7 +183,7 @@
     std::set<std::string> targets;
     if (!hasFreshTargets(now))
         targets = m_state.targetRows.apply(digest.targets);
-    applyTargets(targets);
+    applyTargets(targets, digest.targets.number);
     applyMembers(m_state.memberRows.apply(digest.members));
     m_state.isBehindRelay = m_state.targetRows.isBehind() || m_state.memberRows.isBehind()
             || (digest.placement.update.number > 0 && fleet.placement().isIncomplete());
--- a/programs/gateway/siteupdates.h
+++ b/programs/gateway/siteupdates.h
@@ -45,7 +45,8 @@
 
 private:
     void updateTarget(const platform::StoreRow &row, RowVersion version);
-    void applyTargets(const std::set<std::string> &changed);
+    /// \param version version of the store at which a relay has read the rows
+    void applyTargets(const std::set<std::string> &changed, RowVersion version);
     /// \returns whether this daemon has just read the target entries itself
     [[nodiscard]] bool hasFreshTargets(TimePoint now) const;
     void applyMembers(const std::set<VmId> &changed);
--- a/src/site/targetregistry.cpp
+++ b/src/site/targetregistry.cpp
@@ -13,24 +13,27 @@
     m_lastContact = now;
 }
 
-void TargetRegistry::put(const std::string &key, std::optional<TargetEntry> entry)
+void TargetRegistry::put(const std::string &key, std::optional<TargetEntry> entry,
+                         RowVersion version)
 {
     const TargetId id(key);
+    if (const auto known = m_readAt.find(id); known != m_readAt.end() && version < known->second)
+        return;
     m_missing.erase(id);
     if (!entry) {
-        m_targets.erase(id);
+        erase(id);
         return;
     }
-    if (const auto *known = find(id)) {
-        const auto order = [](const TargetEntry &it) {
-            return std::pair(it.startTimeMs, it.heartbeat);
-        };
-        if (order(*entry) < order(*known))
-            return;
-    }
+    m_readAt[id] = version;
     m_targets.insert_or_assign(id, std::move(*entry));
 }
 
+void TargetRegistry::erase(const TargetId &id)
+{
+    m_targets.erase(id);
+    m_readAt.erase(id);
+}
+
 bool TargetRegistry::isInRecoveryGrace(TimePoint now) const
 {
     return m_recoveredAt && now - *m_recoveredAt < RecoveryGrace;
@@ -45,11 +48,11 @@
     if (isInRecoveryGrace(now) && !it->second.isDraining)
         m_missing.try_emplace(id, *m_recoveredAt + RecoveryGrace);
     else
-        m_targets.erase(it);
+        erase(id);
 }
 
 void TargetRegistry::replaceAll(const std::map<std::string, std::optional<TargetEntry>> &entries,
-                                TimePoint now)
+                                RowVersion version, TimePoint now)
 {
     std::vector<std::string> missing;
     for (const auto &[id, entry] : m_targets)
@@ -58,7 +61,7 @@
     for (const auto &it : missing)
         remove(it, now);
     for (const auto &[key, entry] : entries)
-        put(key, entry);
+        put(key, entry, version);
 }
 
 bool TargetRegistry::expire(TimePoint now)
@@ -69,7 +72,7 @@
             ++it;
             continue;
         }
-        m_targets.erase(it->first);
+        erase(it->first);
         it = m_missing.erase(it);
         hasRemoved = true;
     }
--- a/src/site/targetregistry.h
+++ b/src/site/targetregistry.h
@@ -3,6 +3,7 @@
 #include "core/endpoint.h"
 #include "core/ids.h"
 #include "core/time.h"
+#include "membership/lease.h"
 #include "placement/ledger.h"
 
 #include <cstdint>
@@ -48,7 +49,7 @@
     /// Unix time in milliseconds at which the target's process started. It tells one run of the
     /// target from the next under the same id.
     std::uint64_t startTimeMs = 0;
-    /// Number of heartbeats written in this run; a lower one means an older entry.
+    /// Number of heartbeats that the target says it has written in this run.
     std::uint64_t heartbeat = 0;
     /// Set for engines.
     std::optional<EngineState> engine;
@@ -73,15 +74,19 @@
     ///
     /// \param now when it replied; times before the last one are ignored
     void noteContact(TimePoint now);
-    /// Stores a new or changed entry, unless it is older than the known one.
+    /// Stores a new or changed entry, unless the known one was read at a later version of the
+    /// store. What entries say of their own age is not considered.
     ///
     /// \param entry empty when the row is invalid; a known entry is then removed
-    void put(const std::string &key, std::optional<TargetEntry> entry);
+    /// \param version version of the store at which the row was read, here or by another daemon
+    void put(const std::string &key, std::optional<TargetEntry> entry, RowVersion version);
     /// Removes an entry, or keeps it as missing for a while if its target may be alive.
     void remove(const std::string &key, TimePoint now);
     /// Replaces all entries; known ones that are not in `entries` are removed as by remove().
     void replaceAll(const std::map<std::string, std::optional<TargetEntry>> &entries,
-                    TimePoint now);
+                    RowVersion version, TimePoint now);
+    /// Takes the known entries for older than any other, after the store's version has gone back.
+    void forgetVersions() { m_readAt.clear(); }
     /// Removes entries that have been missing for too long.
     ///
     /// \returns whether any was removed
@@ -98,8 +103,11 @@
 private:
     /// \returns whether the store recovered from an outage less than RecoveryGrace ago
     [[nodiscard]] bool isInRecoveryGrace(TimePoint now) const;
+    void erase(const TargetId &id);
 
     std::map<TargetId, TargetEntry> m_targets;
+    /// Version of the store at which each entry was read.
+    std::map<TargetId, RowVersion> m_readAt;
     /// Targets whose rows are missing, and until when their entries are kept.
     std::map<TargetId, TimePoint> m_missing;
     std::optional<TimePoint> m_lastContact;
--- /dev/null
+++ b/tests/tst_adapter_oddentries.cpp
@@ -0,0 +1,197 @@
+#include "gateway/daemon.h"
+#include "gateway/memberrow.h"
+#include "http/client.h"
+#include "peer/statuslink.h"
+#include "platformstandin.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <limits>
+#include <memory>
+#include <unistd.h>
+
+namespace asio = boost::asio;
+
+using namespace bluebell;
+using namespace bluebell::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// \returns an unused port of the loopback interface, below those of the other gateway tests
+std::uint16_t freePort()
+{
+    constexpr int First = 12000;
+    constexpr int Last = 19000;
+    static int next = First + ::getpid() * 50 % (Last - First);
+    asio::io_context context;
+    for (;;) {
+        const auto port = static_cast<std::uint16_t>(next);
+        next = next + 1 < Last ? next + 1 : First;
+        asio::ip::tcp::acceptor acceptor(context);
+        boost::system::error_code ec;
+        acceptor.open(asio::ip::tcp::v4(), ec);
+        acceptor.bind({ asio::ip::make_address("127.0.0.1"), port }, ec);
+        if (!ec)
+            return port;
+    }
+}
+
+std::string nestedArrays(std::size_t depth)
+{
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string nestedObjects(std::size_t depth)
+{
+    std::string text;
+    for (std::size_t n = 0; n < depth; ++n)
+        text += R"({"a":)";
+    return text + "1" + std::string(depth, '}');
+}
+
+nlohmann::json plainEntry(const Endpoint &address, std::uint64_t sequence)
+{
+    return { { "Service", "plain" },  { "Address", toString(address) },
+             { "Zone", "leicester" }, { "Slots", 8 },
+             { "State", "ready" },    { "born", sequence },
+             { "Sequence", sequence } };
+}
+
+/// Runs a store, targets and one gateway in one thread.
+class OddEntriesTest : public ::testing::Test
+{
+protected:
+    OddEntriesTest()
+        : store(context, { .readsPerSecond = 10000, .writesPerSecond = 2000 }),
+          storeAddress(store.listen({ "127.0.0.1", 0 }).value())
+    {
+        store.put("op", "config", siteConfig(1).dump());
+    }
+
+    TargetStandIn &addTarget(const std::string &id, const std::string &service,
+                             std::set<std::string> models = {})
+    {
+        targets.push_back(std::make_unique<TargetStandIn>(context, store, id, service));
+        auto &it = *targets.back();
+        it.isEngine = service == "engines";
+        it.models = std::move(models);
+        addresses[id] = it.listen();
+        it.publishEntry();
+        return it;
+    }
+
+    void startGateway()
+    {
+        gateway::GatewaySettings it;
+        it.vm = VmId("vm-1");
+        it.dataCentre = DataCentreId("leicester");
+        for (auto *endpoint :
+             { &it.callers, &it.readiness, &it.directory, &it.control, &it.peers, &it.relay })
+            *endpoint = { "127.0.0.1", freePort() };
+        it.store = storeAddress;
+        it.stopTimeout = 3s;
+        it.minTakeoverDelay = 300ms;
+        settings = it;
+        daemon = std::make_unique<gateway::Daemon>(context, std::move(it));
+        ASSERT_TRUE(daemon->start());
+        ASSERT_TRUE(runUntil([&] { return request("/open/x", {}) == 200 || targets.empty(); }));
+    }
+
+    ::testing::AssertionResult runUntil(const std::function<bool()> &condition, Duration limit = 8s)
+    {
+        const auto end = BootClock::now() + limit;
+        while (!condition()) {
+            if (BootClock::now() > end)
+                return ::testing::AssertionFailure() << "the condition did not hold in time";
+            if (context.stopped())
+                context.restart();
+            context.run_for(1ms);
+        }
+        return ::testing::AssertionSuccess();
+    }
+
+    void run(Duration length)
+    {
+        const auto end = BootClock::now() + length;
+        (void)runUntil([&] { return BootClock::now() > end; }, length + 1s);
+    }
+
+    using Reply = std::optional<Result<HttpResponse>>;
+
+    std::shared_ptr<Reply> send(const std::string &path, std::vector<HttpHeader> headers)
+    {
+        HttpCall call;
+        call.endpoint = settings.callers;
+        call.request = { "POST", path, std::move(headers), "{}" };
+        call.request.headers.push_back({ "Host", "shop.example" });
+        call.request.headers.push_back({ "X-Attempt-Id", "a" + std::to_string(++attempts) });
+        call.request.headers.push_back({ "Authorization", "Bearer key-1" });
+        call.timeout = 10s;
+        auto reply = std::make_shared<Reply>();
+        auto exchangeInto = [](std::shared_ptr<Reply> out, HttpCall it) -> asio::awaitable<void> {
+            *out = co_await exchange(std::move(it));
+        };
+        asio::co_spawn(context, exchangeInto(reply, std::move(call)), asio::detached);
+        return reply;
+    }
+
+    /// \returns the status of the response, or 0 if there was none
+    unsigned request(const std::string &path, std::vector<HttpHeader> headers)
+    {
+        const auto reply = send(path, std::move(headers));
+        EXPECT_TRUE(runUntil([&] { return reply->has_value(); }, 12s));
+        return *reply && **reply ? (*reply)->value().status : 0;
+    }
+
+    asio::io_context context;
+    standin::PlatformServer store;
+    Endpoint storeAddress;
+    std::vector<std::unique_ptr<TargetStandIn>> targets;
+    std::map<std::string, Endpoint> addresses;
+    gateway::GatewaySettings settings;
+    std::unique_ptr<gateway::Daemon> daemon;
+    int attempts = 0;
+};
+
+} // namespace
+
+TEST_F(OddEntriesTest, DeepValuesAreRefusedAndTheOthersFollowed)
+{
+    constexpr std::size_t Depth = 32000;
+    addTarget("p1", "plain");
+    auto entry = plainEntry({ "127.0.0.1", 9 }, 1);
+    entry["Models"] = "DEEP";
+    auto text = entry.dump();
+    text.replace(text.find("\"DEEP\""), 6, nestedArrays(Depth));
+    for (const auto &deep : { nestedArrays(Depth), nestedObjects(10000), text })
+        for (const std::string table : { "servers", "bluebell-members", "bluebell-roles" })
+            store.put(table, "deep" + std::to_string(deep.size()), deep);
+    store.put("bluebell-roles", "orders", nestedObjects(10000));
+    startGateway();
+    auto &second = addTarget("p2", "plain");
+    EXPECT_TRUE(runUntil([&] { return request("/look/x", {}) == 200 && !second.runs.empty(); }));
+    auto next = siteConfig(2);
+    next["Tenants"][0]["ApiKeys"] = nlohmann::json::array({ "key-9" });
+    store.put("op", "config", next.dump());
+    EXPECT_TRUE(runUntil([&] { return request("/look/x", {}) == 401; }));
+}
+
+TEST_F(OddEntriesTest, EntryIsFollowedAfterAnOddOneWithHugeNumbers)
+{
+    auto &target = addTarget("p1", "plain");
+    startGateway();
+    constexpr auto Huge = std::numeric_limits<std::uint64_t>::max();
+    store.put("servers", "p1", plainEntry(addresses["p1"], Huge).dump());
+    run(2500ms);
+    EXPECT_EQ(request("/look/x", {}), 200U);
+    target.publishEntry("draining");
+    EXPECT_TRUE(runUntil([&] { return request("/look/x", {}) == 503; }));
+    target.publishEntry();
+    EXPECT_TRUE(runUntil([&] { return request("/look/x", {}) == 200; }));
+}
--- a/tests/tst_site.cpp
+++ b/tests/tst_site.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 using namespace bluebell;
 using namespace std::chrono_literals;
 
@@ -75,23 +77,48 @@
     EXPECT_EQ(chooseService(Route(), 1), nullptr);
 }
 
-TEST(TargetRegistry, EntryWithOlderHeartbeatIsIgnored)
+TEST(TargetRegistry, EntryReadAtAnOlderVersionIsIgnored)
 {
     TargetRegistry registry;
     auto draining = entry("t", 7);
     draining.isDraining = true;
-    registry.put("t", draining);
-    registry.put("t", entry("t", 6));
+    registry.put("t", draining, 20);
+    registry.put("t", entry("t", 6), 19);
+    EXPECT_TRUE(registry.find(TargetId("t"))->isDraining);
+    registry.put("t", entry("t", 8, 2), 19);
     EXPECT_TRUE(registry.find(TargetId("t"))->isDraining);
-    registry.put("t", entry("t", 1, 2));
+    registry.put("t", std::nullopt, 19);
+    EXPECT_TRUE(registry.find(TargetId("t"))->isDraining);
+    registry.put("t", entry("t", 1, 2), 21);
     EXPECT_FALSE(registry.find(TargetId("t"))->isDraining);
 }
 
+TEST(TargetRegistry, NewestRowCountsWhateverItsNumbers)
+{
+    constexpr auto Huge = std::numeric_limits<std::uint64_t>::max();
+    TargetRegistry registry;
+    registry.put("t", entry("t", 5, 1000), 1);
+    registry.put("t", entry("t", Huge, Huge), 2);
+    auto draining = entry("t", 6, 1000);
+    draining.isDraining = true;
+    registry.put("t", draining, 3);
+    EXPECT_TRUE(registry.find(TargetId("t"))->isDraining);
+}
+
+TEST(TargetRegistry, RowOfAStoreWhoseVersionHasGoneBackIsTaken)
+{
+    TargetRegistry registry;
+    registry.put("t", entry("t", 5), 100);
+    registry.forgetVersions();
+    registry.put("t", entry("t", 6), 3);
+    EXPECT_EQ(registry.find(TargetId("t"))->heartbeat, 6U);
+}
+
 TEST(TargetRegistry, InvalidEntryRemovesTarget)
 {
     TargetRegistry registry;
-    registry.put("t", entry("t"));
-    registry.put("t", std::nullopt);
+    registry.put("t", entry("t"), 1);
+    registry.put("t", std::nullopt, 2);
     EXPECT_EQ(registry.find(TargetId("t")), nullptr);
 }
 
@@ -99,7 +126,7 @@
 {
     TargetRegistry registry;
     registry.noteContact(Start);
-    registry.put("t", entry("t"));
+    registry.put("t", entry("t"), 1);
     registry.noteContact(Start + 1s);
     registry.remove("t", Start + 1s);
     EXPECT_EQ(registry.find(TargetId("t")), nullptr);
@@ -109,9 +136,9 @@
 {
     TargetRegistry registry;
     registry.noteContact(Start);
-    registry.put("t", entry("t"));
+    registry.put("t", entry("t"), 1);
     registry.noteContact(Start + 6s);
-    registry.replaceAll({}, Start + 6s);
+    registry.replaceAll({}, 2, Start + 6s);
     EXPECT_NE(registry.find(TargetId("t")), nullptr);
     EXPECT_FALSE(registry.expire(Start + 7s));
     EXPECT_TRUE(registry.expire(Start + 8s));
@@ -122,10 +149,10 @@
 {
     TargetRegistry registry;
     registry.noteContact(Start);
-    registry.put("t", entry("t"));
+    registry.put("t", entry("t"), 1);
     registry.noteContact(Start + 6s);
-    registry.replaceAll({}, Start + 6s);
-    registry.put("t", entry("t", 2));
+    registry.replaceAll({}, 2, Start + 6s);
+    registry.put("t", entry("t", 2), 2);
     EXPECT_FALSE(registry.expire(Start + 9s));
     EXPECT_NE(registry.find(TargetId("t")), nullptr);
 }
