--- a/tests/tst_adapter_oddentries.cpp
+++ b/tests/tst_adapter_oddentries.cpp
@@ -195,3 +195,15 @@
     target.publishEntry();
     EXPECT_TRUE(runUntil([&] { return request("/look/x", {}) == 200; }));
 }
+
+TEST_F(OddEntriesTest, ConfiguredTimeThatIsTooLargeIsServed)
+{
+    addTarget("p1", "plain");
+    startGateway();
+    auto next = siteConfig(2);
+    for (auto &it : next["Routes"])
+        it["TimeoutMs"] = 1e300;
+    store.put("op", "config", next.dump());
+    run(500ms);
+    EXPECT_EQ(request("/look/x", {}), 200U);
+}
