Refuse entries of targets and daemons whose port, id or numbers are out of range

Cause: the decoders narrowed 64-bit counts by static_cast and get<std::uint32_t>, and accepted port 0. Ports above 65535 were refused already: parseEndpoint uses from_chars on 16 bits.

--- a/programs/gateway/memberrow.cpp
+++ b/programs/gateway/memberrow.cpp
@@ -1,6 +1,6 @@
 #include "gateway/memberrow.h"
 
-#include <nlohmann/json.hpp>
+#include "platform/fields.h"
 
 namespace bluebell::gateway {
 
@@ -26,26 +26,27 @@
     const auto object = json::parse(row.value, nullptr, false);
     if (!object.is_object())
         return std::nullopt;
-    const auto stringField = [&](const char *name) {
-        const auto it = object.find(name);
-        return it != object.end() && it->is_string() ? it->get<std::string>() : std::string();
+    const auto text = [&](const char *name) {
+        return platform::stringField(object, name).value_or(std::string());
     };
-    const auto callers = parseEndpoint(stringField("callers"));
-    const auto peers = parseEndpoint(stringField("peers"));
-    const auto control = parseEndpoint(stringField("control"));
-    if (!callers || !peers || !control)
+    const auto callers = parseEndpoint(text("callers"));
+    const auto peers = parseEndpoint(text("peers"));
+    const auto control = parseEndpoint(text("control"));
+    for (const auto *it : { &callers, &peers, &control })
+        if (!*it || it->value().port == 0)
+            return std::nullopt;
+    const auto capacity = platform::unsignedField(object, "capacity");
+    if (object.contains("capacity") && (!capacity || *capacity > platform::MaxCount))
         return std::nullopt;
     FleetMember it { VmId(row.key),
-                     IncarnationId(stringField("incarnation")),
-                     DataCentreId(stringField("data_centre")),
+                     IncarnationId(text("incarnation")),
+                     DataCentreId(text("data_centre")),
                      callers.value(),
                      peers.value(),
                      control.value() };
-    if (const auto relay = parseEndpoint(stringField("relay")))
+    if (const auto relay = parseEndpoint(text("relay")))
         it.relay = relay.value();
-    if (const auto capacity = object.find("capacity");
-        capacity != object.end() && capacity->is_number_unsigned())
-        it.capacity = capacity->get<std::uint32_t>();
+    it.capacity = static_cast<std::uint32_t>(capacity.value_or(0));
     return it;
 }
 
--- a/tests/tst_adapter_oddnumbers.cpp
+++ b/tests/tst_adapter_oddnumbers.cpp
@@ -17,6 +17,86 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
+namespace {
+
+json validEntry()
+{
+    return json::parse(R"({"Service":"engines","Address":"127.0.0.1:80","Zone":"z","Slots":8,
+        "State":"ready","born":1000,"Sequence":7,"Version":"v1","ColdLeftMs":0,"Busy":false,
+        "Models":[{"Name":"m0","Version":1,"Adapters":["a@1",{"Name":"b"}]}],
+        "Coming":["m0/c@2"],"AtHand":{"InMemory":["m1@1"],"OnDisk":[{"Name":"m2"}]}})");
+}
+
+json validMember()
+{
+    return { { "incarnation", "i" },
+             { "data_centre", "d" },
+             { "callers", "127.0.0.1:1000" },
+             { "peers", "127.0.0.1:1001" },
+             { "control", "127.0.0.1:1002" },
+             { "relay", "127.0.0.1:1003" },
+             { "capacity", 500 } };
+}
+
+std::optional<FleetMember> decodedMember(const json &it)
+{
+    return gateway::decodeMember({ "t", "vm-1", it.dump(), 1, false });
+}
+
+/// \returns the value at `path`, with the part at `path` replaced by the JSON text `value`
+std::string withText(json it, const json::json_pointer &path, const std::string &value)
+{
+    it[path] = "PLACEHOLDER";
+    auto text = it.dump();
+    const std::string quoted = "\"PLACEHOLDER\"";
+    return text.replace(text.find(quoted), quoted.size(), value);
+}
+
+const std::vector<std::string> &oddValues()
+{
+    static const std::vector<std::string> Values {
+        "null",
+        "true",
+        "0",
+        "-1",
+        "1e300",
+        "-1e300",
+        "1e999",
+        "0.5",
+        "4294967296",
+        "18446744073709551615",
+        "18446744073709551616",
+        "9223372036854775808",
+        "-9223372036854775808",
+        "\"\"",
+        "\"127.0.0.1:70000\"",
+        "\"127.0.0.1:0\"",
+        "\"127.0.0.1:-1\"",
+        R"("\u0000\r\nX-Evil: 1")",
+        "\"\xff\xfe\"",
+        "[]",
+        "{}",
+        "[[],{},null,1e300,\"@\",\"/\",\"/@\"]",
+        R"([{"Name":1},{"Name":""},{"Name":"x","Adapters":[{},[],"@","a"]}])",
+        std::string(20000, '[') + std::string(20000, ']'),
+    };
+    return Values;
+}
+
+/// \returns the paths of all parts of `it`, apart from the whole
+std::vector<json::json_pointer> pathsOf(const json &it)
+{
+    std::vector<json::json_pointer> paths;
+    const auto flat = it.flatten();
+    for (const auto &[path, value] : flat.items())
+        for (json::json_pointer part(path); !part.empty(); part = part.parent_pointer())
+            if (std::find(paths.begin(), paths.end(), part) == paths.end())
+                paths.push_back(part);
+    return paths;
+}
+
+} // namespace
+
 TEST(OddNumbers, ConfiguredNumbersAreCutToTheirBounds)
 {
     const std::vector<std::string> numbers { "1e300", "18446744073709551615",
@@ -77,6 +157,42 @@
     EXPECT_GT(service.engine->adapterSlots, 0U);
 }
 
+TEST(OddNumbers, EntryWithANumberOutOfRangeIsRefused)
+{
+    EXPECT_TRUE(platform::decodeTarget("t", validEntry().dump()));
+    const auto refused = [](const std::string &path, const std::string &value) {
+        return !platform::decodeTarget("t",
+                                       withText(validEntry(), json::json_pointer(path), value));
+    };
+    EXPECT_TRUE(refused("/Slots", "4294967296"));
+    EXPECT_TRUE(refused("/Slots", "18446744073709551615"));
+    EXPECT_TRUE(refused("/Slots", "1e300"));
+    EXPECT_TRUE(refused("/Address", "\"127.0.0.1:0\""));
+    EXPECT_TRUE(refused("/Address", "\"127.0.0.1:70000\""));
+    EXPECT_FALSE(platform::decodeTarget("t\r\nX-Evil: 1", validEntry().dump()));
+    EXPECT_FALSE(platform::decodeTarget("", validEntry().dump()));
+}
+
+TEST(OddNumbers, MemberRowWithANumberOutOfRangeIsRefused)
+{
+    EXPECT_TRUE(decodedMember(validMember()));
+    for (const auto *name : { "callers", "peers", "control" })
+        for (const auto *address : { "127.0.0.1:0", "127.0.0.1:70000" }) {
+            auto it = validMember();
+            it[name] = address;
+            EXPECT_FALSE(decodedMember(it)) << name << address;
+        }
+    for (const json &n : { json(std::uint64_t(1) << 32U), json(-1), json(1e300), json("x") }) {
+        auto it = validMember();
+        it["capacity"] = n;
+        EXPECT_FALSE(decodedMember(it)) << n;
+    }
+    auto it = validMember();
+    it.erase("capacity");
+    it.erase("relay");
+    EXPECT_TRUE(decodedMember(it));
+}
+
 TEST(OddNumbers, SettingsAreCutToTheirBounds)
 {
     const auto path = ::testing::TempDir() + "odd-settings-" + std::to_string(::getpid());
@@ -98,3 +214,67 @@
     }
     std::remove(path.c_str());
 }
+
+TEST(OddNumbers, EveryFieldOfAnEntryMayBeOdd)
+{
+    const auto valid = validEntry();
+    std::size_t accepted = 0;
+    for (const auto &path : pathsOf(valid))
+        for (const auto &value : oddValues()) {
+            const auto text = withText(valid, path, value);
+            const auto entry = platform::decodeTarget("t", text);
+            accepted += entry ? 1 : 0;
+            if (entry) {
+                EXPECT_GT(entry.value().slots, 0U) << path << value;
+            }
+            (void)platform::decodeReport(text);
+        }
+    EXPECT_GT(accepted, 0U);
+}
+
+TEST(OddNumbers, EveryFieldOfAConfigurationMayBeOdd)
+{
+    auto valid = siteConfig(1);
+    valid["Tenants"][0]["RatePerS"] = 10;
+    valid["Tenants"][0]["Burst"] = 10;
+    for (const auto &path : pathsOf(valid))
+        for (const auto &value : oddValues()) {
+            const auto config = platform::decodeConfig(withText(valid, path, value));
+            if (!config)
+                continue;
+            for (const auto &it : config.value().routes) {
+                EXPECT_GT(it.timeout, 0s) << path << value;
+                EXPECT_LE(it.timeout, 24h) << path << value;
+            }
+        }
+}
+
+TEST(OddNumbers, EveryFieldOfAMemberRowMayBeOdd)
+{
+    const auto valid = validMember();
+    for (const auto &path : pathsOf(valid))
+        for (const auto &value : oddValues())
+            (void)gateway::decodeMember({ "t", "vm-1", withText(valid, path, value), 1, false });
+}
+
+TEST(OddNumbers, RandomChangesOfRowsAreDecodedOrRefused)
+{
+    constexpr int Cases = 3000;
+    std::mt19937_64 random(22);
+    const std::vector<std::string> valid { validEntry().dump(), validMember().dump(),
+                                           siteConfig(1).dump() };
+    for (int n = 0; n < Cases; ++n) {
+        auto text = valid[random() % valid.size()];
+        for (auto changes = 1 + random() % 4; changes > 0; --changes) {
+            const auto at = random() % text.size();
+            if (random() % 2 == 0)
+                text[at] = static_cast<char>(random());
+            else
+                text.replace(at, random() % 6, oddValues()[random() % (oddValues().size() - 1)]);
+        }
+        (void)platform::decodeTarget("t", text);
+        (void)platform::decodeReport(text);
+        (void)platform::decodeConfig(text);
+        (void)gateway::decodeMember({ "t", "vm-1", text, 1, false });
+    }
+}
