Refuse records whose ports and numbers are out of range

A member or role row with port 70000 named the daemon at port 4464, and one with a version of -1 or 1e300 a version that nobody wrote.

Test before: OddNumbers.RecordWithANumberOutOfRangeIsRefused, Value of: rows::decodeMember(member) Actual: true Expected: false 70000 (and 22 more)

Cause: get<std::uint16_t>() and get<std::uint64_t>() of nlohmann's library convert any number without a check. All integers of records are read by one function now that checks type and range. After: passes.

--- a/src/records/rows.cpp
+++ b/src/records/rows.cpp
@@ -3,6 +3,7 @@
 #include <fmt/core.h>
 #include <nlohmann/json.hpp>
 
+#include <stdexcept>
 #include <utility>
 
 using nlohmann::json;
@@ -10,6 +11,31 @@
 namespace bluebell::rows {
 namespace {
 
+/// Thrown inside of decodeWith() when a number is out of range.
+class OutOfRange : public std::range_error
+{
+public:
+    explicit OutOfRange(const char *name)
+        : std::range_error(std::string(name) + " is missing or out of range")
+    {
+    }
+};
+
+/// \returns the integer in the field `name`
+template<typename T>
+T number(const json &object, const char *name)
+{
+    const auto &it = object.at(name);
+    if (it.is_number_unsigned()) {
+        if (const auto n = it.get<std::uint64_t>(); std::in_range<T>(n))
+            return static_cast<T>(n);
+    } else if (it.is_number_integer()) {
+        if (const auto n = it.get<std::int64_t>(); std::in_range<T>(n))
+            return static_cast<T>(n);
+    }
+    throw OutOfRange(name);
+}
+
 template<typename T, typename Read>
 Result<T> decodeWith(const std::string &value, Read read)
 {
@@ -21,6 +47,9 @@
     } catch (const json::exception &e) {
         return makeError(ErrorCode::InvalidArgument,
                          std::string("a row is malformed: ") + e.what());
+    } catch (const OutOfRange &e) {
+        return makeError(ErrorCode::InvalidArgument,
+                         std::string("a row is malformed: ") + e.what());
     }
 }
 
@@ -36,7 +65,7 @@
 {
     return { VmId(it.at("vm").get<std::string>()),
              IncarnationId(it.at("incarnation").get<std::string>()),
-             { it.at("host").get<std::string>(), it.at("port").get<std::uint16_t>() } };
+             { it.at("host").get<std::string>(), number<std::uint16_t>(it, "port") } };
 }
 
 std::string dump(const json &it)
@@ -162,15 +191,15 @@
 Result<ConfigHeadRow> decodeHead(const std::string &value)
 {
     return decodeWith<ConfigHeadRow>(value, [](const json &it) {
-        return ConfigHeadRow { it.at("version").get<ConfigVersion>(),
-                               it.at("snapshot").get<ConfigVersion>() };
+        return ConfigHeadRow { number<ConfigVersion>(it, "version"),
+                               number<ConfigVersion>(it, "snapshot") };
     });
 }
 
 Result<ConfigDelta> decodeDelta(const std::string &value)
 {
     return decodeWith<ConfigDelta>(value, [](const json &it) {
-        return ConfigDelta { it.at("version").get<ConfigVersion>(),
+        return ConfigDelta { number<ConfigVersion>(it, "version"),
                              it.at("added").get<std::vector<std::string>>(),
                              it.at("removed").get<std::vector<std::string>>(),
                              it.at("author").get<std::string>(),
@@ -186,7 +215,7 @@
             const auto &entry = it.at("entry");
             row.entry = EntryAddress { row.member.vm,
                                        { entry.at("host").get<std::string>(),
-                                         entry.at("port").get<std::uint16_t>() },
+                                         number<std::uint16_t>(entry, "port") },
                                        entry.at("leaving").get<bool>() };
         }
         return row;
@@ -197,10 +226,10 @@
 {
     return decodeWith<RoleRow>(value, [](const json &it) {
         RoleRow row { RoleId(it.at("role").get<std::string>()), toMember(it.at("holder")),
-                      it.at("epoch").get<Epoch>(), 0, std::nullopt };
+                      number<Epoch>(it, "epoch"), 0, std::nullopt };
         if (it.contains("handover"))
-            row.handover = RateHandover { it.at("handover").at("level").get<std::int64_t>(),
-                                          it.at("handover").at("outstanding").get<std::int64_t>() };
+            row.handover = RateHandover { number<std::int64_t>(it.at("handover"), "level"),
+                                          number<std::int64_t>(it.at("handover"), "outstanding") };
         return row;
     });
 }
@@ -215,7 +244,7 @@
                     LedgerEntry { IntentId(item.at("intent").get<std::string>()),
                                   item.at("action") == "load" ? IntentAction::Load
                                                               : IntentAction::Unload,
-                                  item.at("bytes").get<Bytes>(), item.at("epoch").get<Epoch>(),
+                                  number<Bytes>(item, "bytes"), number<Epoch>(item, "epoch"),
                                   IncarnationId(item.at("incarnation").get<std::string>()) });
         return ledger;
     });
@@ -235,7 +264,7 @@
 {
     return decodeWith<IdempotencyRecord>(value, [](const json &it) {
         IdempotencyRecord record;
-        const auto state = it.at("state").get<int>();
+        const auto state = number<int>(it, "state");
         record.state = state == 0 ? IdempotencyState::Claimed
                 : state == 1      ? IdempotencyState::Done
                                   : IdempotencyState::Unknown;
@@ -243,7 +272,7 @@
         record.claim = ChangeId(it.at("claim").get<std::string>());
         if (it.contains("answer")) {
             const auto &response = it.at("answer");
-            record.response = RecordedResponse { response.at("status").get<unsigned>(),
+            record.response = RecordedResponse { number<unsigned>(response, "status"),
                                                  response.at("type").get<std::string>(),
                                                  response.at("body").get<std::string>() };
         }
@@ -254,7 +283,7 @@
 Result<ConfigSnapshot> decodeSnapshot(const std::string &value)
 {
     return decodeWith<ConfigSnapshot>(value, [](const json &it) {
-        return ConfigSnapshot { it.at("version").get<ConfigVersion>(),
+        return ConfigSnapshot { number<ConfigVersion>(it, "version"),
                                 it.at("lines").get<LineSet>() };
     });
 }
--- a/tests/tst_adapter_oddnumbers.cpp
+++ b/tests/tst_adapter_oddnumbers.cpp
@@ -193,6 +193,25 @@
     EXPECT_TRUE(decodedMember(it));
 }
 
+TEST(OddNumbers, RecordWithANumberOutOfRangeIsRefused)
+{
+    for (const std::string port : { "65536", "70000", "-1", "0.5", "1e300", "\"80\"" }) {
+        const auto member =
+                R"({"vm":"v","incarnation":"i","host":"127.0.0.1","port":)" + port + "}";
+        EXPECT_FALSE(rows::decodeMember(member)) << port;
+        EXPECT_FALSE(rows::decodeRole(R"({"role":"r","epoch":1,"holder":)" + member + "}")) << port;
+        EXPECT_FALSE(rows::decodeMember(
+                R"({"vm":"v","incarnation":"i","host":"h","port":80,"entry":{"host":"h",)"
+                R"("leaving":false,"port":)"
+                + port + "}}"))
+                << port;
+    }
+    for (const std::string n : { "-1", "1e300", "0.5", "18446744073709551616" }) {
+        EXPECT_FALSE(rows::decodeHead(R"({"version":1,"snapshot":)" + n + "}")) << n;
+        EXPECT_FALSE(rows::decodeSnapshot(R"({"lines":[],"version":)" + n + "}")) << n;
+    }
+}
+
 TEST(OddNumbers, SettingsAreCutToTheirBounds)
 {
     const auto path = ::testing::TempDir() + "odd-settings-" + std::to_string(::getpid());
