--- a/src/rate/sharedrate.cpp
+++ b/src/rate/sharedrate.cpp
@@ -7,6 +7,10 @@
 
 /// Below this fraction of the burst, concurrent admissions by several daemons may exceed the level.
 constexpr double LowLevelFraction = 0.5;
+/// The longest time after which a refused request is told to try again.
+constexpr Duration MaxWait = std::chrono::hours(1);
+/// Bound of the level that other daemons are told.
+constexpr double MaxLevel = 1e18;
 
 } // namespace
 
@@ -67,8 +71,9 @@
         return std::nullopt;
     }
     const auto rate = std::max(static_cast<double>(m_limit.rate) * refillShare(), 1.0);
+    const std::chrono::duration<double> wait((wanted - m_level) / rate);
     return std::chrono::duration_cast<Duration>(
-            std::chrono::duration<double>((wanted - m_level) / rate));
+            std::min<std::chrono::duration<double>>(wait, MaxWait));
 }
 
 void SharedRate::refund(Tokens tokens)
@@ -80,7 +85,7 @@
 Tokens SharedRate::level(TimePoint now)
 {
     refill(now);
-    return static_cast<Tokens>(m_level);
+    return static_cast<Tokens>(std::clamp(m_level, -MaxLevel, MaxLevel));
 }
 
 bool SharedRate::isLow(TimePoint now)
--- a/tests/tst_adapter_oddentries.cpp
+++ b/tests/tst_adapter_oddentries.cpp
@@ -196,6 +196,15 @@
     EXPECT_TRUE(runUntil([&] { return request("/look/x", {}) == 200; }));
 }
 
+TEST_F(OddEntriesTest, TimeLeftThatIsTooLargeIsServed)
+{
+    addTarget("p1", "plain");
+    startGateway();
+    for (const std::string text :
+         { "9223372036854775807", "9223372036855", "99999999999999999999" })
+        EXPECT_EQ(request("/look/x", { { "X-Deadline-Ms", text } }), 200U) << text;
+}
+
 TEST_F(OddEntriesTest, ConfiguredTimeThatIsTooLargeIsServed)
 {
     addTarget("p1", "plain");
--- a/tests/tst_adapter_oddnumbers.cpp
+++ b/tests/tst_adapter_oddnumbers.cpp
@@ -19,6 +19,11 @@
 
 namespace {
 
+HttpRequest callWith(const std::string &name, const std::string &value)
+{
+    return { "POST", "/look/x", { { "Host", "h" }, { "X-Attempt-Id", "a" }, { name, value } }, {} };
+}
+
 json validEntry()
 {
     return json::parse(R"({"Service":"engines","Address":"127.0.0.1:80","Zone":"z","Slots":8,
@@ -97,6 +102,43 @@
 
 } // namespace
 
+TEST(OddNumbers, TimeLeftIsCutToABound)
+{
+    for (const std::string text :
+         { "9223372036854775807", "9223372036855", "99999999999999999999999" }) {
+        const auto it = platform::decodeRequest(callWith("X-Deadline-Ms", text));
+        ASSERT_TRUE(it) << text;
+        EXPECT_EQ(*it.value().timeLeft, Duration(24h)) << text;
+    }
+    EXPECT_FALSE(platform::decodeRequest(callWith("X-Deadline-Ms", "-1")));
+    EXPECT_FALSE(platform::decodeRequest(callWith("X-Deadline-Ms", "1e3")));
+}
+
+TEST(OddNumbers, TokenCountsThatAreTooLargeGiveNoTokensBack)
+{
+    for (const std::string text : { "9223372036854775807,9223372036854775807",
+                                    "9223372036854775807,1", "99999999999999999999,1" }) {
+        const auto it = platform::decodeRequest(callWith("X-Token-Counts", text));
+        ASSERT_TRUE(it) << text;
+        EXPECT_GT(*it.value().tokens, 1'000'000'000) << text;
+        SharedRate rate({ 100, 100 }, TimePoint(1s));
+        (void)rate.admit(*it.value().tokens, TimePoint(10s));
+        const auto wait = rate.admit(*it.value().tokens, TimePoint(11s));
+        ASSERT_TRUE(wait) << text;
+        EXPECT_GT(*wait, 0s) << text;
+    }
+}
+
+TEST(OddNumbers, RetryTimeAfterHugeCountsIsPositive)
+{
+    SharedRate rate({ 100, 100 }, TimePoint(1s));
+    (void)rate.admit(std::numeric_limits<Tokens>::max() / 4, TimePoint(10s));
+    const auto wait = rate.admit(1, TimePoint(11s));
+    ASSERT_TRUE(wait);
+    EXPECT_GT(*wait, 0s);
+    EXPECT_LE(*wait, 1h);
+}
+
 TEST(OddNumbers, ConfiguredNumbersAreCutToTheirBounds)
 {
     const std::vector<std::string> numbers { "1e300", "18446744073709551615",
