Read a peer's list of targets without copying its parts

What callers saw: a gateway that could not reach the store, and was told of newer entries by a peer, ended with a segmentation fault when the peer's answer to /peer/targets had a deeply nested version; with it all its requests.

Cause: body.value("version", json()) copies the value, and the copy constructor of nlohmann's library recurses once per level; 500000 levels exhaust the stack. Class of fault: recursion as deep as a foreign text.

The version is now looked at in place, and an `entries` that is not an object is refused.

--- a/programs/gateway/peersync.cpp
+++ b/programs/gateway/peersync.cpp
@@ -5,6 +5,7 @@
 #include "peer/relaycodec.h"
 #include "peer/statuscodec.h"
 
+#include "platform/fields.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
@@ -142,20 +143,19 @@
         co_return;
     }
     const auto body = json::parse(text.value(), nullptr, false);
-    const bool isWellFormed = body.is_object() && body.contains("entries")
-            && body.value("version", json()).is_number_unsigned();
-    if (!isWellFormed) {
+    const auto version = body.is_object() ? platform::unsignedField(body, "version") : std::nullopt;
+    const auto entries = body.find("entries");
+    if (!version || entries == body.end() || !entries->is_object()) {
         log::warning("peer returned malformed target entries", { { "vm", peer.vm.value() } });
         co_return;
     }
-    const auto version = body["version"].get<RowVersion>();
-    if (version <= m_state.registryVersion)
+    if (*version <= m_state.registryVersion)
         co_return;
     std::vector<platform::StoreRow> rows;
-    for (const auto &[key, value] : body["entries"].items())
+    for (const auto &[key, value] : entries->items())
         if (value.is_string())
             rows.push_back({ {}, key, value.get<std::string>(), 0, false });
-    m_updates.replaceTargets(rows, version);
+    m_updates.replaceTargets(rows, *version);
 }
 
 } // namespace bluebell::gateway
--- a/tests/tst_adapter_oddentries.cpp
+++ b/tests/tst_adapter_oddentries.cpp
@@ -216,3 +216,40 @@
     run(500ms);
     EXPECT_EQ(request("/look/x", {}), 200U);
 }
+
+TEST_F(OddEntriesTest, DeepTargetListOfAPeerIsRefused)
+{
+    addTarget("p1", "plain");
+    int fetches = 0;
+    HttpServer server(context, HttpLimits(),
+                      [&](const HttpRequest &, HttpResponder &responder) -> asio::awaitable<void> {
+                          ++fetches;
+                          HttpResponse response;
+                          response.body =
+                                  R"({"entries":{},"version":)" + nestedArrays(500000) + "}";
+                          (void)co_await responder.send(std::move(response));
+                      });
+    FleetMember peer { VmId("vm-2"), IncarnationId("i2"), DataCentreId("leicester"), {}, {}, {} };
+    peer.callers = peer.peers = { "127.0.0.1", freePort() };
+    peer.control = server.listen({ "127.0.0.1", 0 }).value();
+    store.put("bluebell-members", "vm-2", gateway::encodeMember(peer));
+    startGateway();
+    run(1s);
+    auto cutOff = settings;
+    cutOff.store = { "127.0.0.1", freePort() };
+    daemon->applySettings(cutOff);
+    StatusLink link(context.get_executor(), [](const DaemonStatus &) {});
+    ASSERT_TRUE(link.open(peer.peers));
+    DaemonStatus status;
+    status.vm = peer.vm;
+    status.incarnation = peer.incarnation;
+    status.isReady = true;
+    status.registryVersion = 1000;
+    EXPECT_TRUE(runUntil([&] {
+        status.uptime += 100ms;
+        link.send({ settings.peers }, status);
+        run(100ms);
+        return fetches > 1;
+    }));
+    EXPECT_EQ(request("/look/x", {}), 200U);
+}
