--- a/tests/tst_adapter_oddentries.cpp
+++ b/tests/tst_adapter_oddentries.cpp
@@ -205,6 +205,16 @@
         EXPECT_EQ(request("/look/x", { { "X-Deadline-Ms", text } }), 200U) << text;
 }
 
+TEST_F(OddEntriesTest, OddAdapterOfACallerDoesNotStopTheOrders)
+{
+    auto &engine = addTarget("e1", "engines", { "m0" });
+    engine.onDisk = { "m0", "m1", "m2" };
+    addTarget("p1", "plain");
+    startGateway();
+    EXPECT_GE(request("/chat/x", { { "X-Model", "m0/\xff" }, { "X-Deadline-Ms", "1500" } }), 400U);
+    EXPECT_EQ(request("/chat/x", { { "X-Model", "m1" } }), 200U);
+}
+
 TEST_F(OddEntriesTest, ConfiguredTimeThatIsTooLargeIsServed)
 {
     addTarget("p1", "plain");
