Answer a request that fails by an exception, and leave nothing of it behind

What callers saw: the connection was closed without an answer. After it the request counted as running for good, so a stop ended with status 1. By reading, not by a run: the next configuration follows a pointer to the freed request, and the target counts one request in flight more.

Cause: HTTP fields of more than 64 KiB make Beast throw when the request to the target is built. RequestProxy::handle had the request on its frame and a plain pointer to it in a map, and erased it, and all counts, only in a normal end. Class of fault: state that is taken back by the next line instead of by its owner.

The requests are shared objects in a container by id, ActiveRequests, whose entries erase themselves; the table is shared with them, because a frame may be destroyed after the proxy. An exception takes back the count in the selector and the demand entry, is counted and logged, and the caller gets 503 if nothing was sent to a target, else 502, unless its response has begun.

--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -2,6 +2,7 @@
 
 #include "gateway/request.h"
 #include "http/message.h"
+#include "placement/demandtracker.h"
 #include "site/siteindex.h"
 #include "streams/eventsplitter.h"
 
@@ -36,6 +37,13 @@
     None,
 };
 
+/// A request that counts as running at a target in the target selector.
+struct RunningAttempt
+{
+    TargetId target;
+    std::optional<ReplicaKey> key;
+};
+
 /// State of one request while it is processed.
 struct RequestContext
 {
@@ -73,6 +81,10 @@
     /// Splits the stream, so that the caller gets complete events only.
     EventSplitter events;
     TargetId lastTarget;
+    /// Set while an attempt is counted in the target selector.
+    std::optional<RunningAttempt> running;
+    /// Entry in the demand statistics while the request waits.
+    std::optional<WaitId> wait;
 };
 
 /// Result of one attempt at a target.
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -53,8 +53,7 @@
     return requirements;
 }
 
-std::optional<Result<TargetId>>
-RequestProxy::selectTarget(RequestContext &it, std::optional<WaitId> &wait, TimePoint now)
+std::optional<Result<TargetId>> RequestProxy::selectTarget(RequestContext &it, TimePoint now)
 {
     if (it.cancel->isCancelled())
         return notRun(ErrorCode::KeyWithdrawn, "the caller has gone", milliseconds(0));
@@ -66,17 +65,17 @@
         return std::move(*chosen);
     if (now >= it.deadline)
         return notRun(ErrorCode::Unavailable, "no target can serve the request", milliseconds(500));
-    if (requirements.key && !wait) {
-        wait = m_state.demand.startWait(it.service->name, *requirements.key, urgencyOf(it.priority),
-                                        now);
+    if (requirements.key && !it.wait) {
+        it.wait = m_state.demand.startWait(it.service->name, *requirements.key,
+                                           urgencyOf(it.priority), now);
         m_state.notifyDemand();
     }
     const auto retryAfter = decideWait(waitFacts(it, now), now).refuseWithRetryAfter;
     if (!retryAfter)
         return std::nullopt;
     // The caller is expected to retry after this time, so its demand is kept until then.
-    if (wait)
-        m_state.demand.keepUntil(*std::exchange(wait, std::nullopt),
+    if (it.wait)
+        m_state.demand.keepUntil(*std::exchange(it.wait, std::nullopt),
                                  now + *retryAfter + RetryAllowance);
     return notRun(ErrorCode::Overloaded,
                   requirements.key ? "the model is not loaded in time"
@@ -86,12 +85,11 @@
 
 asio::awaitable<Result<TargetId>> RequestProxy::awaitTarget(RequestContext &it)
 {
-    std::optional<WaitId> wait;
     for (;;) {
         const auto now = BootClock::now();
-        if (auto found = selectTarget(it, wait, now)) {
-            if (wait)
-                m_state.demand.endWait(*wait);
+        if (auto found = selectTarget(it, now)) {
+            if (it.wait)
+                m_state.demand.endWait(*std::exchange(it.wait, std::nullopt));
             co_return std::move(*found);
         }
         const auto pause = it.triedTargets.empty() ? MaxSelectionInterval : RefusalRetryDelay;
@@ -148,6 +146,7 @@
     call.cancel = it.cancel;
     const auto key = it.service->engine ? it.caller.replica : std::nullopt;
     m_state.selector.noteStarted(id, key);
+    it.running = RunningAttempt { id, key };
     it.lastTarget = id;
     ++it.sends;
     auto stream = co_await openStream(std::move(call));
@@ -164,6 +163,7 @@
         it.runs += isNotSent ? 0 : 1;
         result = { isNotSent ? AttemptOutcome::NotSent : AttemptOutcome::Failed, stream.error() };
     }
+    it.running.reset();
     m_state.selector.noteEnded(id, key);
     co_return result;
 }
@@ -220,36 +220,64 @@
     }
 }
 
+asio::awaitable<Result<void>> RequestProxy::process(const std::shared_ptr<RequestContext> &request,
+                                                    HttpResponder &responder)
+{
+    auto &it = *request;
+    auto decoded = platform::decodeRequest(*it.http);
+    if (!decoded)
+        co_return decoded.error();
+    it.caller = std::move(decoded.value());
+    auto result = m_admission.resolve(it);
+    if (result)
+        result = m_admission.reserveRate(it);
+    if (!result)
+        co_return result;
+    const auto active = m_active.add(request);
+    if (m_state.stopRequestedAt)
+        it.deadline = std::min(
+                it.deadline, *m_state.stopRequestedAt + m_state.settings.stopTimeout - StopMargin);
+    responder.cancelOnDisconnect(it.cancel);
+    const auto watch = it.cancel->add([this] { m_state.stateChanged.notify(); });
+    auto served = serve(it, responder);
+    result = co_await std::move(served);
+    it.cancel->remove(watch);
+    m_admission.refundRate(it);
+    co_return result;
+}
+
+Error RequestProxy::abandon(RequestContext &it, std::string_view cause)
+{
+    log::error("request failed by an exception",
+               { { "request", it.caller.attempt.value() }, { "cause", std::string(cause) } });
+    if (it.running)
+        m_state.selector.noteEnded(it.running->target, it.running->key);
+    it.running.reset();
+    if (it.wait)
+        m_state.demand.endWait(*std::exchange(it.wait, std::nullopt));
+    m_state.metrics.count("bluebell_request_exceptions_total",
+                          { it.organisation, ClassId(it.route ? it.route->name : ""), {} });
+    // An attempt that had begun may have reached its target.
+    if (it.sends > 0)
+        return mayHaveRun(ErrorCode::Unavailable, "the request failed in the gateway");
+    m_admission.refundRate(it);
+    return notRun(ErrorCode::Unavailable, "the request failed in the gateway", milliseconds(300));
+}
+
 asio::awaitable<void> RequestProxy::handle(const HttpRequest &request, HttpResponder &responder)
 {
-    RequestContext it;
+    const auto context = std::make_shared<RequestContext>();
+    auto &it = *context;
     it.http = &request;
     it.receivedAt = BootClock::now();
     it.cancel = std::make_shared<CancelSource>();
     auto result = Result<void>(BOOST_OUTCOME_V2_NAMESPACE::success());
-    auto decoded = platform::decodeRequest(request);
-    if (decoded) {
-        it.caller = std::move(decoded.value());
-        result = m_admission.resolve(it);
-    } else {
-        result = decoded.error();
-    }
-    if (result)
-        result = m_admission.reserveRate(it);
-    if (result) {
-        const auto id = m_nextActiveId++;
-        m_active.emplace(id, &it);
-        if (m_state.stopRequestedAt)
-            it.deadline =
-                    std::min(it.deadline,
-                             *m_state.stopRequestedAt + m_state.settings.stopTimeout - StopMargin);
-        responder.cancelOnDisconnect(it.cancel);
-        const auto watch = it.cancel->add([this] { m_state.stateChanged.notify(); });
-        auto served = serve(it, responder);
-        result = co_await std::move(served);
-        it.cancel->remove(watch);
-        m_active.erase(id);
-        m_admission.refundRate(it);
+    try {
+        auto processed = process(context, responder);
+        result = co_await std::move(processed);
+    } catch (const std::exception &e) {
+        result = abandon(it, e.what());
+        it.hasStartedResponse = responder.hasBegun();
     }
     auto delivery = result ? Delivery::Complete : Delivery::Truncated;
     if (!result && !it.hasStartedResponse)
@@ -269,28 +297,28 @@
 void RequestProxy::applyConfig()
 {
     const auto now = BootClock::now();
-    for (auto &[id, it] : m_active) {
-        if (it->organisation.isEmpty() || it->isKeyWithdrawn)
-            continue;
-        const auto *organisation = m_state.index->findOrganisation(it->caller.key);
-        if (organisation && organisation->name == it->organisation)
-            continue;
-        it->isKeyWithdrawn = true;
+    m_active.forEach([&](RequestContext &it) {
+        if (it.organisation.isEmpty() || it.isKeyWithdrawn)
+            return;
+        const auto *organisation = m_state.index->findOrganisation(it.caller.key);
+        if (organisation && organisation->name == it.organisation)
+            return;
+        it.isKeyWithdrawn = true;
         log::info("key withdrawn under a request",
-                  { { "request", it->caller.attempt.value() },
-                    { "organisation", it->organisation.value() },
+                  { { "request", it.caller.attempt.value() },
+                    { "organisation", it.organisation.value() },
                     { "config", std::to_string(m_state.index->version()) },
-                    { "age_ms", std::to_string(toMilliseconds(now - it->receivedAt).count()) },
-                    { "left_ms", std::to_string(toMilliseconds(it->deadline - now).count()) },
-                    { "sends", std::to_string(it->sends) } });
+                    { "age_ms", std::to_string(toMilliseconds(now - it.receivedAt).count()) },
+                    { "left_ms", std::to_string(toMilliseconds(it.deadline - now).count()) },
+                    { "sends", std::to_string(it.sends) } });
         // The key was valid when the request was sent to a target; it is cut only if it runs long.
-        const auto threeQuartersPoint = it->receivedAt + (it->deadline - it->receivedAt) * 3 / 4;
-        if (it->sends > 0)
-            it->deadline = std::min(it->deadline,
-                                    std::max(now + WithdrawnKeyGracePeriod, threeQuartersPoint));
+        const auto threeQuartersPoint = it.receivedAt + (it.deadline - it.receivedAt) * 3 / 4;
+        if (it.sends > 0)
+            it.deadline = std::min(it.deadline,
+                                   std::max(now + WithdrawnKeyGracePeriod, threeQuartersPoint));
         else
-            it->cancel->cancel();
-    }
+            it.cancel->cancel();
+    });
 }
 
 } // namespace bluebell::gateway
--- a/programs/gateway/requestproxy.h
+++ b/programs/gateway/requestproxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/activerequests.h"
 #include "gateway/gatewaystate.h"
 #include "gateway/requestadmission.h"
 #include "gateway/requestcontext.h"
@@ -9,8 +10,6 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include <map>
-
 /// \file
 /// Proxies callers' requests to targets: target selection, attempts and retries.
 
@@ -38,17 +37,20 @@
     [[nodiscard]] std::size_t requestCount() const noexcept { return m_active.size(); }
 
 private:
-    using ActiveId = std::uint64_t;
-
+    /// Admits a request and serves it.
+    boost::asio::awaitable<Result<void>> process(const std::shared_ptr<RequestContext> &request,
+                                                 HttpResponder &responder);
+    /// Takes back what a request that has failed by an exception is counted in.
+    ///
+    /// \returns the error for the caller
+    [[nodiscard]] Error abandon(RequestContext &it, std::string_view cause);
     boost::asio::awaitable<Result<void>> serve(RequestContext &it, HttpResponder &responder);
     boost::asio::awaitable<Result<TargetId>> awaitTarget(RequestContext &it);
     /// Tries once to select a target.
     ///
-    /// \param wait id of the request's entry in the demand statistics, if it has one
     /// \returns the target, the error that ends the request, or nothing if the request keeps
     /// waiting
-    [[nodiscard]] std::optional<Result<TargetId>>
-    selectTarget(RequestContext &it, std::optional<WaitId> &wait, TimePoint now);
+    [[nodiscard]] std::optional<Result<TargetId>> selectTarget(RequestContext &it, TimePoint now);
     boost::asio::awaitable<AttemptResult> attempt(RequestContext &it, TargetId target,
                                                   HttpResponder &responder);
     /// \returns whether another attempt is allowed; takes it from the retry budget
@@ -69,8 +71,7 @@
     GatewayState &m_state;
     RequestAdmission m_admission;
     ResponseRelay m_relay;
-    std::map<ActiveId, RequestContext *> m_active;
-    ActiveId m_nextActiveId = 1;
+    ActiveRequests m_active;
 };
 
 } // namespace bluebell::gateway
--- a/tests/tst_adapter_oddentries.cpp
+++ b/tests/tst_adapter_oddentries.cpp
@@ -215,6 +215,53 @@
     EXPECT_EQ(request("/chat/x", { { "X-Model", "m1" } }), 200U);
 }
 
+TEST_F(OddEntriesTest, RequestThatThrowsLeavesNothingBehind)
+{
+    addTarget("p1", "plain");
+    HttpServer server(
+            context, HttpLimits(),
+            [&](const HttpRequest &call, HttpResponder &responder) -> asio::awaitable<void> {
+                HttpResponse head;
+                head.contentType = "text/event-stream";
+                head.headers = { { "X-Attempt-Id", std::string(call.header("X-Attempt-Id")) },
+                                 { "X-Server-Seal", "seal" } };
+                (void)co_await responder.begin(std::move(head));
+                (void)co_await responder.write("id: " + std::string(70000, '1') + "\ndata: t\n\n");
+            });
+    const auto address = toString(server.listen({ "127.0.0.1", 0 }).value());
+    store.put("servers", "e1",
+              R"({"Service":"engines","Address":")" + address
+                      + R"(","Zone":"leicester","Slots":8,"State":"ready","born":1,"Sequence":1,)"
+                        R"("Models":[{"Name":"m0","Adapters":[]}]})");
+    startGateway();
+    const auto reply = send("/review/x", { { "X-Model", "m0" } });
+    EXPECT_TRUE(runUntil([&] { return reply->has_value(); }));
+    auto next = siteConfig(2);
+    next["Tenants"][0]["ApiKeys"] = nlohmann::json::array({ "key-9" });
+    store.put("op", "config", next.dump());
+    EXPECT_TRUE(runUntil([&] { return request("/look/x", {}) == 401; }));
+    daemon->requestStop();
+    EXPECT_TRUE(runUntil([&] { return context.stopped(); }));
+    EXPECT_TRUE(daemon->stoppedGracefully());
+}
+
+TEST_F(OddEntriesTest, RequestThatThrowsIsAnswered)
+{
+    auto &target = addTarget("p1", "plain");
+    startGateway();
+    auto next = siteConfig(2);
+    next["Tenants"][0]["Name"] = std::string(70000, 'x');
+    store.put("op", "config", next.dump());
+    run(500ms);
+    const auto before = target.runs.size();
+    EXPECT_EQ(request("/look/x", {}), 502U);
+    EXPECT_EQ(target.runs.size(), before);
+    next["Version"] = 3;
+    next["Tenants"][0]["Name"] = "leicester-hifi";
+    store.put("op", "config", next.dump());
+    EXPECT_TRUE(runUntil([&] { return request("/look/x", {}) == 200; }));
+}
+
 TEST_F(OddEntriesTest, ConfiguredTimeThatIsTooLargeIsServed)
 {
     addTarget("p1", "plain");
