Bound the takeover delay that a leader's record can ask for

What callers saw: after one odd record of the leader with a huge remaining delay, no model was loaded any more: each leader waited for the delay to pass, and wrote what was left of it into its own record.

Test before: OddEntriesTest.LeaderRecordWithAnAbsurdDelayDoesNotStopTheOrders (turn_left_ms), request("/chat/x", { { "X-Model", "m1" } }) Which is: 503 expected 200

Cause: the delay and the epoch were taken as they stand; milliseconds to nanoseconds could also overflow, and an epoch of 2^64 - 1 would be followed by 0. Class of fault: trust in a number of another writer.

Leadership cuts the delay to its own takeover delay, beyond which no daemon writes one, so the least time between the orders of two leaders is kept. The decoder cuts it to a minute, and refuses an epoch above 2^62 or that is not an unsigned integer. After: passes in 1.8 s; Leadership.RecordWithAnAbsurdDelayIsTakenOverAfterTakeoverDelay states it for the smallest and the largest delay.

--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -4,6 +4,7 @@
 #include "placement/planpace.h"
 #include "platform/engineclient.h"
 
+#include "platform/fields.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
@@ -27,6 +28,10 @@
 /// Maximum time between two runs of the planner.
 constexpr Duration MaxPlanInterval = milliseconds(25);
 constexpr Duration OrderTimeout = milliseconds(150);
+/// Leaders count their epochs one by one; a record beyond this is not theirs.
+constexpr Epoch MaxEpoch = Epoch(1) << 62U;
+/// A record with a longer wait for the first order is cut to this.
+constexpr Duration MaxTakeoverDelay = std::chrono::minutes(1);
 constexpr Duration ReportTimeout = milliseconds(300);
 /// Without this limit, reports that a busy leader receives too late are requested again and again.
 constexpr std::size_t MaxReportsInFlight = 64;
@@ -47,17 +52,23 @@
     const auto object = json::parse(value, nullptr, false);
     if (!object.is_object())
         return std::nullopt;
-    try {
-        LeaderRecord it;
-        it.vm = VmId(object.at("vm").get<std::string>());
-        it.incarnation = IncarnationId(object.at("incarnation").get<std::string>());
-        it.epoch = object.at("epoch").get<Epoch>();
-        it.takeoverDelayLeft = milliseconds(object.at("turn_left_ms").get<std::int64_t>());
-        it.isReleased = object.at("released").get<bool>();
-        return it;
-    } catch (const json::exception &) {
+    const auto vm = platform::stringField(object, "vm");
+    const auto incarnation = platform::stringField(object, "incarnation");
+    const auto epoch = platform::unsignedField(object, "epoch");
+    const auto wait =
+            platform::numberField(object, "turn_left_ms", 0,
+                                  static_cast<double>(toMilliseconds(MaxTakeoverDelay).count()));
+    const auto released = object.find("released");
+    if (!vm || !incarnation || !epoch || *epoch > MaxEpoch || !wait || released == object.end()
+        || !released->is_boolean())
         return std::nullopt;
-    }
+    LeaderRecord it;
+    it.vm = VmId(*vm);
+    it.incarnation = IncarnationId(*incarnation);
+    it.epoch = *epoch;
+    it.takeoverDelayLeft = milliseconds(static_cast<std::int64_t>(*wait));
+    it.isReleased = released->get<bool>();
+    return it;
 }
 
 std::string_view nameOf(OrderOutcome outcome)
--- a/src/membership/leadership.cpp
+++ b/src/membership/leadership.cpp
@@ -59,6 +59,10 @@
         m_versionSince = now;
     m_hasRead = true;
     m_record = record;
+    // No daemon writes a longer delay; one from elsewhere must not keep the role from all of them.
+    if (m_record)
+        m_record->takeoverDelayLeft =
+                std::clamp(m_record->takeoverDelayLeft, Duration::zero(), m_settings.takeoverDelay);
     m_version = version;
     m_observer.noteRead(version, now);
     if (!ownsRecord())
--- a/tests/tst_adapter_oddentries.cpp
+++ b/tests/tst_adapter_oddentries.cpp
@@ -215,6 +215,19 @@
     EXPECT_EQ(request("/chat/x", { { "X-Model", "m1" } }), 200U);
 }
 
+TEST_F(OddEntriesTest, LeaderRecordWithAnAbsurdDelayDoesNotStopTheOrders)
+{
+    store.put("bluebell-roles", "orders",
+              R"({"vm":"vm-9","incarnation":"i9","epoch":3,"turn_left_ms":9000000000000,)"
+              R"("released":true})");
+    auto &engine = addTarget("e1", "engines", { "m0" });
+    engine.onDisk = { "m0", "m1", "m2" };
+    addTarget("p1", "plain");
+    startGateway();
+    run(1500ms);
+    EXPECT_EQ(request("/chat/x", { { "X-Model", "m1" } }), 200U);
+}
+
 TEST_F(OddEntriesTest, RequestThatThrowsLeavesNothingBehind)
 {
     addTarget("p1", "plain");
--- a/tests/tst_leadership.cpp
+++ b/tests/tst_leadership.cpp
@@ -197,6 +197,22 @@
     EXPECT_LT(simulation.now - releasedAt, 5s);
 }
 
+TEST(Leadership, RecordWithAnAbsurdDelayIsTakenOverAfterTakeoverDelay)
+{
+    for (const auto delay : { Duration::max(), Duration::min() }) {
+        FakeLeaderRow row;
+        row.write({ VmId("odd"), IncarnationId("odd1"), 3, delay, true }, 0);
+        CandidateDaemon daemon("a", 1);
+        auto now = Start;
+        while (!daemon.leadership.maySendOrders(now) && now < Start + 10s) {
+            daemon.step(row, now);
+            now += 10ms;
+        }
+        EXPECT_LT(now, Start + 4s);
+        EXPECT_EQ(daemon.leadership.epoch(), 4U);
+    }
+}
+
 TEST(Leadership, RandomFaultsNeverViolateTakeoverDelayOrEpochs)
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
