Start a background task again after an exception, and keep the event loop running

Cause: the tasks that follow the store's tables, keep the daemon's row and the lease, send statuses, digests and orders and receive datagrams were spawned detached, where an exception ends the task silently and for good. An exception in a timer's or a signal's handler left io_context::run and ended the process. Class of fault: an exception that nobody owns.

spawnLoop logs an exception with the task's name, counts it (bluebell_task_failures on /metrics) and starts the task again after 50 ms, doubling up to 5 s, until the task returns or its context goes. A row of a target or daemon, or a datagram, that throws costs only itself. runEvents goes on after a handler that throws, and signal and timer handlers wait for the next event before they act on this one.

The entry daemon and the controller run their loop through runEvents too, but still spawn their tasks detached.

--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -2,13 +2,11 @@
 
 #include "core/clockwatch.h"
 #include "core/log.h"
+#include "io/background.h"
 #include "peer/statuscodec.h"
 #include "platform/requests.h"
 #include "routing/calleraddresses.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -102,9 +100,9 @@
     m_storeWatch.start();
     m_peerSync.start();
     m_coordinator.start();
-    asio::co_spawn(m_context, sendStatuses(), asio::detached);
-    asio::co_spawn(m_context, sendDemand(), asio::detached);
-    asio::co_spawn(m_context, watchClocks(), asio::detached);
+    spawnLoop(m_context.get_executor(), "send statuses", [this] { return sendStatuses(); });
+    spawnLoop(m_context.get_executor(), "send demand", [this] { return sendDemand(); });
+    spawnLoop(m_context.get_executor(), "watch clocks", [this] { return watchClocks(); });
     log::info("started",
               { { "vm", m_state.settings.vm.value() },
                 { "incarnation", m_state.incarnation.value() },
@@ -181,6 +179,7 @@
         response.body = encode(m_state.fullStatus(BootClock::now()));
     else if (request.path == "/metrics") {
         response.contentType = "text/plain; version=0.0.4";
+        m_state.metrics.setGauge("bluebell_task_failures", static_cast<double>(taskFailures()));
         response.body = m_state.metrics.exposition();
     } else
         response = errorResponse(makeError(ErrorCode::NotFound, "no such call"), {});
@@ -254,7 +253,7 @@
     m_state.notifyChange();
     m_state.notifyRelays();
     m_callerServer.disableKeepAlive();
-    asio::co_spawn(m_context, stop(), asio::detached);
+    spawnLoop(m_context.get_executor(), "stop", [this] { return stop(); });
 }
 
 asio::awaitable<void> Daemon::stop()
--- a/programs/gateway/main.cpp
+++ b/programs/gateway/main.cpp
@@ -57,9 +57,9 @@
         m_signals.async_wait([this](const auto &ec, int) {
             if (ec)
                 return;
+            awaitSignal();
             log::info("settings reload requested", { { "file", m_path } });
             reload(readFile(m_path));
-            awaitSignal();
         });
     }
 
@@ -69,9 +69,9 @@
         m_timer.async_wait([this](const auto &ec) {
             if (ec)
                 return;
+            awaitTimer();
             if (auto text = readFile(m_path); text != m_text)
                 reload(std::move(text));
-            awaitTimer();
         });
     }
 
--- a/programs/gateway/peersync.cpp
+++ b/programs/gateway/peersync.cpp
@@ -2,12 +2,11 @@
 
 #include "core/log.h"
 #include "http/client.h"
+#include "io/background.h"
 #include "peer/relaycodec.h"
 #include "peer/statuscodec.h"
-
 #include "platform/fields.h"
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -50,7 +49,7 @@
 
 void PeerSync::start()
 {
-    asio::co_spawn(m_context, run(), asio::detached);
+    spawnLoop(m_context.get_executor(), "fetch from peers", [this] { return run(); });
 }
 
 asio::awaitable<void> PeerSync::run()
--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -1,12 +1,11 @@
 #include "gateway/placementcoordinator.h"
 
 #include "core/log.h"
+#include "io/background.h"
 #include "placement/planpace.h"
 #include "platform/engineclient.h"
-
 #include "platform/fields.h"
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -28,11 +27,11 @@
 /// Maximum time between two runs of the planner.
 constexpr Duration MaxPlanInterval = milliseconds(25);
 constexpr Duration OrderTimeout = milliseconds(150);
+constexpr Duration ReportTimeout = milliseconds(300);
 /// Leaders count their epochs one by one; a record beyond this is not theirs.
 constexpr Epoch MaxEpoch = Epoch(1) << 62U;
 /// A record with a longer wait for the first order is cut to this.
 constexpr Duration MaxTakeoverDelay = std::chrono::minutes(1);
-constexpr Duration ReportTimeout = milliseconds(300);
 /// Without this limit, reports that a busy leader receives too late are requested again and again.
 constexpr std::size_t MaxReportsInFlight = 64;
 
@@ -99,8 +98,8 @@
 
 void PlacementCoordinator::start()
 {
-    asio::co_spawn(m_context, keepLease(), asio::detached);
-    asio::co_spawn(m_context, planOrders(), asio::detached);
+    spawnLoop(m_context.get_executor(), "keep lease", [this] { return keepLease(); });
+    spawnLoop(m_context.get_executor(), "plan orders", [this] { return planOrders(); });
 }
 
 void PlacementCoordinator::applyConfig()
@@ -209,7 +208,7 @@
     planner.noteDemand(m_state.settings.vm, m_state.demand.demand(now), m_state.inFlight(), now);
     const auto limit = MaxReportsInFlight - std::min(m_reportsInFlight, MaxReportsInFlight);
     for (const auto &it : planner.reportsDue(limit, now))
-        asio::co_spawn(m_context, fetchReport(it), asio::detached);
+        spawnOnce(m_context.get_executor(), "fetch report", fetchReport(it));
     if (!m_state.leadership.maySendOrders(now)) {
         m_state.notePlacement();
         return;
@@ -217,7 +216,7 @@
     const auto orders = planner.plan(now);
     m_state.notePlacement();
     for (const auto &it : orders)
-        asio::co_spawn(m_context, sendOrder(it), asio::detached);
+        spawnOnce(m_context.get_executor(), "send order", sendOrder(it));
     if (!orders.empty())
         m_state.statusDue.notify();
 }
--- a/programs/gateway/relayservice.cpp
+++ b/programs/gateway/relayservice.cpp
@@ -1,9 +1,8 @@
 #include "gateway/relayservice.h"
 
 #include "core/log.h"
+#include "io/background.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/core.h>
 
 #include <algorithm>
@@ -39,8 +38,8 @@
 Result<void> RelayService::start()
 {
     BOOST_OUTCOME_TRYV(m_socket.open(m_state.settings.relay));
-    asio::co_spawn(m_context, sendReports(), asio::detached);
-    asio::co_spawn(m_context, sendDigests(), asio::detached);
+    spawnLoop(m_context.get_executor(), "send reports", [this] { return sendReports(); });
+    spawnLoop(m_context.get_executor(), "send digests", [this] { return sendDigests(); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/programs/gateway/siteupdates.cpp
+++ b/programs/gateway/siteupdates.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "gateway/memberrow.h"
+#include "io/background.h"
 #include "platform/documents.h"
 
 #include <nlohmann/json.hpp>
@@ -68,7 +69,7 @@
 void SiteUpdates::updateTargets(const std::vector<StoreRow> &rows, RowVersion version)
 {
     for (const auto &it : rows)
-        updateTarget(it, version);
+        runGuarded("target row " + it.key, [&] { updateTarget(it, version); });
     m_state.targetRows.advanceTo(version);
     m_state.registryVersion = version;
     if (rows.empty())
@@ -80,9 +81,9 @@
 
 void SiteUpdates::replaceTargets(const std::vector<StoreRow> &rows, RowVersion version)
 {
-    std::set<std::string> present;
     if (version < m_state.registryVersion)
         m_state.registry.forgetVersions();
+    std::set<std::string> present;
     for (const auto &it : rows)
         present.insert(it.key);
     std::vector<StoreRow> all;
@@ -124,15 +125,15 @@
 void SiteUpdates::updateMembers(const std::vector<StoreRow> &rows, RowVersion version)
 {
     std::set<VmId> changed;
-    for (const auto &row : rows) {
+    const auto update = [&](const StoreRow &row) {
         auto member = decodeMember(row);
-        if (!member && !row.isDeleted) {
+        if (!member && !row.isDeleted)
             log::warning("invalid daemon row ignored", { { "vm", row.key } });
-            continue;
-        }
-        if (m_state.memberRows.putWritten(VmId(row.key), std::move(member), version))
+        else if (m_state.memberRows.putWritten(VmId(row.key), std::move(member), version))
             changed.insert(VmId(row.key));
-    }
+    };
+    for (const auto &row : rows)
+        runGuarded("daemon row " + row.key, [&] { update(row); });
     m_state.memberRows.advanceTo(version);
     applyMembers(changed);
 }
@@ -140,9 +141,12 @@
 void SiteUpdates::replaceMembers(const std::vector<StoreRow> &rows, RowVersion version)
 {
     std::map<VmId, FleetMember> members;
-    for (const auto &row : rows)
+    const auto add = [&](const StoreRow &row) {
         if (auto member = decodeMember(row))
             members.emplace(VmId(row.key), std::move(*member));
+    };
+    for (const auto &row : rows)
+        runGuarded("daemon row " + row.key, [&] { add(row); });
     const auto own = members.find(m_state.settings.vm);
     m_isRegistered = own != members.end() && own->second == m_state.fleet.self();
     applyMembers(m_state.memberRows.replaceAll(members, version));
--- a/programs/gateway/storewatch.cpp
+++ b/programs/gateway/storewatch.cpp
@@ -2,11 +2,9 @@
 
 #include "core/log.h"
 #include "gateway/memberrow.h"
+#include "io/background.h"
 #include "platform/names.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -102,9 +100,11 @@
         m_updates.updateMembers(rows, version);
     };
     for (auto *table : { &config, &targets, &members })
-        asio::co_spawn(m_context, followTable(std::move(*table)), asio::detached);
-    asio::co_spawn(m_context, keepRegistered(), asio::detached);
-    asio::co_spawn(m_context, removeTimedOutMembers(), asio::detached);
+        spawnLoop(m_context.get_executor(), "follow " + table->name,
+                  [this, it = std::move(*table)] { return followTable(it); });
+    spawnLoop(m_context.get_executor(), "register", [this] { return keepRegistered(); });
+    spawnLoop(m_context.get_executor(), "remove dead daemons",
+              [this] { return removeTimedOutMembers(); });
 }
 
 asio::awaitable<void> StoreWatch::followTable(Table table)
--- a/src/peer/datagramsocket.cpp
+++ b/src/peer/datagramsocket.cpp
@@ -1,9 +1,9 @@
 #include "peer/datagramsocket.h"
 
+#include "io/background.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -49,7 +49,8 @@
     if (ec)
         return makeError(ErrorCode::Unavailable,
                          "cannot bind " + toString(local) + ": " + ec.message());
-    asio::co_spawn(m_socket.get_executor(), receive(shared_from_this()), asio::detached);
+    spawnLoop(m_socket.get_executor(), "receive datagrams",
+              [self = shared_from_this()] { return receive(self); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -63,8 +64,10 @@
                 asio::buffer(buf), from, asio::as_tuple(asio::use_awaitable));
         if (ec == asio::error::operation_aborted)
             co_return;
-        if (!ec)
-            self->m_handler(std::string_view(buf).substr(0, n), from.address().to_string());
+        if (ec)
+            continue;
+        const auto bytes = std::string_view(buf).substr(0, n);
+        runGuarded("datagram", [&] { self->m_handler(bytes, from.address().to_string()); });
     }
 }
 
--- a/src/settings/daemonmain.cpp
+++ b/src/settings/daemonmain.cpp
@@ -1,5 +1,7 @@
 #include "settings/daemonmain.h"
 
+#include "io/background.h"
+
 #include <boost/asio/signal_set.hpp>
 #include <fmt/core.h>
 
@@ -29,12 +31,12 @@
         signals.async_wait([&](const auto &ec, int) {
             if (ec)
                 return;
-            requestStop();
             waitForSignal();
+            requestStop();
         });
     };
     waitForSignal();
-    context.run();
+    runEvents(context);
 }
 
 } // namespace bluebell
