Test that deep answers of the store and of engines do not exhaust the stack

A lead that is no fault: answers of the store and reports of engines with 500000 nested arrays, as the whole answer, as its version, as a row and as a row's value, are refused or read without the odd part. The decoders have not changed; the parser and the destructor of nlohmann's library do not recurse, and nothing here copies, compares or dumps a parsed value.

--- a/tests/tst_adapter_oddnumbers.cpp
+++ b/tests/tst_adapter_oddnumbers.cpp
@@ -2,6 +2,7 @@
 #include "platform/documents.h"
 #include "platform/requests.h"
 #include "platform/settings.h"
+#include "platform/storecodec.h"
 #include "platformstandin.h"
 #include "rate/sharedrate.h"
 #include "records/rows.h"
@@ -318,6 +319,23 @@
             (void)gateway::decodeMember({ "t", "vm-1", withText(valid, path, value), 1, false });
 }
 
+TEST(OddNumbers, DeepAnswersOfTheStoreAndOfEnginesDoNotExhaustTheStack)
+{
+    constexpr std::size_t Depth = 500000;
+    const auto deep = std::string(Depth, '[') + std::string(Depth, ']');
+    EXPECT_FALSE(platform::decodeSnapshot(deep));
+    EXPECT_FALSE(platform::decodeWritten(deep));
+    EXPECT_FALSE(platform::decodeReport(deep));
+    const auto snapshot = platform::decodeSnapshot(R"({"Ver":)" + deep + R"(,"Rows":[)" + deep
+                                                   + R"(,{"Key":"k","Value":)" + deep + "}]}");
+    ASSERT_TRUE(snapshot);
+    ASSERT_EQ(snapshot.value().rows.size(), 1U);
+    EXPECT_EQ(snapshot.value().rows[0].value, "");
+    const auto report = platform::decodeReport(R"({"Sequence":1,"Models":)" + deep + "}");
+    ASSERT_TRUE(report);
+    EXPECT_TRUE(report.value().state.resident.empty());
+}
+
 TEST(OddNumbers, RandomChangesOfRowsAreDecodedOrRefused)
 {
     constexpr int Cases = 3000;
