--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -2,11 +2,11 @@
 
 #include "core/log.h"
 #include "gateway/targetnotices.h"
+#include "io/background.h"
 #include "placement/planpace.h"
 #include "platform/engineclient.h"
+#include "platform/fields.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -29,6 +29,10 @@
 constexpr Duration MaxPlanInterval = milliseconds(25);
 constexpr Duration OrderTimeout = milliseconds(150);
 constexpr Duration ReportTimeout = milliseconds(300);
+/// Leaders count their epochs one by one; a record beyond this is not theirs.
+constexpr Epoch MaxEpoch = Epoch(1) << 62U;
+/// A record with a longer wait for the first order is cut to this.
+constexpr Duration MaxTakeoverDelay = std::chrono::minutes(1);
 /// Without this limit, reports that a busy leader receives too late are requested again and again.
 constexpr std::size_t MaxReportsInFlight = 64;
 
@@ -48,17 +52,23 @@
     const auto object = json::parse(value, nullptr, false);
     if (!object.is_object())
         return std::nullopt;
-    try {
-        LeaderRecord it;
-        it.vm = VmId(object.at("vm").get<std::string>());
-        it.incarnation = IncarnationId(object.at("incarnation").get<std::string>());
-        it.epoch = object.at("epoch").get<Epoch>();
-        it.takeoverDelayLeft = milliseconds(object.at("turn_left_ms").get<std::int64_t>());
-        it.isReleased = object.at("released").get<bool>();
-        return it;
-    } catch (const json::exception &) {
+    const auto vm = platform::stringField(object, "vm");
+    const auto incarnation = platform::stringField(object, "incarnation");
+    const auto epoch = platform::unsignedField(object, "epoch");
+    const auto wait =
+            platform::numberField(object, "turn_left_ms", 0,
+                                  static_cast<double>(toMilliseconds(MaxTakeoverDelay).count()));
+    const auto released = object.find("released");
+    if (!vm || !incarnation || !epoch || *epoch > MaxEpoch || !wait || released == object.end()
+        || !released->is_boolean())
         return std::nullopt;
-    }
+    LeaderRecord it;
+    it.vm = VmId(*vm);
+    it.incarnation = IncarnationId(*incarnation);
+    it.epoch = *epoch;
+    it.takeoverDelayLeft = milliseconds(static_cast<std::int64_t>(*wait));
+    it.isReleased = released->get<bool>();
+    return it;
 }
 
 std::string_view nameOf(OrderOutcome outcome)
@@ -89,8 +99,8 @@
 
 void PlacementCoordinator::start()
 {
-    asio::co_spawn(m_context, keepLease(), asio::detached);
-    asio::co_spawn(m_context, planOrders(), asio::detached);
+    spawnLoop(m_context.get_executor(), "keep lease", [this] { return keepLease(); });
+    spawnLoop(m_context.get_executor(), "plan orders", [this] { return planOrders(); });
 }
 
 void PlacementCoordinator::applyConfig()
@@ -200,7 +210,7 @@
     planner.noteDemand(m_state.settings.vm, m_state.demand.demand(now), m_state.inFlight(), now);
     const auto limit = MaxReportsInFlight - std::min(m_reportsInFlight, MaxReportsInFlight);
     for (const auto &it : planner.reportsDue(limit, now))
-        asio::co_spawn(m_context, fetchReport(it), asio::detached);
+        spawnOnce(m_context.get_executor(), "fetch report", fetchReport(it));
     if (!m_state.leadership.maySendOrders(now)) {
         m_state.notePlacement();
         return;
@@ -208,7 +218,7 @@
     const auto orders = planner.plan(now);
     m_state.notePlacement();
     for (const auto &it : orders)
-        asio::co_spawn(m_context, sendOrder(it), asio::detached);
+        spawnOnce(m_context.get_executor(), "send order", sendOrder(it));
     if (!orders.empty())
         m_state.statusDue.notify();
 }
--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -2,6 +2,7 @@
 
 #include "gateway/request.h"
 #include "http/message.h"
+#include "placement/demandtracker.h"
 #include "site/siteindex.h"
 #include "streams/eventsplitter.h"
 
@@ -54,6 +55,13 @@
     TimePoint at;
 };
 
+/// A request that counts as running at a target in the target selector.
+struct RunningAttempt
+{
+    TargetId target;
+    std::optional<ReplicaKey> key;
+};
+
 /// State of one request while it is processed.
 struct RequestContext
 {
@@ -101,6 +109,10 @@
     std::optional<TimePoint> holdOffEnd;
     /// The latest notice that has affected the request.
     std::optional<TargetNotice> notice;
+    /// Set while an attempt is counted in the target selector.
+    std::optional<RunningAttempt> running;
+    /// Entry in the demand statistics while the request waits.
+    std::optional<WaitId> wait;
 };
 
 /// Result of one attempt at a target.
--- a/programs/gateway/siteupdates.cpp
+++ b/programs/gateway/siteupdates.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "gateway/memberrow.h"
+#include "io/background.h"
 #include "platform/documents.h"
 
 #include <nlohmann/json.hpp>
@@ -61,7 +62,7 @@
     const auto *known = m_state.registry.find(id);
     const auto wasDraining = known ? std::optional(known->isDraining) : std::nullopt;
     m_state.targetRows.put(row.key, relayedRow(accepted), version);
-    m_state.registry.put(row.key, std::move(accepted));
+    m_state.registry.put(row.key, std::move(accepted), version);
     const auto *stored = m_state.registry.find(id);
     if (stored && wasDraining != stored->isDraining)
         log::info(stored->isDraining ? "target is draining" : "target is ready",
@@ -71,7 +72,7 @@
 void SiteUpdates::updateTargets(const std::vector<StoreRow> &rows, RowVersion version)
 {
     for (const auto &it : rows)
-        updateTarget(it, version);
+        runGuarded("target row " + it.key, [&] { updateTarget(it, version); });
     m_state.targetRows.advanceTo(version);
     m_state.registryVersion = version;
     if (rows.empty())
@@ -83,6 +84,8 @@
 
 void SiteUpdates::replaceTargets(const std::vector<StoreRow> &rows, RowVersion version)
 {
+    if (version < m_state.registryVersion)
+        m_state.registry.forgetVersions();
     std::set<std::string> present;
     for (const auto &it : rows)
         present.insert(it.key);
@@ -103,7 +106,7 @@
     return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-void SiteUpdates::applyTargets(const std::set<std::string> &changed)
+void SiteUpdates::applyTargets(const std::set<std::string> &changed, RowVersion version)
 {
     const auto now = BootClock::now();
     for (const auto &key : changed) {
@@ -116,7 +119,7 @@
         const auto *known = m_state.registry.find(TargetId(key));
         if (entry && known && known->startTimeMs == entry->startTimeMs)
             entry->engine = known->engine;
-        m_state.registry.put(key, std::move(entry));
+        m_state.registry.put(key, std::move(entry), version);
     }
     if (!changed.empty())
         m_state.selector.retainOnly(m_state.registry.targets());
@@ -125,15 +128,15 @@
 void SiteUpdates::updateMembers(const std::vector<StoreRow> &rows, RowVersion version)
 {
     std::set<VmId> changed;
-    for (const auto &row : rows) {
+    const auto update = [&](const StoreRow &row) {
         auto member = decodeMember(row);
-        if (!member && !row.isDeleted) {
+        if (!member && !row.isDeleted)
             log::warning("invalid daemon row ignored", { { "vm", row.key } });
-            continue;
-        }
-        if (m_state.memberRows.putWritten(VmId(row.key), std::move(member), version))
+        else if (m_state.memberRows.putWritten(VmId(row.key), std::move(member), version))
             changed.insert(VmId(row.key));
-    }
+    };
+    for (const auto &row : rows)
+        runGuarded("daemon row " + row.key, [&] { update(row); });
     m_state.memberRows.advanceTo(version);
     applyMembers(changed);
 }
@@ -141,9 +144,12 @@
 void SiteUpdates::replaceMembers(const std::vector<StoreRow> &rows, RowVersion version)
 {
     std::map<VmId, FleetMember> members;
-    for (const auto &row : rows)
+    const auto add = [&](const StoreRow &row) {
         if (auto member = decodeMember(row))
             members.emplace(VmId(row.key), std::move(*member));
+    };
+    for (const auto &row : rows)
+        runGuarded("daemon row " + row.key, [&] { add(row); });
     const auto own = members.find(m_state.settings.vm);
     m_isRegistered = own != members.end() && own->second == m_state.fleet.self();
     applyMembers(m_state.memberRows.replaceAll(members, version));
@@ -184,7 +190,7 @@
     std::set<std::string> targets;
     if (!hasFreshTargets(now))
         targets = m_state.targetRows.apply(digest.targets);
-    applyTargets(targets);
+    applyTargets(targets, digest.targets.number);
     applyMembers(m_state.memberRows.apply(digest.members));
     m_state.isBehindRelay = m_state.targetRows.isBehind() || m_state.memberRows.isBehind()
             || (digest.placement.update.number > 0 && fleet.placement().isIncomplete());
