--- a/tests/tst_targetnotices.cpp
+++ b/tests/tst_targetnotices.cpp
@@ -5,7 +5,11 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <optional>
 #include <random>
+#include <string>
+#include <utility>
 
 using namespace bluebell;
 using namespace std::chrono_literals;
@@ -26,6 +30,23 @@
     return it;
 }
 
+/// A registry whose entries were read from the store in the order of the calls.
+class OrderedRegistry : public TargetRegistry
+{
+public:
+    void put(const std::string &key, std::optional<TargetEntry> it)
+    {
+        TargetRegistry::put(key, std::move(it), ++m_version);
+    }
+    void replaceAll(const std::map<std::string, std::optional<TargetEntry>> &entries, TimePoint now)
+    {
+        TargetRegistry::replaceAll(entries, ++m_version, now);
+    }
+
+private:
+    RowVersion m_version = 0;
+};
+
 TargetRequirements requirements()
 {
     TargetRequirements it;
@@ -43,7 +64,7 @@
 
 TEST(LeavingTargets, StatementOverridesLaterReadyEntries)
 {
-    TargetRegistry registry;
+    OrderedRegistry registry;
     registry.put("t", entry("t"));
     EXPECT_TRUE(registry.noteLeaving(TargetId("t"), 1, Start));
     EXPECT_TRUE(isDraining(registry));
@@ -57,7 +78,7 @@
 
 TEST(LeavingTargets, StatementAfterADrainingEntryChangesNothing)
 {
-    TargetRegistry registry;
+    OrderedRegistry registry;
     auto draining = entry("t", 2);
     draining.isDraining = true;
     registry.put("t", draining);
@@ -68,7 +89,7 @@
 
 TEST(LeavingTargets, StatementOutlivesTheEntry)
 {
-    TargetRegistry registry;
+    OrderedRegistry registry;
     registry.put("t", entry("t"));
     registry.noteLeaving(TargetId("t"), 1, Start);
     registry.remove("t", Start + 1s);
@@ -82,7 +103,7 @@
 
 TEST(LeavingTargets, StatementOfATargetWithoutAnEntryIsKept)
 {
-    TargetRegistry registry;
+    OrderedRegistry registry;
     EXPECT_TRUE(registry.noteLeaving(TargetId("t"), 1, Start));
     registry.put("t", entry("t"));
     EXPECT_TRUE(isDraining(registry));
@@ -90,7 +111,7 @@
 
 TEST(LeavingTargets, NextRunStartsClean)
 {
-    TargetRegistry registry;
+    OrderedRegistry registry;
     registry.put("t", entry("t", 9, 1));
     registry.noteLeaving(TargetId("t"), 1, Start);
     registry.put("t", entry("t", 1, 2));
@@ -101,7 +122,7 @@
 
 TEST(LeavingTargets, LateResponseOfAnEarlierRunDoesNotMarkTheNextOne)
 {
-    TargetRegistry registry;
+    OrderedRegistry registry;
     registry.put("t", entry("t", 1, 2));
     EXPECT_FALSE(registry.noteLeaving(TargetId("t"), 1, Start));
     EXPECT_FALSE(isDraining(registry));
@@ -113,7 +134,7 @@
 
 TEST(LeavingTargets, StatementOfANewerRunCoversOutdatedEntries)
 {
-    TargetRegistry registry;
+    OrderedRegistry registry;
     registry.noteLeaving(TargetId("t"), 2, Start);
     EXPECT_FALSE(registry.noteLeaving(TargetId("t"), 1, Start));
     registry.put("t", entry("t", 7, 1));
@@ -124,7 +145,7 @@
 
 TEST(LeavingTargets, AnotherTargetAtTheSameAddressStartsClean)
 {
-    TargetRegistry registry;
+    OrderedRegistry registry;
     auto first = entry("t");
     first.address = { "127.0.0.1", 4000 };
     registry.put("t", first);
@@ -138,7 +159,7 @@
 
 TEST(LeavingTargets, ACopyFromARelayDoesNotOverrideTheStatement)
 {
-    TargetRegistry registry;
+    OrderedRegistry registry;
     registry.put("t", entry("t", 4));
     registry.noteLeaving(TargetId("t"), 1, Start);
     const auto row = relayedRow(entry("t", 5));
@@ -149,7 +170,7 @@
 
 TEST(LeavingTargets, StatementSurvivesAnOutageOfTheStore)
 {
-    TargetRegistry registry;
+    OrderedRegistry registry;
     registry.noteContact(Start);
     registry.put("t", entry("t"));
     registry.noteLeaving(TargetId("t"), 1, Start);
@@ -162,7 +183,7 @@
 
 TEST(LeavingTargets, OnlyTheOldestWithoutAnEntryAreForgotten)
 {
-    TargetRegistry registry;
+    OrderedRegistry registry;
     registry.put("t", entry("t"));
     registry.noteLeaving(TargetId("t"), 1, Start);
     const auto nameOf = [](std::size_t n) {
@@ -186,7 +207,7 @@
         const auto pick = [&](unsigned n) {
             return static_cast<unsigned>(random() % n);
         };
-        TargetRegistry registry;
+        OrderedRegistry registry;
         TargetSelector selector(DataCentreId("a"), "vm-1");
         // The latest run that has started, and the latest that has stated that it is leaving.
         std::map<std::string, std::uint64_t> started;
