Compare runs of a target by equality, not by the order of their start times

A statement or a hold-off of one run covered every entry with an earlier start time too. The clock of the VM on which the next run starts may be behind, or be set back, so that run's start time may be the earlier one: it would have got no request until its end. Both are kept per id and start time now, and apply to exactly that run.

An outdated entry of an earlier run is the registry's matter, which refuses it. The property now keeps the set of all runs that have made a statement in place of the latest one.

--- a/src/routing/holdoffs.h
+++ b/src/routing/holdoffs.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <utility>
 
 /// \file
 /// Times until which targets have asked this daemon to send them nothing.
@@ -22,8 +23,8 @@
     TimePoint until;
 };
 
-/// The hold-offs of all targets. One holds for the run of the target that asked for it; the next
-/// run starts without.
+/// The hold-offs of all targets. One holds for the run of the target that asked for it; other runs
+/// start without.
 class HoldOffs
 {
 public:
@@ -45,7 +46,8 @@
     inForce(const std::map<TargetId, TargetEntry> &targets, TimePoint now) const;
 
 private:
-    std::map<TargetId, HoldOff> m_all;
+    /// By target and start time of its run.
+    std::map<std::pair<TargetId, std::uint64_t>, HoldOff> m_all;
 };
 
 } // namespace bluebell
--- a/src/site/targetregistry.cpp
+++ b/src/site/targetregistry.cpp
@@ -35,14 +35,11 @@
 
 bool TargetRegistry::noteLeaving(const TargetId &id, std::uint64_t startTimeMs, TimePoint now)
 {
-    const auto entry = m_targets.find(id);
-    if (entry != m_targets.end() && startTimeMs < entry->second.startTimeMs)
-        return false;
-    const auto [it, isNew] = m_leaving.try_emplace(id, LeavingTarget { startTimeMs, now });
-    if (!isNew && startTimeMs <= it->second.startTimeMs)
+    const bool isNew = m_leaving.try_emplace({ id, startTimeMs }, now).second;
+    if (!isNew)
         return false;
-    it->second = { startTimeMs, now };
-    if (entry != m_targets.end())
+    const auto entry = m_targets.find(id);
+    if (entry != m_targets.end() && entry->second.startTimeMs == startTimeMs)
         entry->second.isDraining = true;
     boundLeavingTargets();
     return true;
@@ -53,9 +50,10 @@
     while (m_leaving.size() > MaxLeavingTargets) {
         auto oldest = m_leaving.end();
         for (auto it = m_leaving.begin(); it != m_leaving.end(); ++it) {
-            const auto *entry = find(it->first);
-            const bool isInUse = entry && entry->startTimeMs <= it->second.startTimeMs;
-            if (!isInUse && (oldest == m_leaving.end() || it->second.since < oldest->second.since))
+            const auto &[id, startTimeMs] = it->first;
+            const auto *entry = find(id);
+            const bool isInUse = entry && entry->startTimeMs == startTimeMs;
+            if (!isInUse && (oldest == m_leaving.end() || it->second < oldest->second))
                 oldest = it;
         }
         if (oldest == m_leaving.end())
@@ -66,11 +64,8 @@
 
 std::optional<TimePoint> TargetRegistry::leavingSince(const TargetEntry &entry) const
 {
-    // An entry of an earlier run is out of date: a request would reach the leaving run.
-    const auto it = m_leaving.find(entry.id);
-    if (it == m_leaving.end() || entry.startTimeMs > it->second.startTimeMs)
-        return std::nullopt;
-    return it->second.since;
+    const auto it = m_leaving.find({ entry.id, entry.startTimeMs });
+    return it == m_leaving.end() ? std::nullopt : std::optional(it->second);
 }
 
 bool TargetRegistry::isInRecoveryGrace(TimePoint now) const
--- a/src/site/targetregistry.h
+++ b/src/site/targetregistry.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// \file
@@ -72,7 +73,7 @@
     /// Time without a reply of the store after which entries may have expired.
     static constexpr Duration OutageThreshold = std::chrono::milliseconds(2500);
     /// Number of remembered leaving targets above which those without an entry, or with an entry of
-    /// a later run, are forgotten, the oldest first.
+    /// another run, are forgotten, the oldest first.
     static constexpr std::size_t MaxLeavingTargets = 4096;
 
     // Events.
@@ -93,7 +94,7 @@
     /// Notes that a target has stated in a response that it is leaving.
     ///
     /// \param startTimeMs start time of the run to which the request was sent, see
-    ///        TargetEntry::startTimeMs; a statement of an earlier run than the known one is ignored
+    ///        TargetEntry::startTimeMs; other runs are not affected
     /// \returns whether this run was not known to be leaving
     bool noteLeaving(const TargetId &id, std::uint64_t startTimeMs, TimePoint now);
     /// Removes entries that have been missing for too long.
@@ -113,12 +114,6 @@
     [[nodiscard]] std::optional<TimePoint> leavingSince(const TargetEntry &entry) const;
 
 private:
-    struct LeavingTarget
-    {
-        std::uint64_t startTimeMs = 0;
-        TimePoint since;
-    };
-
     /// Forgets leaving targets that no entry shows while there are too many.
     void boundLeavingTargets();
     /// \returns whether the store recovered from an outage less than RecoveryGrace ago
@@ -127,8 +122,9 @@
     std::map<TargetId, TargetEntry> m_targets;
     /// Targets whose rows are missing, and until when their entries are kept.
     std::map<TargetId, TimePoint> m_missing;
-    /// The latest run of each target that has stated that it is leaving.
-    std::map<TargetId, LeavingTarget> m_leaving;
+    /// Runs of targets, by id and start time, that have stated that they are leaving, and since
+    /// when.
+    std::map<std::pair<TargetId, std::uint64_t>, TimePoint> m_leaving;
     std::optional<TimePoint> m_lastContact;
     /// When the store recovered from the last outage.
     std::optional<TimePoint> m_recoveredAt;
