Let a broken stream wait for a retry instead of cutting it

What callers saw: a stream that had begun was cut at once when its target broke off, or the next one refused it, while the retry budget of the daemon was used up for a moment, or when no engine is concerned and the latency goal had passed.

A stream that has begun now waits for the budget as long as its caller waits for the next event; a silent target is left only for one that has not refused or failed a request just before; a selection without hold-offs looks nothing up. ResumedStreams.ABrokenStreamWaitsForTheRetryBudgetInsteadOfBeingCut failed before (finished, events 1 and 2 of 5) and passes now, with the other 38 tests of streams and connections. The budget itself is unchanged: no more retries are sent.

--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -18,6 +18,8 @@
 constexpr Duration ConnectTimeout = milliseconds(200);
 /// Pause before targets are tried again when all usable ones have refused.
 constexpr Duration RefusalRetryDelay = milliseconds(30);
+/// Maximum time between two checks of the retry budget for a stream that waits for it.
+constexpr Duration RetryCheckInterval = milliseconds(50);
 /// Maximum time between two attempts to select a target.
 constexpr Duration MaxSelectionInterval = milliseconds(250);
 /// Time in which the leader decides where to load a model.
@@ -26,7 +28,7 @@
 constexpr Duration RetryAllowance = milliseconds(500);
 /// Maximum number of attempts for one request, including those that fail to connect.
 constexpr std::uint32_t MaxSends = 8;
-/// Requests end this long before the kill of a stopping process.
+/// Requests that arrive during a stop end this long before the kill of the process.
 constexpr Duration StopMargin = milliseconds(600);
 /// Time that a stream may take. A stopping daemon starts no stream when less than this is left.
 constexpr Duration MinTimeForStream = milliseconds(4500);
@@ -125,7 +127,8 @@
     facts.latencyGoal = it.route->latencyGoal;
     if (!it.service->engine || !it.caller.replica) {
         // No model is loaded for this request: it can only wait for a target to become available.
-        facts.firstByteTimeout = it.route->latencyGoal;
+        facts.firstByteTimeout =
+                it.hasStartedResponse ? callersPatience(*it.route) : it.route->latencyGoal;
         facts.readyAt = it.holdOffEnd;
         return facts;
     }
@@ -172,9 +175,9 @@
 {
     auto requirements = targetRequirements(it);
     requirements.excluded.insert(it.lastTarget);
-    return m_state.selector
-            .choose(requirements, m_state.registry.targets(), m_state.residents(now), now)
-            .has_value();
+    const auto other = m_state.selector.choose(requirements, m_state.registry.targets(),
+                                               m_state.residents(now), now);
+    return other && !m_state.selector.isInBackoff(*other, now);
 }
 
 bool RequestProxy::tryLeaveTarget(RequestContext &it, std::uint32_t runs)
@@ -243,25 +246,41 @@
     co_return result;
 }
 
-bool RequestProxy::mayRetry(RequestContext &it, AttemptOutcome outcome)
+bool RequestProxy::isRetryAllowed(const RequestContext &it, AttemptOutcome outcome,
+                                  TimePoint now) const
 {
-    const auto now = BootClock::now();
     if (it.cancel->isCancelled() || now >= it.deadline || it.sends >= MaxSends)
         return false;
-    // An attempt that was not sent adds no load to the targets, so it needs no retry budget.
-    if (outcome == AttemptOutcome::NotSent)
+    if (outcome != AttemptOutcome::Failed)
         return true;
-    if (outcome == AttemptOutcome::Failed) {
-        const bool isAllowed =
-                it.route->isRetryable() && it.events.canResume() && it.runs < it.route->maxTargets;
-        if (!isAllowed)
-            return false;
-    }
-    if (std::exchange(it.isRetryReserved, false))
+    return it.route->isRetryable() && it.events.canResume() && it.runs < it.route->maxTargets;
+}
+
+bool RequestProxy::takeRetry(RequestContext &it, AttemptOutcome outcome)
+{
+    // An attempt that was not sent adds no load to the targets, so it needs no retry budget.
+    if (outcome == AttemptOutcome::NotSent || std::exchange(it.isRetryReserved, false))
         return true;
     return m_state.retryBudgetOf(it.service->name).takeRetry();
 }
 
+asio::awaitable<bool> RequestProxy::awaitRetry(RequestContext &it, AttemptOutcome outcome)
+{
+    for (;;) {
+        const auto now = BootClock::now();
+        if (!isRetryAllowed(it, outcome, now))
+            co_return false;
+        if (takeRetry(it, outcome))
+            co_return true;
+        // Without a retry, a stream that has begun would be cut.
+        const auto patienceEnd =
+                it.lastChunkAt.value_or(it.receivedAt) + callersPatience(*it.route);
+        if (!it.hasStartedResponse || now >= patienceEnd || isTooLateToStart(it, now))
+            co_return false;
+        co_await m_state.stateChanged.wait(RetryCheckInterval);
+    }
+}
+
 asio::awaitable<Result<void>> RequestProxy::serve(RequestContext &it, HttpResponder &responder)
 {
     m_state.retryBudgetOf(it.service->name).noteFirstAttempt();
@@ -284,7 +303,8 @@
         if (result.outcome == AttemptOutcome::Undeliverable)
             co_return result.error;
         it.triedTargets.insert(id);
-        if (mayRetry(it, result.outcome))
+        const bool isRetried = co_await awaitRetry(it, result.outcome);
+        if (isRetried)
             continue;
         if (result.response) {
             it.hasStartedResponse = true;
--- a/programs/gateway/requestproxy.h
+++ b/programs/gateway/requestproxy.h
@@ -53,8 +53,17 @@
     [[nodiscard]] std::optional<Result<TargetId>> selectTarget(RequestContext &it, TimePoint now);
     boost::asio::awaitable<AttemptResult> attempt(RequestContext &it, TargetId target,
                                                   HttpResponder &responder);
-    /// \returns whether another attempt is allowed; takes it from the retry budget
-    [[nodiscard]] bool mayRetry(RequestContext &it, AttemptOutcome outcome);
+    /// \returns whether another attempt is allowed after one that ended with `outcome`, apart from
+    /// the retry budget
+    [[nodiscard]] bool isRetryAllowed(const RequestContext &it, AttemptOutcome outcome,
+                                      TimePoint now) const;
+    /// \returns whether the retry budget allows another attempt; takes it from the budget
+    [[nodiscard]] bool takeRetry(RequestContext &it, AttemptOutcome outcome);
+    /// Takes another attempt from the retry budget. A stream that has begun waits for the budget as
+    /// long as its caller waits for the next event.
+    ///
+    /// \returns whether another attempt may begin
+    boost::asio::awaitable<bool> awaitRetry(RequestContext &it, AttemptOutcome outcome);
     /// \returns whether the request might not finish before this daemon stops; the caller should
     /// then retry at another daemon. A response that has begun is continued as long as possible.
     [[nodiscard]] bool isTooLateToStart(const RequestContext &it, TimePoint now) const;
@@ -71,7 +80,8 @@
     ///
     /// \param limit time without a byte after which the target may be given up
     [[nodiscard]] std::optional<SilencePolicy> silencePolicy(RequestContext &it, Duration limit);
-    /// \returns whether another target than the current one can serve the request now
+    /// \returns whether another target than the current one can serve the request now, and has not
+    /// refused or failed a request just before
     [[nodiscard]] bool hasOtherTarget(const RequestContext &it, TimePoint now);
     /// Takes a retry from the budget if the request can be sent to another target than its current
     /// one now.
--- a/src/routing/holdoffs.cpp
+++ b/src/routing/holdoffs.cpp
@@ -17,6 +17,8 @@
 
 const HoldOff *HoldOffs::find(const TargetEntry &entry, TimePoint now) const
 {
+    if (m_all.empty())
+        return nullptr;
     const auto it = m_all.find({ entry.id, entry.startTimeMs });
     return it != m_all.end() && now < it->second.until ? &it->second : nullptr;
 }
--- a/src/routing/targetselector.cpp
+++ b/src/routing/targetselector.cpp
@@ -129,6 +129,12 @@
     });
 }
 
+bool TargetSelector::isInBackoff(const TargetId &target, TimePoint now) const
+{
+    const auto it = m_health.find(target);
+    return it != m_health.end() && now < it->second.backoffUntil;
+}
+
 std::uint32_t TargetSelector::load(const TargetId &target) const
 {
     std::uint32_t n = 0;
--- a/src/routing/targetselector.h
+++ b/src/routing/targetselector.h
@@ -106,6 +106,8 @@
 
     [[nodiscard]] const HoldOffs &holdOffs() const noexcept { return m_holdOffs; }
 
+    /// \returns whether the target has just refused or failed a request of this daemon
+    [[nodiscard]] bool isInBackoff(const TargetId &target, TimePoint now) const;
     /// \returns the requests of all daemons in flight at `target`
     [[nodiscard]] std::uint32_t load(const TargetId &target) const;
     /// \returns this daemon's requests in flight by target and model
--- a/tests/tst_adapter_resumedstreams.cpp
+++ b/tests/tst_adapter_resumedstreams.cpp
@@ -150,3 +150,29 @@
     EXPECT_EQ(reply->body, FiveEvents);
     EXPECT_TRUE(reply->isComplete);
 }
+
+TEST_F(ResumedStreams, ABrokenStreamWaitsForTheRetryBudgetInsteadOfBeingCut)
+{
+    for (const auto *id : { "e1", "e2" })
+        addTarget(id, "engines", { "m0" }).behaviour.fails = true;
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    for (int n = 0; n < 3; ++n)
+        EXPECT_EQ(request(0, "/review/x", "key-1", ModelZero), 500U);
+    for (const auto &it : targets) {
+        it->behaviour.fails = false;
+        it->behaviour.cutAfterEvents = 2;
+    }
+    const auto reply = stream("/review/x");
+    ASSERT_TRUE(runUntil([&] { return reply->body == TwoEvents; }));
+    for (const auto &it : targets)
+        it->behaviour.cutAfterEvents = 0;
+    run(200ms);
+    EXPECT_FALSE(reply->isFinished);
+    // Each first attempt adds to the budget.
+    for (int n = 0; n < 10; ++n)
+        EXPECT_EQ(request(0, "/review/x", "key-1", ModelZero), 200U);
+    EXPECT_TRUE(runUntil([&] { return reply->isFinished; }));
+    EXPECT_TRUE(reply->isComplete);
+    EXPECT_EQ(reply->body, FiveEvents);
+}
