Start the accept loop again after an exception

An exception in the loop that accepts connections ended it for good, while the daemon went on and said that it is ready. It runs through spawnLoop now, like the other background tasks. Not shown by a failing test; KeptConnections.* pass.

--- a/src/http/httplistener.cpp
+++ b/src/http/httplistener.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "http/httpsession.h"
+#include "io/background.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -59,7 +60,8 @@
     if (ec)
         return makeError(ErrorCode::Unavailable,
                          "cannot listen on " + toString(endpoint) + ": " + ec.message());
-    asio::co_spawn(m_acceptor.get_executor(), acceptLoop(shared_from_this()), asio::detached);
+    spawnLoop(m_acceptor.get_executor(), "accept connections",
+              [self = shared_from_this()] { return acceptLoop(self); });
     return Endpoint { endpoint.host, m_acceptor.local_endpoint().port() };
 }
 
