Keep the limits of a connection's last response while it is idle

What callers saw: a connection was closed after 100 ms although its response had come under a limit of 1 s, when the limit was lowered in the moment between the response and the start of the idle time. Cause: the limits were taken anew when the idle time began, not when the response was sent.

--- a/src/http/httpsession.cpp
+++ b/src/http/httpsession.cpp
@@ -92,7 +92,8 @@
     m_phaseStartedAt = BootClock::now();
     m_isOverdue = false;
     m_hasExpired = false;
-    if (const auto listener = m_listener.lock())
+    // A connection that becomes idle keeps the limits under which its last response was sent.
+    if (const auto listener = m_listener.lock(); listener && phase != Phase::Idle)
         m_limits = listener->limits();
     updateDeadline();
 }
