Log how far a failed attempt had come, and the parts of its prompt

The log named neither the parts of the prompt nor how far the response had come, so it could not tell a request that ends its targets from targets that fail.

Each attempt that may have run without a valid response has a line with the run of the target, the cause, and the age of head, first and latest event.

No logic changed.

--- a/programs/gateway/request.h
+++ b/programs/gateway/request.h
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 /// \file
 /// A caller's request and a target's response, independent of the platform's header names.
@@ -29,6 +30,9 @@
     std::optional<ReplicaKey> replica;
     /// Prompt tokens plus maximum response tokens, if given.
     std::optional<Tokens> tokens;
+    /// The parts of the prompt that other requests may share, in order. The last part, which
+    /// belongs to the request or its session alone, is left out.
+    std::vector<PromptPartId> sharedParts;
     /// Id of the event after which the caller resumes a stream, or empty.
     std::string lastEventId;
 };
--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -62,6 +62,17 @@
     std::optional<ReplicaKey> key;
 };
 
+/// How far the response to the latest attempt has come.
+struct AttemptProgress
+{
+    TimePoint sentAt;
+    /// When the response head was read.
+    std::optional<TimePoint> headAt;
+    /// When the first and the latest chunk of a stream with a complete event were read.
+    std::optional<TimePoint> firstChunkAt;
+    std::optional<TimePoint> lastChunkAt;
+};
+
 /// State of one request while it is processed.
 struct RequestContext
 {
@@ -105,6 +116,7 @@
     bool isRetryReserved = false;
     /// Start time of the run of `lastTarget` to which the request was sent.
     std::uint64_t lastTargetStartTimeMs = 0;
+    AttemptProgress progress;
     /// End of the first hold-off that the request waits for, if it waits for nothing else.
     std::optional<TimePoint> holdOffEnd;
     /// The latest notice that has affected the request.
--- a/programs/gateway/requestlog.cpp
+++ b/programs/gateway/requestlog.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/core.h>
 
+#include <algorithm>
+
 namespace bluebell::gateway {
 namespace {
 
@@ -34,8 +36,42 @@
                        toMilliseconds(now - notice->at).count(), notice->startTimeMs);
 }
 
+/// \returns the ids, separated by commas, cut to a readable number
+std::string toText(const std::vector<PromptPartId> &parts)
+{
+    constexpr std::size_t MaxParts = 16;
+    std::string text;
+    for (std::size_t n = 0; n < std::min(parts.size(), MaxParts); ++n)
+        text += (n == 0 ? "" : ",") + parts[n].value();
+    return text;
+}
+
+/// \returns the time from `from` to `to` in milliseconds, or nothing if one of them is unknown
+std::string millisecondsBetween(std::optional<TimePoint> from, std::optional<TimePoint> to)
+{
+    return from && to ? std::to_string(toMilliseconds(*to - *from).count()) : std::string();
+}
+
 } // namespace
 
+void recordFailedAttempt(const RequestContext &it, const Error &error, Metrics &metrics)
+{
+    const auto now = BootClock::now();
+    const auto &progress = it.progress;
+    metrics.count("bluebell_failed_attempts_total",
+                  { it.organisation, ClassId(it.route ? it.route->name : std::string()), {} });
+    log::warning("attempt failed",
+                 { { "request", it.caller.attempt.value() },
+                   { "target", it.lastTarget.value() },
+                   { "start_time_ms", std::to_string(it.lastTargetStartTimeMs) },
+                   { "cause", error.message },
+                   { "sent_ago_ms", millisecondsBetween(progress.sentAt, now) },
+                   { "head_ago_ms", millisecondsBetween(progress.headAt, now) },
+                   { "first_event_ago_ms", millisecondsBetween(progress.firstChunkAt, now) },
+                   { "last_event_ago_ms", millisecondsBetween(progress.lastChunkAt, now) },
+                   { "prompt_parts", toText(it.caller.sharedParts) } });
+}
+
 void noteChunk(RequestContext &it, Metrics &metrics)
 {
     const auto now = BootClock::now();
--- a/programs/gateway/requestlog.h
+++ b/programs/gateway/requestlog.h
@@ -11,6 +11,10 @@
 /// Records the time to the first chunk of a stream, or the gap since the previous chunk.
 void noteChunk(RequestContext &it, Metrics &metrics);
 
+/// Writes metrics and the log line of an attempt that may have run and has brought no valid
+/// response.
+void recordFailedAttempt(const RequestContext &it, const Error &error, Metrics &metrics);
+
 /// Writes metrics and the log line of a finished request.
 void recordOutcome(const RequestContext &it, const Result<void> &result, Delivery delivery,
                    Metrics &metrics);
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -227,6 +227,7 @@
     it.lastTarget = id;
     it.lastTargetStartTimeMs = target->startTimeMs;
     ++it.sends;
+    it.progress = AttemptProgress { now, {}, {}, {} };
     auto stream = co_await openStream(std::move(call));
     AttemptResult result;
     if (stream) {
@@ -243,6 +244,8 @@
     }
     it.running.reset();
     m_state.selector.noteEnded(id, key);
+    if (result.outcome == AttemptOutcome::Failed && !it.cancel->isCancelled())
+        recordFailedAttempt(it, result.error, m_state.metrics);
     co_return result;
 }
 
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -44,6 +44,8 @@
 /// Identifies one transaction. It is stored with the rows written, so that after a lost reply a
 /// read shows whether the transaction was committed.
 using ChangeId = Id<struct ChangeTag>;
+/// Identifies a part of a prompt; equal parts of different prompts have the same id.
+using PromptPartId = Id<struct PromptPartTag>;
 using GrantId = Id<struct GrantTag>;
 using RoleId = Id<struct RoleTag>;
 /// SHA-256 digest of a caller's API key, as lower-case hexadecimal digits.
