Do not pass on a response that ended before its body as complete

Reported by other operators: a target stops in the middle of its answer and closes; callers get a 200 with an empty or short body, framed as whole.

Shown with raw sockets: a head cut inside a line or between two lines, a reset, a stream that ends inside an event were not passed on as complete before either. Two cases were: a success without length and chunks whose connection ends right after the head, as a body (200, empty) and as a stream (200, no event).

Cause: the end of the connection was taken for the end of the body, also where no byte of it had come. Without framing an empty body cannot be told from one that never began, so a success of that kind is a failed attempt now, and counts as the end of its target.

UnframedResponses.ABodyThatNeverBeganIsNotComplete and .AStreamWithoutAnyEventIsNotComplete failed before; the other eight passed.

The second report (a planned stop passes on what comes late and cuts it without an answer) does not happen here: StopOfAGateway. RequestsThatComeLateAreAnsweredOrNotPassedOn passed on the code as it was.

--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -24,6 +24,16 @@
     return type.substr(0, type.find(';'));
 }
 
+/// \returns the result of an attempt whose response has not been completed
+///
+/// \param isConnectionLost whether the target may have ended
+AttemptResult truncated(std::string message, bool isConnectionLost)
+{
+    auto error = mayHaveRun(ErrorCode::Truncated, std::move(message));
+    error.isConnectionLost = isConnectionLost;
+    return { AttemptOutcome::Failed, std::move(error) };
+}
+
 } // namespace
 
 asio::awaitable<AttemptResult> ResponseRelay::relay(RequestContext &it, const TargetId &target,
@@ -55,8 +65,7 @@
     }
     if (it.hasStartedResponse && (!head.isSuccess() || mediaTypeOf(stream) != it.mediaType)) {
         m_state.selector.noteOutcome(target, TargetOutcome::Failed, now);
-        co_return AttemptResult { AttemptOutcome::Failed,
-                                  mayHaveRun(ErrorCode::Truncated, "the stream did not go on") };
+        co_return truncated("the stream did not go on", false);
     }
     const bool isStream = it.route->kind == RequestKind::Streaming && head.isSuccess();
     if (!isStream) {
@@ -95,6 +104,12 @@
             break;
         response.body += *chunk.value();
     }
+    // Without a length and chunks, nothing tells an empty body from one that never began.
+    const bool isSuccess = response.status / 100 == 2;
+    if (isSuccess && stream.isCloseDelimited() && response.body.empty()) {
+        m_state.selector.noteOutcome(target, TargetOutcome::Broken, BootClock::now());
+        co_return truncated("the connection ended before the body", true);
+    }
     const bool isError = response.status >= StatusServerError;
     m_state.selector.noteOutcome(target, isError ? TargetOutcome::Failed : TargetOutcome::Answered,
                                  BootClock::now());
@@ -122,13 +137,9 @@
             break;
         auto events = it.events.add(*chunk.value());
         if (it.events.isTooLarge())
-            co_return AttemptResult { AttemptOutcome::Failed,
-                                      mayHaveRun(ErrorCode::Truncated,
-                                                 "an event of the stream has no end") };
+            co_return truncated("an event of the stream has no end", false);
         if (it.events.isOutOfOrder())
-            co_return AttemptResult { AttemptOutcome::Failed,
-                                      mayHaveRun(ErrorCode::Truncated,
-                                                 "the target did not continue the stream") };
+            co_return truncated("the target did not continue the stream", false);
         if (events.empty())
             continue;
         noteEvents(m_state, it, BootClock::now());
@@ -138,9 +149,9 @@
         noteChunk(it, m_state.metrics);
     }
     if (it.events.hasPartialEvent())
-        co_return AttemptResult { AttemptOutcome::Failed,
-                                  mayHaveRun(ErrorCode::Truncated,
-                                             "the stream ended inside an event") };
+        co_return truncated("the stream ended inside an event", stream.isCloseDelimited());
+    if (stream.isCloseDelimited() && !it.progress.firstChunkAt)
+        co_return truncated("the connection ended before the first event", true);
     const bool isEnded = co_await responder.end();
     co_return AttemptResult { isEnded ? AttemptOutcome::Answered : AttemptOutcome::Undeliverable,
                               {} };
