Decide in the HTTP client whether a body has begun

The same cause acted on sites of our own: a service that stops after its response head gave a non-idempotent call an empty answer, which was recorded and repeated to its caller.

The client's read() reports it now, so that every user of a response gets an error.

--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -104,12 +104,6 @@
             break;
         response.body += *chunk.value();
     }
-    // Without a length and chunks, nothing tells an empty body from one that never began.
-    const bool isSuccess = response.status / 100 == 2;
-    if (isSuccess && stream.isCloseDelimited() && response.body.empty()) {
-        m_state.selector.noteOutcome(target, TargetOutcome::Broken, BootClock::now());
-        co_return truncated("the connection ended before the body", true);
-    }
     const bool isError = response.status >= StatusServerError;
     m_state.selector.noteOutcome(target, isError ? TargetOutcome::Failed : TargetOutcome::Answered,
                                  BootClock::now());
@@ -150,8 +144,6 @@
     }
     if (it.events.hasPartialEvent())
         co_return truncated("the stream ended inside an event", stream.isCloseDelimited());
-    if (stream.isCloseDelimited() && !it.progress.firstChunkAt)
-        co_return truncated("the connection ended before the first event", true);
     const bool isEnded = co_await responder.end();
     co_return AttemptResult { isEnded ? AttemptOutcome::Answered : AttemptOutcome::Undeliverable,
                               {} };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -96,6 +96,9 @@
     /// \returns the error of the operation that has ended with `ec`
     [[nodiscard]] std::optional<Error> stopWatch(std::string_view step, beast::error_code ec);
     [[nodiscard]] bool hasUnreadBytes();
+    /// \returns whether a success without a length and chunks has ended without any byte of its
+    /// body, which cannot be told from a server that broke off
+    [[nodiscard]] bool hasEndedBeforeBody() const;
 
     Endpoint m_endpoint;
     beast::tcp_stream m_stream;
@@ -105,6 +108,7 @@
     CancelSource::Registration m_registration = 0;
     std::shared_ptr<SilenceWatch> m_watch;
     bool m_isClosed = false;
+    bool m_hasBody = false;
 };
 
 bool HttpClientConnection::hasUnreadBytes()
@@ -113,6 +117,13 @@
     return m_stream.socket().available(ec) > 0 && !ec;
 }
 
+bool HttpClientConnection::hasEndedBeforeBody() const
+{
+    const bool isSuccess =
+            http::to_status_class(m_parser.get().result()) == http::status_class::successful;
+    return isSuccess && isCloseDelimited() && !m_hasBody;
+}
+
 void HttpClientConnection::startWatch(std::optional<SilencePolicy> silence)
 {
     if (!silence)
@@ -199,8 +210,14 @@
     if (auto error = stopWatch("receive", ec))
         co_return std::move(*error);
     const auto size = buf.size() - m_parser.get().body().size;
-    if (size == 0 && m_parser.is_done())
+    m_hasBody = m_hasBody || size > 0;
+    if (size == 0 && m_parser.is_done()) {
+        if (hasEndedBeforeBody())
+            co_return Error { ErrorCode::Truncated,
+                              toString(m_endpoint) + ": the connection ended before the body",
+                              Execution::OutcomeUnknown, std::nullopt, true };
         co_return std::optional<std::string>();
+    }
     co_return std::optional<std::string>(std::string(buf.data(), size));
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -43,7 +43,8 @@
     /// \param timeout maximum time to wait for data
     /// \param silence gives up earlier, if given
     /// \returns the chunk, `std::nullopt` after the complete body, or an error when the connection
-    ///          failed, timed out, was given up or closed before the end of the body
+    ///          failed, timed out, was given up or closed before the end of the body. A success
+    ///          whose body ends with its connection needs at least one byte to be complete
     [[nodiscard]] boost::asio::awaitable<Result<std::optional<std::string>>>
     read(Duration timeout, std::optional<SilencePolicy> silence = std::nullopt);
 
--- a/tests/tst_adapter_unframedresponses.cpp
+++ b/tests/tst_adapter_unframedresponses.cpp
@@ -1,4 +1,5 @@
 #include "gatewayfixture.h"
+#include "target/targetclient.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/read_until.hpp>
@@ -186,3 +187,18 @@
     exchangeWith("/chat/x", StreamHead, Ending::Close);
     expectNoSuccess();
 }
+
+TEST_F(UnframedResponses, ACallOfAServiceWhoseBodyNeverBeganHasAnUnknownOutcome)
+{
+    RawTarget target(context, Head + "\r\n", Ending::Close);
+    std::optional<Result<HttpResponse>> result;
+    const auto call = [&]() -> asio::awaitable<void> {
+        HttpRequest request { "POST", "/order/x", {}, "{}" };
+        auto calling = callService(target.address(), std::move(request), 2s);
+        result = co_await std::move(calling);
+    };
+    asio::co_spawn(context, call, asio::detached);
+    ASSERT_TRUE(runUntil([&] { return result.has_value(); }));
+    ASSERT_FALSE(*result);
+    EXPECT_EQ(result->error().execution, Execution::OutcomeUnknown);
+}
