Take the spellings of a prompt part for one, and bound its size

Found by reading: a part in capitals, with leading zeros or in a second header of the same name would have been another part, or none, to the quarantine; and an id of kilobytes would have been kept as it is, in datagrams too.

PromptParts.AreTheSameInEverySpelling.

--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -116,7 +116,7 @@
     };
 
     /// Bounds the size of message(), which is sent in a datagram. The latest news go first.
-    static constexpr std::size_t MaxSuspectsPerMessage = 2 * CrashEvidence::MaxSuspectsPerRun;
+    static constexpr std::size_t MaxSuspectsPerMessage = CrashEvidence::MaxSuspectsPerRun;
 
     void noteNews(const TargetRun &run, TimePoint now) { m_newsUntil[run] = now + RepeatTime; }
     void noteVerdict(const PromptPartId &part, TimePoint now);
--- a/tests/tst_adapter_platform.cpp
+++ b/tests/tst_adapter_platform.cpp
@@ -328,6 +328,29 @@
     EXPECT_EQ(out.estimates[0].readyIn, 2s);
 }
 
+TEST(PromptParts, AreTheSameInEverySpelling)
+{
+    const auto partsOf = [](std::vector<HttpHeader> headers) {
+        headers.push_back({ "Host", "h" });
+        headers.push_back({ "X-Attempt-Id", "a1" });
+        const auto it = platform::decodeRequest(request(std::move(headers)));
+        EXPECT_TRUE(it);
+        return it ? it.value().sharedParts : std::vector<PromptPartId>();
+    };
+    const std::vector<PromptPartId> expected { PromptPartId("5c1e"), PromptPartId("91bd"),
+                                               PromptPartId("0") };
+    EXPECT_EQ(partsOf({ { "X-Prompt-Prefix", "5c1e:800,91bd:410,0:1,e4:250" } }), expected);
+    EXPECT_EQ(partsOf({ { "x-prompt-prefix", "05C1E:800, 91BD ,000:1,:7,e4:250" } }), expected);
+    EXPECT_EQ(partsOf({ { "X-Prompt-Prefix", "5c1e:800,91bd:410" },
+                        { "X-Prompt-Prefix", "0:1,e4:250" } }),
+              expected);
+    EXPECT_TRUE(partsOf({ { "X-Prompt-Prefix", "e4:250" } }).empty());
+    EXPECT_TRUE(partsOf({}).empty());
+    const auto longId = partsOf({ { "X-Prompt-Prefix", std::string(9000, 'a') + ":1,e4:250" } });
+    ASSERT_EQ(longId.size(), 1U);
+    EXPECT_LE(longId[0].value().size(), 32U);
+}
+
 TEST(StatusCodec, RejectsMalformedInput)
 {
     EXPECT_FALSE(decodeStatus("short"));
--- a/tests/tst_quarantine.cpp
+++ b/tests/tst_quarantine.cpp
@@ -259,6 +259,6 @@
     std::size_t suspects = 0;
     for (const auto &it : message.crashes)
         suspects += it.suspects.size();
-    EXPECT_LE(suspects, 2 * CrashEvidence::MaxSuspectsPerRun);
+    EXPECT_LE(suspects, CrashEvidence::MaxSuspectsPerRun);
     EXPECT_EQ(quarantine.verdicts(at(2h)).size(), Quarantine::MaxVerdicts);
 }
