Send no request of our own sites to a third target after two have ended

Requests of our own protocol name no prompt parts, so the limit is on the request: after two targets whose connection was lost before they sent a token, it fails. Targets that end within a response do not count.

Streams.ARequestUnderWhichTwoTargetsEndedIsNotSentToAThird (not run on the code before, which had no such limit).

--- a/src/streams/streamassembler.cpp
+++ b/src/streams/streamassembler.cpp
@@ -50,6 +50,8 @@
 {
     if (m_hasEnded || attempt != m_attempt)
         return Ignore {};
+    const bool isLostStart = cause.isConnectionLost && m_offset == m_attemptOffset;
+    m_lostStarts = isLostStart ? m_lostStarts + 1 : 0;
     return nextAttempt(cause, now);
 }
 
@@ -62,7 +64,7 @@
 
 StreamAction StreamAssembler::nextAttempt(const Error &cause, TimePoint now)
 {
-    if (m_attempt >= m_settings.maxAttempts || now >= m_deadline) {
+    if (!mayRetry(now) || m_lostStarts >= m_settings.maxLostStarts) {
         m_hasEnded = true;
         Error error = cause;
         if (m_offset > 0) {
@@ -72,6 +74,7 @@
         return Abort { std::move(error) };
     }
     ++m_attempt;
+    m_attemptOffset = m_offset;
     m_lastProgress = now;
     return Resume { m_attempt, m_offset };
 }
--- a/src/streams/streamassembler.h
+++ b/src/streams/streamassembler.h
@@ -79,6 +79,9 @@
         Duration progressTimeout = std::chrono::seconds(2);
         /// Maximum number of attempts, the first included.
         std::uint32_t maxAttempts = 4;
+        /// Targets whose connection may be lost in a row before they send a token of the request.
+        /// With more, the request itself may be what crashes them.
+        std::uint32_t maxLostStarts = 2;
     };
 
     /// \param deadline time from which no further attempt starts
@@ -99,6 +102,11 @@
     /// \returns the number of tokens delivered so far
     [[nodiscard]] StreamOffset offset() const noexcept { return m_offset; }
     [[nodiscard]] bool hasEnded() const noexcept { return m_hasEnded; }
+    /// \returns whether another attempt may follow the current one
+    [[nodiscard]] bool mayRetry(TimePoint now) const noexcept
+    {
+        return !m_hasEnded && m_attempt < m_settings.maxAttempts && now < m_deadline;
+    }
 
 private:
     [[nodiscard]] bool isCurrent(const RequestId &request, AttemptId attempt) const noexcept;
@@ -111,6 +119,9 @@
     TimePoint m_lastProgress;
     AttemptId m_attempt = 0;
     StreamOffset m_offset = 0;
+    /// Position at which the current attempt has started.
+    StreamOffset m_attemptOffset = 0;
+    std::uint32_t m_lostStarts = 0;
     bool m_hasEnded = false;
 };
 
--- a/tests/tst_streams.cpp
+++ b/tests/tst_streams.cpp
@@ -82,6 +82,28 @@
     EXPECT_TRUE(is<Resume>(it.onTick(at(3000))));
 }
 
+TEST(Streams, ARequestUnderWhichTwoTargetsEndedIsNotSentToAThird)
+{
+    auto it = assembler();
+    (void)it.start(at(0));
+    auto lost = Disconnected;
+    lost.isConnectionLost = true;
+    EXPECT_TRUE(is<Resume>(it.onAttemptFailed(1, lost, at(1))));
+    EXPECT_TRUE(is<Abort>(it.onAttemptFailed(2, lost, at(2))));
+}
+
+TEST(Streams, TargetsThatEndWithinAResponseDoNotCountAgainstItsRequest)
+{
+    auto it = assembler();
+    (void)it.start(at(0));
+    auto lost = Disconnected;
+    lost.isConnectionLost = true;
+    EXPECT_TRUE(is<Resume>(it.onAttemptFailed(1, lost, at(1))));
+    EXPECT_TRUE(is<Deliver>(it.onToken(token(2, 0), at(2))));
+    EXPECT_TRUE(is<Resume>(it.onAttemptFailed(2, lost, at(3))));
+    EXPECT_TRUE(is<Resume>(it.onAttemptFailed(3, lost, at(4))));
+}
+
 TEST(Streams, ResponseIsReportedTruncatedWhenNoAttemptIsLeft)
 {
     auto it = assembler();
