Keep streams of silent, sound targets on sites of our own

With the retry budget used up, the deadline over or all slots taken, the caller lost a stream that would have gone on.

The attempt goes on until a retry has been taken from the budget and a target has a free slot, at most 30 s within a stream.

ProcessPath.StreamsBeyondTheRetryBudgetSurviveTheSilenceOfTheirTargets failed before, passes now. bluebell-standin can end its silence (silent_ms).

--- a/programs/entry/chathandler.cpp
+++ b/programs/entry/chathandler.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -18,12 +19,14 @@
 /// Interval at which an open stream checks again whether its key is still valid while the
 /// configuration is not confirmed as the newest.
 constexpr Duration ConfigRetryInterval = std::chrono::milliseconds(50);
-/// Maximum time until a target accepts an attempt.
-constexpr Duration StartTimeout = std::chrono::seconds(5);
 /// Time after a request's arrival during which attempts may start and an open stream may wait for
 /// the configuration to be confirmed. A response that has begun before the request's deadline may
 /// thus outlast it.
 constexpr Duration MaxResponseTime = std::chrono::minutes(5);
+/// Minimum time for a target to accept an attempt.
+constexpr Duration MinStartTime = std::chrono::seconds(5);
+/// Time without a token after which a target is given up even if there is no other one.
+constexpr Duration MaxSilence = std::chrono::seconds(30);
 
 /// \returns `body` as a server-sent event
 std::string sseEvent(const json &body)
@@ -89,6 +92,12 @@
     return head;
 }
 
+/// \returns the time that a target has to accept an attempt
+Duration startTimeout(const RequestContext &context)
+{
+    return std::max<Duration>(context.deadline - BootClock::now(), MinStartTime);
+}
+
 } // namespace
 
 asio::awaitable<void> ChatHandler::serve(RequestContext &context, HttpResponder &responder)
@@ -100,6 +109,7 @@
                                         context.arrival + MaxResponseTime),
                         {},
                         {},
+                        false,
                         false };
     const auto outcome = co_await relay(it);
     const auto delivered = static_cast<Tokens>(it.assembler.offset());
@@ -132,13 +142,27 @@
         if (const auto *abort = std::get_if<Abort>(&outcome.action))
             co_return abort->error;
         if (const auto *next = std::get_if<Resume>(&outcome.action); next != nullptr) {
-            if (next->attempt != resume.attempt && !m_budget.takeRetry())
+            const bool isReserved = std::exchange(it.isRetryReserved, false);
+            if (next->attempt != resume.attempt && !isReserved && !m_budget.takeRetry())
                 co_return makeError(ErrorCode::Overloaded, "too many retries are under way");
             resume = *next;
         }
     }
 }
 
+SilencePolicy ChatHandler::silencePolicy(ActiveResponse &it)
+{
+    return { StreamAssembler::Settings {}.progressTimeout, [this, &it] {
+                const auto now = BootClock::now();
+                // After the deadline, no target is assigned any more.
+                const bool canRetry = it.assembler.mayRetry(now) && now < it.context.deadline
+                        && m_dispatcher.hasFreeTarget(it.context.chat->replica, now);
+                // Taken at once: other requests at the same silent target ask next.
+                it.isRetryReserved = canRetry && m_budget.takeRetry();
+                return it.isRetryReserved;
+            } };
+}
+
 asio::awaitable<ChatHandler::AttemptOutcome>
 ChatHandler::attempt(ActiveResponse &it, const Assignment &assignment, Resume resume)
 {
@@ -150,7 +174,10 @@
                         context.chat->maxTokens,
                         resume.offset,
                         context.classRule.weight };
-    auto stream = co_await startGeneration(assignment.address, std::move(call), StartTimeout);
+    const auto policy = silencePolicy(it);
+    auto starting =
+            startGeneration(assignment.address, std::move(call), startTimeout(context), policy);
+    auto stream = co_await std::move(starting);
     if (!stream) {
         const auto &error = stream.error();
         const bool isRefused =
@@ -161,13 +188,13 @@
                                    it.assembler.onAttemptFailed(resume.attempt, error,
                                                                 BootClock::now()) };
     }
-    const auto progressTimeout = StreamAssembler::Settings {}.progressTimeout;
     for (;;) {
         if (auto serving = co_await waitUntilServing(it); !serving) {
             co_await cancelGeneration(assignment.address, context.id);
             co_return AttemptOutcome { AttemptResult::Succeeded, Abort { serving.error() } };
         }
-        auto event = co_await stream.value().next(progressTimeout);
+        auto reading = stream.value().next(MaxSilence, policy);
+        auto event = co_await std::move(reading);
         const auto now = BootClock::now();
         if (!event) {
             auto action = it.assembler.onAttemptFailed(resume.attempt, event.error(), now);
--- a/programs/entry/chathandler.h
+++ b/programs/entry/chathandler.h
@@ -42,6 +42,8 @@
         TimePoint lastTokenAt;
         /// The caller closed its connection or reads too slowly.
         bool isDisconnected = false;
+        /// Whether a retry was taken from the budget for the next attempt.
+        bool isRetryReserved = false;
     };
 
     /// How one attempt at a target ended.
@@ -56,6 +58,9 @@
     boost::asio::awaitable<Result<void>> relay(ActiveResponse &it);
     boost::asio::awaitable<AttemptOutcome> attempt(ActiveResponse &it, const Assignment &assignment,
                                                    Resume resume);
+    /// \returns the policy for a target that sends nothing: it is given up once another attempt is
+    /// certain
+    [[nodiscard]] SilencePolicy silencePolicy(ActiveResponse &it);
     /// Checks the caller's key again, and waits while the configuration is not confirmed, up to
     /// MaxResponseTime after the arrival.
     ///
--- a/programs/entry/dispatcher.cpp
+++ b/programs/entry/dispatcher.cpp
@@ -143,6 +143,13 @@
     dispatchAllQueues();
 }
 
+bool Dispatcher::hasFreeTarget(const ReplicaKey &replica, TimePoint now) const
+{
+    const auto it = m_states.find(replica);
+    return it != m_states.end() && it->second.queue.size() == 0
+            && m_router.hasAvailable(it->second.resident, now);
+}
+
 void Dispatcher::fail(TicketId ticket, Error error)
 {
     const auto it = m_tickets.find(ticket);
--- a/programs/entry/dispatcher.h
+++ b/programs/entry/dispatcher.h
@@ -64,6 +64,10 @@
     void release(const Assignment &assignment, const RequestContext &context, AttemptResult result,
                  Tokens served);
 
+    /// \returns whether a request for the replica would be assigned now, without waiting in the
+    /// queue
+    [[nodiscard]] bool hasFreeTarget(const ReplicaKey &replica, TimePoint now) const;
+
     /// \returns the number of queued and running requests
     [[nodiscard]] std::size_t load() const noexcept { return m_tickets.size() + m_running; }
 
--- a/programs/standin/engineserver.cpp
+++ b/programs/standin/engineserver.cpp
@@ -326,8 +326,8 @@
     bool isComplete = co_await responder.begin(std::move(head));
     for (int sent = 0; isComplete && offset < length; ++offset, ++sent) {
         co_await pause(m_settings.tokenInterval);
-        if (isAffected && faults.silentAfter > 0 && sent >= faults.silentAfter)
-            co_await pause(std::chrono::minutes(2));
+        if (isAffected && faults.silentAfter > 0 && sent == faults.silentAfter)
+            co_await pause(faults.silence);
         const bool isCut = isAffected && faults.cutAfter > 0 && sent >= faults.cutAfter;
         if (isCut || replica() == nullptr || m_cancelled.contains(attempt.request)) {
             isComplete = false;
@@ -356,6 +356,8 @@
     m_faults.failsLoads = it.value("fails_loads", m_faults.failsLoads);
     m_faults.cutAfter = it.value("cut_after", m_faults.cutAfter);
     m_faults.silentAfter = it.value("silent_after", m_faults.silentAfter);
+    const auto silence = toMilliseconds(m_faults.silence).count();
+    m_faults.silence = std::chrono::milliseconds(it.value("silent_ms", silence));
     m_faults.affectedStreams = it.value("strikes", m_faults.affectedStreams);
     m_faults.injectsForeignTokens = it.value("crosses_tokens", m_faults.injectsForeignTokens);
     if (it.value("restart", false))
--- a/programs/standin/engineserver.h
+++ b/programs/standin/engineserver.h
@@ -41,6 +41,8 @@
     int cutAfter = 0;
     /// Number of tokens after which a stream goes silent; 0 for never.
     int silentAfter = 0;
+    /// How long such a stream is silent before it goes on.
+    Duration silence = std::chrono::minutes(2);
     /// Number of further streams that `cutAfter` and `silentAfter` apply to.
     int affectedStreams = 0;
     /// Precedes every token by one of another request and one of an older attempt.
--- a/src/target/targetclient.cpp
+++ b/src/target/targetclient.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view EventTerminator = "\n\n";
 constexpr std::size_t MaxEventBytes = 64U << 10U;
 constexpr Duration CancelTimeout = std::chrono::seconds(1);
+constexpr Duration ConnectTimeout = std::chrono::seconds(5);
 
 std::string dump(const json &it)
 {
@@ -110,7 +111,8 @@
 
 } // namespace
 
-asio::awaitable<Result<StreamEvent>> GenerateStream::next(Duration timeout)
+asio::awaitable<Result<StreamEvent>> GenerateStream::next(Duration timeout,
+                                                          std::optional<SilencePolicy> silence)
 {
     for (;;) {
         if (const auto end = m_buffer.find(EventTerminator); end != std::string::npos) {
@@ -120,7 +122,7 @@
         }
         if (m_buffer.size() > MaxEventBytes)
             co_return malformedError("an event that does not end");
-        auto chunk = co_await m_stream.read(timeout);
+        auto chunk = co_await m_stream.read(timeout, silence);
         if (!chunk)
             co_return chunk.error();
         if (!chunk.value())
@@ -132,7 +134,8 @@
 }
 
 asio::awaitable<Result<GenerateStream>> startGeneration(Endpoint target, GenerateCall call,
-                                                        Duration timeout)
+                                                        Duration timeout,
+                                                        std::optional<SilencePolicy> silence)
 {
     const json body = { { "request_id", call.request.value() },
                         { "attempt", call.attempt },
@@ -143,6 +146,8 @@
                         { "offset", call.offset },
                         { "priority", call.priority } };
     auto request = makeCall(std::move(target), "POST", "/v1/generate", dump(body), timeout);
+    request.connectTimeout = ConnectTimeout;
+    request.silence = std::move(silence);
     auto stream = co_await openStream(std::move(request));
     if (!stream)
         co_return stream.error();
--- a/src/target/targetclient.h
+++ b/src/target/targetclient.h
@@ -43,9 +43,11 @@
     /// Reads the next event.
     ///
     /// \param timeout maximum time to wait for each chunk of data
+    /// \param silence gives up earlier, if given
     /// \returns the event; Truncated when the stream ended without an end marker, Unavailable when
     ///          an event is malformed or longer than 64 KiB, or the transport error
-    [[nodiscard]] boost::asio::awaitable<Result<StreamEvent>> next(Duration timeout);
+    [[nodiscard]] boost::asio::awaitable<Result<StreamEvent>>
+    next(Duration timeout, std::optional<SilencePolicy> silence = std::nullopt);
 
 private:
     HttpStream m_stream;
@@ -54,10 +56,12 @@
 
 /// Starts a generation attempt.
 ///
+/// \param silence gives up earlier than `timeout`, if given
 /// \returns the stream, or an error; its execution is NotRun when the target did not start the
 ///          attempt
 [[nodiscard]] boost::asio::awaitable<Result<GenerateStream>>
-startGeneration(Endpoint target, GenerateCall call, Duration timeout);
+startGeneration(Endpoint target, GenerateCall call, Duration timeout,
+                std::optional<SilencePolicy> silence = std::nullopt);
 
 /// Asks a target to cancel a request. Errors are ignored.
 [[nodiscard]] boost::asio::awaitable<void> cancelGeneration(Endpoint target, RequestId request);
--- a/tests/tst_process_path.cpp
+++ b/tests/tst_process_path.cpp
@@ -3,6 +3,8 @@
 #include <gmock/gmock.h>
 
 #include <csignal>
+#include <future>
+#include <vector>
 
 using namespace bluebell;
 using namespace bluebell::tests;
@@ -134,6 +136,29 @@
     EXPECT_EQ(countOf(response.body, "\"content\""), 20);
 }
 
+/// Streams at silent, sound targets were given up although the retry budget was used up.
+TEST(ProcessPath, StreamsBeyondTheRetryBudgetSurviveTheSilenceOfTheirTargets)
+{
+    constexpr int Callers = 24;
+    Site site({ 1 });
+    site.applyRules();
+    ASSERT_TRUE(site.streamChat(1, "cartridge-02", 2).contains(Done));
+    for (int n = 1; n <= 9; ++n)
+        site.control("matcher-" + std::to_string(n),
+                     R"({"silent_after":5,"silent_ms":3500,"strikes":1000})");
+    std::vector<std::future<CallResult>> streams;
+    for (int n = 0; n < Callers; ++n)
+        streams.push_back(std::async(std::launch::async, [&] {
+            return site.streamChat(1, "cartridge-02", 12, std::chrono::seconds(40));
+        }));
+    int complete = 0;
+    for (auto &it : streams) {
+        const auto response = it.get();
+        complete += response.contains(Done) && countOf(response.body, "\"content\"") == 12 ? 1 : 0;
+    }
+    EXPECT_EQ(complete, Callers);
+}
+
 TEST(ProcessPath, ResponseThatCannotBeCompletedEndsWithAnError)
 {
     Site site({ 1 });
