Take errors and the next process at an address for no evidence on prompt parts

Found by reading: a response with a 4xx status of the target counted as one that had gone on, so it cleared or lifted a part; and a 421 of another process that had taken over the address within a second counted as a sign of life of the run that had ended. A response counts in a part's favour only if it is a success, as a sign of life only if it is not misdirected.

The ends of runs of which a part is suspected are collected in a function of their own.

--- a/programs/gateway/attemptevidence.cpp
+++ b/programs/gateway/attemptevidence.cpp
@@ -24,10 +24,14 @@
 
 } // namespace
 
-void noteResponseHead(GatewayState &state, RequestContext &it, TimePoint now)
+void noteResponseHead(GatewayState &state, RequestContext &it, const ResponseHead &head,
+                      TimePoint now)
 {
     it.progress.headAt = now;
-    state.quarantine.noteSignOfLife(runOf(it), it.progress.sentAt, now);
+    it.progress.isSuccess = head.isSuccess();
+    // Another process may have taken over the address.
+    if (!head.isMisdirected)
+        state.quarantine.noteSignOfLife(runOf(it), it.progress.sentAt, now);
 }
 
 void noteEvents(GatewayState &state, RequestContext &it, TimePoint now)
@@ -45,7 +49,7 @@
 {
     if (it.progress.hasSurvived || it.caller.sharedParts.empty())
         return;
-    if (result.outcome == AttemptOutcome::Answered)
+    if (result.outcome == AttemptOutcome::Answered && it.progress.isSuccess)
         noteSurvival(state, it, now);
     const bool hasCrashed = result.outcome == AttemptOutcome::Failed
             && result.error.isConnectionLost && !it.cancel->isCancelled();
--- a/programs/gateway/attemptevidence.h
+++ b/programs/gateway/attemptevidence.h
@@ -9,7 +9,8 @@
 namespace bluebell::gateway {
 
 /// Notes that the response head of the latest attempt has arrived.
-void noteResponseHead(GatewayState &state, RequestContext &it, TimePoint now);
+void noteResponseHead(GatewayState &state, RequestContext &it, const ResponseHead &head,
+                      TimePoint now);
 
 /// Notes that events of the latest attempt's stream have arrived.
 void noteEvents(GatewayState &state, RequestContext &it, TimePoint now);
--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -68,6 +68,8 @@
     TimePoint sentAt;
     /// When the response head was read.
     std::optional<TimePoint> headAt;
+    /// Whether the head has the status of a success.
+    bool isSuccess = false;
     /// When the first and the latest chunk of a stream with a complete event were read.
     std::optional<TimePoint> firstChunkAt;
     std::optional<TimePoint> lastChunkAt;
--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -41,8 +41,8 @@
                                                     const std::optional<SilencePolicy> &silence)
 {
     const auto now = BootClock::now();
-    noteResponseHead(m_state, it, now);
     const auto head = platform::decodeResponse(stream.head(), it.caller.attempt);
+    noteResponseHead(m_state, it, head, now);
     applyNotices(m_state, it, head.notices, now);
     // Targets may omit the id when they refuse; the connection has carried no other request.
     if (head.isNotRun && !head.namesOtherAttempt) {
--- a/src/quarantine/crashevidence.cpp
+++ b/src/quarantine/crashevidence.cpp
@@ -179,19 +179,25 @@
     });
 }
 
-Suspicion CrashEvidence::suspicion(const PromptPartId &part,
-                                   const std::set<PromptPartId> &quarantined) const
+std::vector<const CrashEvidence::EndedRun *>
+CrashEvidence::unexplainedEnds(const PromptPartId &part,
+                               const std::set<PromptPartId> &quarantined) const
 {
-    Suspicion suspicion;
-    const auto record = m_parts.find(part);
-    if (record == m_parts.end())
-        return suspicion;
     std::vector<const EndedRun *> ends;
-    for (const auto &run : record->second.runs)
-        if (const auto &ended = m_runs.at(run); !isExplained(ended, part, quarantined))
-            ends.push_back(&ended);
+    if (const auto record = m_parts.find(part); record != m_parts.end())
+        for (const auto &run : record->second.runs)
+            if (const auto &ended = m_runs.at(run); !isExplained(ended, part, quarantined))
+                ends.push_back(&ended);
     std::sort(ends.begin(), ends.end(),
               [](const auto *a, const auto *b) { return a->endedAt < b->endedAt; });
+    return ends;
+}
+
+Suspicion CrashEvidence::suspicion(const PromptPartId &part,
+                                   const std::set<PromptPartId> &quarantined) const
+{
+    Suspicion suspicion;
+    const auto ends = unexplainedEnds(part, quarantined);
     for (auto from = ends.begin(); from != ends.end();) {
         const auto to = std::find_if(std::next(from), ends.end(), [&](const auto *it) {
             // A request that was sent after the first of these ends had no part in it.
--- a/src/quarantine/crashevidence.h
+++ b/src/quarantine/crashevidence.h
@@ -121,6 +121,10 @@
         std::uint32_t depth = 0;
     };
 
+    /// \returns the ends of runs of which a part is suspected, the earliest first, apart from those
+    /// that a part in quarantine explains
+    [[nodiscard]] std::vector<const EndedRun *>
+    unexplainedEnds(const PromptPartId &part, const std::set<PromptPartId> &quarantined) const;
     /// \returns the number of runs that ended within CommonCauseTime of `time` and of whose end
     /// other parts are suspected, but not this one
     [[nodiscard]] std::size_t otherRunsEndedAround(TimePoint time, const PromptPartId &part) const;
