--- a/src/quarantine/crashevidence.cpp
+++ b/src/quarantine/crashevidence.cpp
@@ -254,6 +254,7 @@
         return a.record->depth > b.record->depth;
     });
     std::vector<PromptPartId> parts;
+    parts.reserve(ranked.size());
     for (auto &it : ranked)
         parts.push_back(std::move(it.part));
     return parts;
