Revert the warm-up of the sanitiser

So the sanitiser meets a type anew although it has seen it; that its table of known types is small and replaced is likely and not shown.

--- a/tests/tst_adapter_keptconnections.cpp
+++ b/tests/tst_adapter_keptconnections.cpp
@@ -99,22 +99,6 @@
         return it;
     }
 
-    /// Closes an idle connection, and serves one in its place. The undefined-behaviour sanitiser
-    /// checks the type of an object with a free descriptor when it meets the type for the first
-    /// time.
-    void replaceAnIdleConnection()
-    {
-        server->setLimits(limitsWithConnections(1));
-        RawCaller idle(address);
-        idle.request("/idle");
-        ASSERT_TRUE(isAnswered(idle, "/idle"));
-        RawCaller next(address);
-        next.request("/next");
-        ASSERT_TRUE(isAnswered(next, "/next"));
-        EXPECT_TRUE(idle.isClosed());
-        server->setLimits(HttpLimits());
-    }
-
     asio::io_context context;
     std::unique_ptr<HttpServer> server;
     Endpoint address;
@@ -400,7 +384,6 @@
 TEST_F(KeptConnections, ACallerIsServedAlthoughNoDescriptorIsFree)
 {
     start(HttpLimits());
-    replaceAnIdleConnection();
     RawCaller first(address);
     first.request("/a");
     ASSERT_TRUE(isAnswered(first, "/a"));
@@ -414,7 +397,6 @@
 TEST_F(KeptConnections, AFailingAcceptDoesNotKeepTheProcessorBusy)
 {
     start(HttpLimits());
-    replaceAnIdleConnection();
     RawCaller first(address);
     first.request("/slow");
     run(50ms);
