Bound the time for which daemons are blind after an outage of the store

Cause: a daemon learns nothing while it waits for the reply to a call that was lost. For the configuration that was 2.0 s of hold, 0.9 s of allowance and up to 0.8 s of pause, also in an outage; the store counts as stable again after 3 s. A change ends the calls of all daemons at the same moment, so all of them were lost in step and no peer knew more.

Change: StoreContact joins what the followers of all tables know. While the store is lost, calls are not held; a reply to a later call for any table repeats all calls that were sent before it; the pause counts from the start of the failed call. The configuration's calls are held for 1.5 s (relays had 4 s) and spread after a change. Longest blind time: 0.9 s after an outage that was noticed, 2.4 s after one that nothing else noticed.

Ruled out: stale answers of the store; keys that outlive a configuration.

Evidence: StoreOutage.AKeyIsRefusedSoonAfterTheEndOfASilentOutage and .AllTablesAreReadAgainWhenOneIsAnswered failed on the code before (200 in place of 401; a daemon not listed within 3 s) and pass.

--- a/programs/gateway/storewatch.cpp
+++ b/programs/gateway/storewatch.cpp
@@ -16,11 +16,12 @@
 using platform::StoreRow;
 using std::chrono::milliseconds;
 
-/// Calls to the feeds end this often, so that a dead connection is detected.
-constexpr Duration MaxConfigWait = milliseconds(2000);
-/// The same for a relay, which also hears of new configurations from other relays.
-constexpr Duration MaxRelayConfigWait = milliseconds(4000);
+/// Calls to the feeds end this often, so that a dead connection is detected. With the allowance for
+/// the reply, a call that was lost ends within the three seconds after an outage in which the store
+/// does not count as stable.
+constexpr Duration MaxConfigWait = milliseconds(1500);
 constexpr Duration MaxTargetWait = milliseconds(1500);
+/// The calls for other tables are repeated when those above find that the store was lost.
 constexpr Duration MaxMemberWait = milliseconds(8000);
 /// Daemons hear of quarantines from each other sooner.
 constexpr Duration MaxQuarantineWait = std::chrono::seconds(15);
@@ -32,9 +33,11 @@
 /// At the start all daemons write their rows at the same time.
 constexpr Duration MemberPollInterval = milliseconds(400);
 constexpr Duration ReadTimeout = milliseconds(1200);
-/// Delay of the first retry after a failure; it doubles up to MaxRetryDelay.
-constexpr Duration MinRetryDelay = milliseconds(200);
-constexpr Duration MaxRetryDelay = milliseconds(800);
+/// Time between a failed call and its first repetition; it doubles up to the table's maximum.
+constexpr Duration MinRetryInterval = milliseconds(200);
+constexpr Duration MaxRetryInterval = milliseconds(800);
+/// The same for tables whose calls are repeated when others find that the store is back.
+constexpr Duration MaxIdleRetryInterval = std::chrono::seconds(2);
 /// Delay of the first read when all daemons start for the first time.
 constexpr Duration FirstStartDelay = milliseconds(1000);
 /// Interval at which a daemon that is no reader checks whether it has become one.
@@ -46,7 +49,9 @@
 StoreWatch::StoreWatch(asio::io_context &context, GatewayState &state, SiteUpdates &updates,
                        QuarantineService &quarantine)
     : m_context(context), m_state(state), m_updates(updates), m_quarantine(quarantine),
-      m_store(state.settings.store)
+      m_store(state.settings.store), m_contactRegained(context.get_executor()),
+      m_random(static_cast<std::minstd_rand::result_type>(
+              std::hash<std::string>()(state.settings.vm.value())))
 {
 }
 
@@ -58,20 +63,20 @@
             if (it.key == names::ConfigKey && !it.isDeleted)
                 m_updates.updateConfig(it.value);
     };
-    Table config { std::string(names::OperatorTable),
-                   [this] {
-                       return m_state.fleet.usesRelays() ? MaxRelayConfigWait : MaxConfigWait;
-                   },
-                   [] { return Duration::zero(); },
-                   false,
-                   onOperatorRows,
-                   onOperatorRows,
-                   {} };
+    Table config;
+    config.name = names::OperatorTable;
+    config.maxWait = MaxConfigWait;
+    config.maxRetryInterval = MaxRetryInterval;
+    config.hasSpreadCalls = true;
+    config.minInterval = [] {
+        return Duration::zero();
+    };
+    config.onSnapshot = onOperatorRows;
+    config.onChanges = onOperatorRows;
     Table targets;
     targets.name = names::ServerTable;
-    targets.maxWait = [] {
-        return MaxTargetWait;
-    };
+    targets.maxWait = MaxTargetWait;
+    targets.maxRetryInterval = MaxRetryInterval;
     targets.minInterval = [this] {
         const auto fraction =
                 m_state.fleet.usesRelays() ? RelayTargetPollFraction : TargetPollFraction;
@@ -90,9 +95,8 @@
     };
     Table members;
     members.name = MemberTable;
-    members.maxWait = [] {
-        return MaxMemberWait;
-    };
+    members.maxWait = MaxMemberWait;
+    members.maxRetryInterval = MaxIdleRetryInterval;
     members.minInterval = [] {
         return MemberPollInterval;
     };
@@ -105,9 +109,8 @@
     };
     Table quarantines;
     quarantines.name = QuarantineTable;
-    quarantines.maxWait = [] {
-        return MaxQuarantineWait;
-    };
+    quarantines.maxWait = MaxQuarantineWait;
+    quarantines.maxRetryInterval = MaxIdleRetryInterval;
     quarantines.minInterval = [] {
         return MemberPollInterval;
     };
@@ -126,21 +129,58 @@
               [this] { return removeTimedOutMembers(); });
 }
 
+void StoreWatch::noteReply(TimePoint sentAt)
+{
+    if (!m_contact.noteReply(sentAt))
+        return;
+    m_contactRegained.notify();
+    std::vector<std::shared_ptr<CancelSource>> lost;
+    for (const auto &[table, call] : m_heldCalls)
+        if (call.sentAt < sentAt)
+            lost.push_back(call.cancel);
+    for (const auto &it : lost)
+        it->cancel();
+}
+
+Duration StoreWatch::randomWait(Duration wait)
+{
+    std::uniform_int_distribution<Duration::rep> distribution(0, wait.count());
+    return Duration(distribution(m_random));
+}
+
+asio::awaitable<std::optional<Result<platform::FeedOutcome>>>
+StoreWatch::awaitChanges(const Table &table, RowVersion version, Duration wait)
+{
+    const auto cancel = std::make_shared<CancelSource>();
+    m_heldCalls[table.name] = { BootClock::now(), cancel };
+    auto outcome = co_await m_store.changes(table.name, version, wait, cancel);
+    m_heldCalls.erase(table.name);
+    if (!outcome && cancel->isCancelled())
+        co_return std::nullopt;
+    co_return outcome;
+}
+
 asio::awaitable<void> StoreWatch::followTable(Table table)
 {
     std::optional<RowVersion> version;
     bool isDisconnected = false;
-    Duration retryDelay = MinRetryDelay;
-    const auto onFailure = [&](const Error &error) {
+    bool isWaitRandom = table.hasSpreadCalls;
+    Duration retryInterval = MinRetryInterval;
+    const auto onFailure = [&](const Error &error, TimePoint sentAt) {
         if (!isDisconnected)
             log::warning("store lost", { { "table", table.name }, { "cause", error.message } });
         isDisconnected = true;
+        m_contact.noteFailure(sentAt);
+        const auto interval = std::exchange(
+                retryInterval, std::min<Duration>(2 * retryInterval, table.maxRetryInterval));
+        return m_contactRegained.wait(pauseBeforeRetry(sentAt, interval, BootClock::now()));
     };
-    const auto onSuccess = [&] {
+    const auto onSuccess = [&](TimePoint sentAt) {
         if (isDisconnected)
             log::info("store regained", { { "table", table.name } });
         isDisconnected = false;
-        retryDelay = MinRetryDelay;
+        retryInterval = MinRetryInterval;
+        noteReply(sentAt);
         if (table.onReply)
             table.onReply();
     };
@@ -149,7 +189,8 @@
         co_await sleepFor(FirstStartDelay);
     bool mustRead = table.isReadAtStart;
     for (;;) {
-        if (!mustRead && !m_state.isReader(BootClock::now())) {
+        const auto sentAt = BootClock::now();
+        if (!mustRead && !m_state.isReader(sentAt)) {
             // What is missed meanwhile is read with the next snapshot.
             version.reset();
             co_await sleepFor(RoleCheckInterval);
@@ -158,25 +199,29 @@
         if (!version) {
             auto snapshot = co_await m_store.read(table.name, ReadTimeout);
             if (!snapshot) {
-                onFailure(snapshot.error());
-                co_await sleepFor(
-                        std::exchange(retryDelay, std::min(2 * retryDelay, MaxRetryDelay)));
+                co_await onFailure(snapshot.error(), sentAt);
                 continue;
             }
-            onSuccess();
+            onSuccess(sentAt);
             mustRead = false;
             version = snapshot.value().version;
             table.onSnapshot(snapshot.value().rows, *version);
             continue;
         }
-        auto outcome = co_await m_store.changes(table.name, *version, table.maxWait());
-        if (!outcome) {
-            onFailure(outcome.error());
-            co_await sleepFor(std::exchange(retryDelay, std::min(2 * retryDelay, MaxRetryDelay)));
+        auto wait = isDisconnected || m_contact.isLost() ? Duration::zero() : table.maxWait;
+        if (std::exchange(isWaitRandom, false))
+            wait = randomWait(wait);
+        auto outcome = co_await awaitChanges(table, *version, wait);
+        if (!outcome)
+            continue;
+        if (!*outcome) {
+            co_await onFailure(outcome->error(), sentAt);
             continue;
         }
-        onSuccess();
-        if (auto *snapshot = std::get_if<platform::StoreSnapshot>(&outcome.value())) {
+        onSuccess(sentAt);
+        if (auto *snapshot = std::get_if<platform::StoreSnapshot>(&outcome->value())) {
+            // The other daemons' calls have been answered at the same moment.
+            isWaitRandom = table.hasSpreadCalls && !snapshot->rows.empty();
             version = std::max(*version, snapshot->version);
             table.onChanges(snapshot->rows, *version);
         } else {
--- a/programs/standin/platformserver.cpp
+++ b/programs/standin/platformserver.cpp
@@ -85,8 +85,11 @@
         (void)co_await responder.send(jsonErrorResponse(400, call.error().message));
         co_return;
     }
+    const auto losses = m_faults.connectionLosses;
     if (const auto *follow = std::get_if<FollowRows>(&call.value()))
         co_await awaitChange(*follow);
+    if (m_faults.connectionLosses != losses)
+        co_await sleepFor(std::chrono::hours(1));
     if (m_faults.outage) {
         (void)co_await responder.send(jsonErrorResponse(503, "outage"));
         co_return;
@@ -207,6 +210,7 @@
         return jsonErrorResponse(400, "not JSON");
     m_faults.outage = it.value("outage", m_faults.outage);
     m_faults.silent = it.value("silent", m_faults.silent);
+    m_faults.connectionLosses = it.value("connection_losses", m_faults.connectionLosses);
     m_faults.lostReplies = it.value("lost_replies", m_faults.lostReplies);
     m_faults.delay =
             std::chrono::milliseconds(it.value("delay_ms", toMilliseconds(m_faults.delay).count()));
--- a/programs/standin/platformserver.h
+++ b/programs/standin/platformserver.h
@@ -25,6 +25,8 @@
     bool outage = false;
     /// Connections are accepted, but calls are not answered.
     bool silent = false;
+    /// When this number rises, calls that are under way are never answered.
+    int connectionLosses = 0;
     /// Delay before every response.
     Duration delay {};
     /// Number of further transactions that take effect but get no response.
