End responses at the request's deadline, however steadily bytes come

Cause: each read of a response got the time that was left, but at least a millisecond, so that the loop went on beyond the deadline while bytes came within that millisecond. The entry daemon gave 30 s to each read of an event, so that a byte now and then kept a stalled target.

Change: HttpStream::read and GenerateStream::next take a deadline in place of a timeout, which no loop can renew. After it, what had arrived by then is still returned, then DeadlineExceeded.

Ruled out: loops over heads, callers' requests and writes; each has one timer for the whole step. exchange() looked at its deadline already.

Evidence: EndlessResponseOfATarget.ABodyInSmallPiecesEndsWithTheRoutesTimeout and .EventsEndWithTheRoutesTimeout failed on the code before (no answer 0.5 s after the timeout) and pass.

--- a/programs/entry/chathandler.cpp
+++ b/programs/entry/chathandler.cpp
@@ -25,7 +25,8 @@
 constexpr Duration MaxResponseTime = std::chrono::minutes(5);
 /// Minimum time for a target to accept an attempt.
 constexpr Duration MinStartTime = std::chrono::seconds(5);
-/// Time without a token after which a target is given up even if there is no other one.
+/// Time without a token after which a target is given up even if there is no other one. Bytes that
+/// make no token of this attempt don't count.
 constexpr Duration MaxSilence = std::chrono::seconds(30);
 
 /// \returns `body` as a server-sent event
@@ -188,12 +189,16 @@
                                    it.assembler.onAttemptFailed(resume.attempt, error,
                                                                 BootClock::now()) };
     }
+    auto lastProgressAt = BootClock::now();
     for (;;) {
+        const auto waitStartedAt = BootClock::now();
         if (auto serving = co_await waitUntilServing(it); !serving) {
             co_await cancelGeneration(assignment.address, context.id);
             co_return AttemptOutcome { AttemptResult::Succeeded, Abort { serving.error() } };
         }
-        auto reading = stream.value().next(MaxSilence, policy);
+        // The target is not to blame for this time.
+        lastProgressAt += BootClock::now() - waitStartedAt;
+        auto reading = stream.value().next(lastProgressAt + MaxSilence, policy);
         auto event = co_await std::move(reading);
         const auto now = BootClock::now();
         if (!event) {
@@ -210,6 +215,7 @@
                 co_await cancelGeneration(assignment.address, context.id);
                 co_return AttemptOutcome { AttemptResult::Succeeded, Ignore {} };
             }
+            lastProgressAt = BootClock::now();
             continue;
         }
         if (std::holds_alternative<Complete>(action))
--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -93,8 +93,7 @@
 {
     auto response = platform::encodeResponse(stream.head());
     for (;;) {
-        const auto left = std::max<Duration>(it.deadline - BootClock::now(), milliseconds(1));
-        auto chunk = co_await stream.read(left);
+        auto chunk = co_await stream.read(it.deadline);
         if (!chunk) {
             if (!it.cancel->isCancelled())
                 m_state.selector.noteOutcome(target, TargetOutcome::Broken, BootClock::now());
@@ -123,8 +122,7 @@
 {
     it.events.discardPartialEvent();
     for (;;) {
-        const auto left = std::max<Duration>(it.deadline - BootClock::now(), milliseconds(1));
-        auto chunk = co_await stream.read(left, silence);
+        auto chunk = co_await stream.read(it.deadline, silence);
         if (!chunk)
             co_return AttemptResult { AttemptOutcome::Failed, chunk.error() };
         if (!chunk.value())
--- a/programs/load/load.cpp
+++ b/programs/load/load.cpp
@@ -179,7 +179,7 @@
     bool hasEndMarker = false;
     bool hasToken = false;
     for (;;) {
-        auto chunk = co_await stream.value().read(ResponseTimeout);
+        auto chunk = co_await stream.value().read(BootClock::now() + ResponseTimeout);
         if (!chunk || !chunk.value())
             break;
         const auto now = BootClock::now();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t ReadBufferBytes = 8192;
 /// Bounds what is buffered of a head, a chunk's extension or a trailer.
 constexpr std::size_t MaxBufferBytes = 128U << 10U;
+/// Time to read bytes that have arrived already.
+constexpr Duration ArrivedReadTime = std::chrono::milliseconds(1);
 
 /// \returns whether the other side has closed or reset the connection
 bool isClosedByPeer(beast::error_code ec)
@@ -82,7 +84,7 @@
         m_stream.socket().close(ec);
     }
     asio::awaitable<Result<void>> send(HttpCall call);
-    asio::awaitable<Result<std::optional<std::string>>> read(Duration timeout,
+    asio::awaitable<Result<std::optional<std::string>>> read(TimePoint deadline,
                                                              std::optional<SilencePolicy> silence);
 
     [[nodiscard]] const auto &head() const { return m_parser.get(); }
@@ -95,7 +97,11 @@
     ///
     /// \returns the error of the operation that has ended with `ec`
     [[nodiscard]] std::optional<Error> stopWatch(std::string_view step, beast::error_code ec);
-    [[nodiscard]] bool hasUnreadBytes();
+    /// \returns bytes that have arrived at the socket and have not been read
+    [[nodiscard]] std::size_t unreadBytes();
+    /// \returns the time for the next read; nothing if the deadline has passed and all that had
+    /// arrived by then has been read
+    [[nodiscard]] std::optional<Duration> readTime(TimePoint deadline);
     /// \returns whether a success without a length and chunks has ended without any byte of its
     /// body, which cannot be told from a server that broke off
     [[nodiscard]] bool hasEndedBeforeBody() const;
@@ -109,12 +115,26 @@
     std::shared_ptr<SilenceWatch> m_watch;
     bool m_isClosed = false;
     bool m_hasBody = false;
+    /// What may still be read of the bytes that had arrived at the deadline, once that has passed.
+    std::optional<std::size_t> m_overdueBytes;
 };
 
-bool HttpClientConnection::hasUnreadBytes()
+std::size_t HttpClientConnection::unreadBytes()
 {
     beast::error_code ec;
-    return m_stream.socket().available(ec) > 0 && !ec;
+    const auto n = m_stream.socket().available(ec);
+    return ec ? 0 : n;
+}
+
+std::optional<Duration> HttpClientConnection::readTime(TimePoint deadline)
+{
+    if (const auto left = deadline - BootClock::now(); left > Duration::zero())
+        return left;
+    if (!m_overdueBytes)
+        m_overdueBytes = m_buffer.size() + unreadBytes();
+    if (*m_overdueBytes == 0)
+        return std::nullopt;
+    return ArrivedReadTime;
 }
 
 bool HttpClientConnection::hasEndedBeforeBody() const
@@ -130,7 +150,7 @@
         return;
     // Bytes may have arrived while this process was suspended.
     auto tryGiveUp = [this, policy = std::move(silence->tryGiveUp)] {
-        return !hasUnreadBytes() && policy();
+        return unreadBytes() == 0 && policy();
     };
     m_watch = std::make_shared<SilenceWatch>(m_stream.get_executor(),
                                              SilencePolicy { silence->limit, std::move(tryGiveUp) },
@@ -194,19 +214,25 @@
 }
 
 asio::awaitable<Result<std::optional<std::string>>>
-HttpClientConnection::read(Duration timeout, std::optional<SilencePolicy> silence)
+HttpClientConnection::read(TimePoint deadline, std::optional<SilencePolicy> silence)
 {
     if (m_parser.is_done())
         co_return std::optional<std::string>();
+    const auto time = readTime(deadline);
+    if (!time)
+        co_return transportError(m_endpoint, "receive", beast::error::timeout,
+                                 Execution::OutcomeUnknown);
     std::array<char, ReadBufferBytes> buf {};
     auto &body = m_parser.get().body();
     body.data = buf.data();
     body.size = buf.size();
-    m_stream.expires_after(timeout);
+    m_stream.expires_after(*time);
     startWatch(std::move(silence));
     auto [ec, n] = co_await http::async_read_some(m_stream, m_buffer, m_parser, Await);
     if (ec == http::error::need_buffer)
         ec = {};
+    if (m_overdueBytes)
+        *m_overdueBytes -= std::min(*m_overdueBytes, std::max<std::size_t>(n, 1));
     if (auto error = stopWatch("receive", ec))
         co_return std::move(*error);
     const auto size = buf.size() - m_parser.get().body().size;
@@ -261,9 +287,9 @@
 }
 
 asio::awaitable<Result<std::optional<std::string>>>
-HttpStream::read(Duration timeout, std::optional<SilencePolicy> silence)
+HttpStream::read(TimePoint deadline, std::optional<SilencePolicy> silence)
 {
-    return m_connection->read(timeout, std::move(silence));
+    return m_connection->read(deadline, std::move(silence));
 }
 
 asio::awaitable<Result<HttpStream>> openStream(HttpCall call)
@@ -292,11 +318,7 @@
         if (auto value = stream.value().header(name); !value.empty())
             response.headers.push_back({ name, std::move(value) });
     for (;;) {
-        const auto remaining = deadline - BootClock::now();
-        if (remaining <= Duration::zero())
-            co_return Error { ErrorCode::DeadlineExceeded, "the response did not arrive in time",
-                              Execution::OutcomeUnknown, std::nullopt };
-        auto chunk = co_await stream.value().read(remaining);
+        auto chunk = co_await stream.value().read(deadline);
         if (!chunk)
             co_return chunk.error();
         if (!chunk.value())
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -40,13 +40,14 @@
 
     /// Reads the next chunk of the body.
     ///
-    /// \param timeout maximum time to wait for data
+    /// \param deadline end of the time to wait for data. After it, only what has arrived by then is
+    ///                 returned, then DeadlineExceeded, however steadily the server sends
     /// \param silence gives up earlier, if given
     /// \returns the chunk, `std::nullopt` after the complete body, or an error when the connection
     ///          failed, timed out, was given up or closed before the end of the body. A success
     ///          whose body ends with its connection needs at least one byte to be complete
     [[nodiscard]] boost::asio::awaitable<Result<std::optional<std::string>>>
-    read(Duration timeout, std::optional<SilencePolicy> silence = std::nullopt);
+    read(TimePoint deadline, std::optional<SilencePolicy> silence = std::nullopt);
 
 private:
     std::unique_ptr<detail::HttpClientConnection> m_connection;
--- a/src/target/targetclient.cpp
+++ b/src/target/targetclient.cpp
@@ -111,7 +111,7 @@
 
 } // namespace
 
-asio::awaitable<Result<StreamEvent>> GenerateStream::next(Duration timeout,
+asio::awaitable<Result<StreamEvent>> GenerateStream::next(TimePoint deadline,
                                                           std::optional<SilencePolicy> silence)
 {
     for (;;) {
@@ -122,7 +122,7 @@
         }
         if (m_buffer.size() > MaxEventBytes)
             co_return malformedError("an event that does not end");
-        auto chunk = co_await m_stream.read(timeout, silence);
+        auto chunk = co_await m_stream.read(deadline, silence);
         if (!chunk)
             co_return chunk.error();
         if (!chunk.value())
--- a/src/target/targetclient.h
+++ b/src/target/targetclient.h
@@ -42,12 +42,12 @@
 
     /// Reads the next event.
     ///
-    /// \param timeout maximum time to wait for each chunk of data
+    /// \param deadline end of the time to wait for the whole event
     /// \param silence gives up earlier, if given
     /// \returns the event; Truncated when the stream ended without an end marker, Unavailable when
     ///          an event is malformed or longer than 64 KiB, or the transport error
     [[nodiscard]] boost::asio::awaitable<Result<StreamEvent>>
-    next(Duration timeout, std::optional<SilencePolicy> silence = std::nullopt);
+    next(TimePoint deadline, std::optional<SilencePolicy> silence = std::nullopt);
 
 private:
     HttpStream m_stream;
--- a/tests/site.cpp
+++ b/tests/site.cpp
@@ -207,7 +207,7 @@
             co_return;
         result.status = stream.value().status();
         for (;;) {
-            auto chunk = co_await stream.value().read(timeout);
+            auto chunk = co_await stream.value().read(BootClock::now() + timeout);
             if (!chunk)
                 co_return;
             if (!chunk.value())
--- a/tests/tst_adapter_endlessresponse.cpp
+++ b/tests/tst_adapter_endlessresponse.cpp
@@ -1,3 +1,4 @@
+#include "gatewayfixture.h"
 #include "http/client.h"
 #include "streams/eventsplitter.h"
 
@@ -19,6 +20,7 @@
 using asio::ip::tcp;
 
 using namespace bluebell;
+using namespace bluebell::testing;
 using namespace std::chrono_literals;
 
 namespace {
@@ -98,8 +100,141 @@
 
 const std::string Head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n";
 
+/// A target in trouble: it begins each response well and then sends `filler` without end.
+class EndlessTarget
+{
+public:
+    /// \param pause time between two writes
+    EndlessTarget(asio::io_context &context, std::string mediaType, std::string filler,
+                  Duration pause)
+        : m_acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+          m_mediaType(std::move(mediaType)), m_filler(std::move(filler)), m_pause(pause)
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+    /// \returns bytes that were sent over connections that are still open
+    [[nodiscard]] std::size_t openBytes() const noexcept { return m_openBytes; }
+    /// Requests of callers that have arrived.
+    std::size_t requests = 0;
+
+private:
+    asio::awaitable<void> accept()
+    {
+        for (;;) {
+            auto [ec, socket] = co_await m_acceptor.async_accept(Await);
+            if (ec)
+                co_return;
+            asio::co_spawn(m_acceptor.get_executor(), respond(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> respond(tcp::socket socket)
+    {
+        constexpr int SendBufferBytes = 16384;
+        socket.set_option(asio::socket_base::send_buffer_size(SendBufferBytes));
+        std::string request(4096, '\0');
+        const auto [readError, n] = co_await socket.async_read_some(asio::buffer(request), Await);
+        if (readError)
+            co_return;
+        const std::string name = "X-Attempt-Id: ";
+        if (request.find(name) == std::string::npos)
+            co_return;
+        ++requests;
+        const auto begin = request.find(name) + name.size();
+        const auto attempt = request.substr(begin, request.find('\r', begin) - begin);
+        std::string text = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt
+                + "\r\nX-Server-Seal: seal\r\nContent-Type: " + m_mediaType + "\r\n\r\n";
+        std::size_t sent = 0;
+        for (int id = 1;; ++id) {
+            const auto [ec, written] =
+                    co_await asio::async_write(socket, asio::buffer(text), Await);
+            sent += written;
+            m_openBytes += written;
+            if (ec)
+                break;
+            text = m_filler.empty() ? "id: " + std::to_string(id) + "\ndata: t\n\n" : m_filler;
+            if (m_pause > Duration::zero())
+                co_await sleepFor(m_pause);
+        }
+        m_openBytes -= sent;
+    }
+
+    tcp::acceptor m_acceptor;
+    std::string m_mediaType;
+    /// Empty for events with increasing ids.
+    std::string m_filler;
+    Duration m_pause;
+    std::size_t m_openBytes = 0;
+};
+
+class EndlessResponseOfATarget : public GatewayTest
+{
+protected:
+    static constexpr Duration RouteTimeout = 1s;
+    /// Time after the route's timeout by which there is a final answer.
+    static constexpr Duration AnswerMargin = 500ms;
+
+    EndlessResponseOfATarget()
+    {
+        auto config = siteConfig(1, 1);
+        for (auto &it : config["Routes"])
+            it["TimeoutMs"] = toMilliseconds(RouteTimeout).count();
+        setConfig(config);
+    }
+
+    EndlessTarget &addEndless(const std::string &service, const std::string &mediaType,
+                              const std::string &filler, Duration pause)
+    {
+        endless = std::make_unique<EndlessTarget>(context, mediaType, filler, pause);
+        nlohmann::json it = { { "born", 1000 },        { "Sequence", 1 },
+                              { "Service", service },  { "Address", endless->address() },
+                              { "Zone", "leicester" }, { "Version", "v1" },
+                              { "Slots", 64 },         { "State", "ready" },
+                              { "ColdLeftMs", 0 } };
+        if (service == "engines")
+            it["Models"] = {
+                { { "Name", "m0" }, { "Version", 1 }, { "Adapters", nlohmann::json::array() } }
+            };
+        store.put("servers", "endless", it.dump());
+        return *endless;
+    }
+
+    void expectAnswerInTime(const std::string &path, const std::vector<HttpHeader> &headers = {})
+    {
+        addGateway("vm-1");
+        ASSERT_TRUE(awaitReady(0));
+        run(300ms);
+        const auto reply = send(0, path, "key-1", headers);
+        EXPECT_TRUE(
+                runUntil([&] { return reply->result.has_value(); }, RouteTimeout + AnswerMargin));
+        EXPECT_EQ(endless->requests, 1U);
+    }
+
+    std::unique_ptr<EndlessTarget> endless;
+};
+
 } // namespace
 
+/// Regression: each read got at least a millisecond, also beyond the request's deadline, so that a
+/// body in small pieces without end kept its caller waiting until the caller gave up.
+TEST_F(EndlessResponseOfATarget, ABodyInSmallPiecesEndsWithTheRoutesTimeout)
+{
+    addEndless("plain", "text/plain", std::string(100, 'x'), 200us);
+    expectAnswerInTime("/look/x");
+}
+
+/// Regression: the same with the events of a stream.
+TEST_F(EndlessResponseOfATarget, EventsEndWithTheRoutesTimeout)
+{
+    addEndless("engines", "text/event-stream", "", 200us);
+    expectAnswerInTime("/review/x", ModelZero);
+}
+
 TEST(EndlessResponse, BytesThatAreNoResponse)
 {
     expectRefusal("", std::string(64, '\x01'));
--- a/tests/tst_adapter_resumedstreams.cpp
+++ b/tests/tst_adapter_resumedstreams.cpp
@@ -33,7 +33,7 @@
                            HttpCall call) -> boost::asio::awaitable<void> {
             auto opened = co_await openStream(std::move(call));
             while (opened && !out->isFinished) {
-                auto chunk = co_await opened.value().read(10s);
+                auto chunk = co_await opened.value().read(BootClock::now() + 10s);
                 out->isComplete = chunk && !chunk.value();
                 out->isFinished = !chunk || !chunk.value();
                 if (!out->isFinished)
--- a/tests/tst_adapter_silencepolicy.cpp
+++ b/tests/tst_adapter_silencepolicy.cpp
@@ -68,7 +68,7 @@
             }
             std::string body;
             for (;;) {
-                auto chunk = co_await stream.value().read(5s, policy());
+                auto chunk = co_await stream.value().read(BootClock::now() + 5s, policy());
                 if (!chunk) {
                     *out = chunk.error();
                     co_return;
