Keep a silent target's response until another target has accepted it

Cause: the current run was ended as soon as a retry was taken from the budget and another target looked usable. That it accepts was found out only afterwards; the refusals left the budget empty and the streams without any target, although the first one went on 0.15 s later.

Change: the other target gets the request while the connection to the silent one stays open (Takeover). It becomes the current one when its response head has passed the checks; if it refuses, or if the silent one sends a byte first, its connection is closed. Attempts holds what RequestProxy had of this, with the state of each attempt of its own.

Ruled out: giving a retry back after a refusal (refused arrivals count in the fleet's budget), returning to the first target by resumption (its run has ended), a longer limit (callers leave after 2 s).

That two targets don't work on a stream side by side is ATargetThatGoesOnKeepsItsStreamFromOneThatIsSlowToAccept.

--- a/programs/gateway/attemptevidence.cpp
+++ b/programs/gateway/attemptevidence.cpp
@@ -3,9 +3,9 @@
 namespace bluebell::gateway {
 namespace {
 
-TargetRun runOf(const RequestContext &it)
+TargetRun runOf(const Attempt &attempt)
 {
-    return { it.lastTarget, it.lastTargetStartTimeMs };
+    return { attempt.target, attempt.startTimeMs };
 }
 
 ResponseStage stageOf(const AttemptProgress &progress)
@@ -15,48 +15,50 @@
     return progress.headAt ? ResponseStage::Starting : ResponseStage::Awaited;
 }
 
-void noteSurvival(GatewayState &state, RequestContext &it, TimePoint now)
+void noteSurvival(GatewayState &state, const RequestContext &it, AttemptProgress &progress,
+                  TimePoint now)
 {
-    it.progress.hasSurvived = true;
-    const auto beganAt = it.progress.firstChunkAt.value_or(it.progress.headAt.value_or(now));
+    progress.hasSurvived = true;
+    const auto beganAt = progress.firstChunkAt.value_or(progress.headAt.value_or(now));
     state.quarantine.noteSurvival(it.caller.sharedParts, beganAt, now);
 }
 
 } // namespace
 
-void noteResponseHead(GatewayState &state, RequestContext &it, const ResponseHead &head,
+void noteResponseHead(GatewayState &state, Attempt &attempt, const ResponseHead &head,
                       TimePoint now)
 {
-    it.progress.headAt = now;
-    it.progress.isSuccess = head.isSuccess();
+    attempt.progress.headAt = now;
+    attempt.progress.isSuccess = head.isSuccess();
     // Another process may have taken over the address.
     if (!head.isMisdirected)
-        state.quarantine.noteSignOfLife(runOf(it), it.progress.sentAt, now);
+        state.quarantine.noteSignOfLife(runOf(attempt), attempt.progress.sentAt, now);
 }
 
 void noteEvents(GatewayState &state, RequestContext &it, TimePoint now)
 {
-    auto &progress = it.progress;
+    auto &progress = it.latest.progress;
     progress.lastChunkAt = now;
     if (!progress.firstChunkAt)
         progress.firstChunkAt = now;
     if (!progress.hasSurvived && now - *progress.firstChunkAt >= Quarantine::SurvivalTime)
-        noteSurvival(state, it, now);
+        noteSurvival(state, it, progress, now);
 }
 
-void noteAttemptEnd(GatewayState &state, RequestContext &it, const AttemptResult &result,
-                    TimePoint now)
+void noteAttemptEnd(GatewayState &state, const RequestContext &it, Attempt &attempt,
+                    const AttemptResult &result, TimePoint now)
 {
-    if (it.progress.hasSurvived || it.caller.sharedParts.empty())
+    auto &progress = attempt.progress;
+    if (progress.hasSurvived || it.caller.sharedParts.empty())
         return;
-    if (result.outcome == AttemptOutcome::Answered && it.progress.isSuccess)
-        noteSurvival(state, it, now);
+    if (result.outcome == AttemptOutcome::Answered && progress.isSuccess)
+        noteSurvival(state, it, progress, now);
     const bool hasCrashed = result.outcome == AttemptOutcome::Failed
             && result.error.isConnectionLost && !it.cancel->isCancelled();
     if (!hasCrashed)
         return;
-    const CrashedAttempt attempt { runOf(it), stageOf(it.progress), it.progress.sentAt };
-    state.quarantine.noteCrash(attempt, it.caller.sharedParts, now);
+    const CrashedAttempt crashed { runOf(attempt), stageOf(progress), progress.sentAt };
+    state.quarantine.noteCrash(crashed, it.caller.sharedParts, now);
     state.notifyQuarantine();
 }
 
--- a/programs/gateway/attemptevidence.h
+++ b/programs/gateway/attemptevidence.h
@@ -8,15 +8,15 @@
 
 namespace bluebell::gateway {
 
-/// Notes that the response head of the latest attempt has arrived.
-void noteResponseHead(GatewayState &state, RequestContext &it, const ResponseHead &head,
+/// Notes that the response head of an attempt has arrived.
+void noteResponseHead(GatewayState &state, Attempt &attempt, const ResponseHead &head,
                       TimePoint now);
 
 /// Notes that events of the latest attempt's stream have arrived.
 void noteEvents(GatewayState &state, RequestContext &it, TimePoint now);
 
-/// Notes how the latest attempt has ended.
-void noteAttemptEnd(GatewayState &state, RequestContext &it, const AttemptResult &result,
-                    TimePoint now);
+/// Notes how an attempt has ended.
+void noteAttemptEnd(GatewayState &state, const RequestContext &it, Attempt &attempt,
+                    const AttemptResult &result, TimePoint now);
 
 } // namespace bluebell::gateway
--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -80,7 +80,7 @@
       m_updates(m_state, [this] { applyConfig(); }), m_quarantine(context, m_state),
       m_storeWatch(context, m_state, m_updates, m_quarantine),
       m_peerSync(context, m_state, m_updates), m_relayService(context, m_state, m_updates),
-      m_coordinator(context, m_state), m_proxy(m_state),
+      m_coordinator(context, m_state), m_proxy(context.get_executor(), m_state),
       m_link(context.get_executor(),
              [this](const DaemonStatus &status) { m_state.noteStatus(status, BootClock::now()); }),
       m_callerServer(context, initialLimits(m_state.settings),
--- a/programs/gateway/requestcontext.cpp
+++ b/programs/gateway/requestcontext.cpp
@@ -4,6 +4,12 @@
 
 namespace bluebell::gateway {
 
+void noteRun(RequestContext &it, Attempt &attempt)
+{
+    if (!std::exchange(attempt.hasRun, true))
+        ++it.runs;
+}
+
 std::string_view toString(Delivery delivery) noexcept
 {
     switch (delivery) {
--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -55,14 +55,7 @@
     TimePoint at;
 };
 
-/// A request that counts as running at a target in the target selector.
-struct RunningAttempt
-{
-    TargetId target;
-    std::optional<ReplicaKey> key;
-};
-
-/// How far the response to the latest attempt has come.
+/// How far the response to an attempt has come.
 struct AttemptProgress
 {
     TimePoint sentAt;
@@ -78,8 +71,25 @@
     bool hasSurvived = false;
 };
 
+/// One attempt of a request at a target.
+struct Attempt
+{
+    TargetId target;
+    /// Start time of the target's run to which the request was sent, see TargetEntry::startTimeMs.
+    std::uint64_t startTimeMs = 0;
+    /// The model or adapter that the request needs, if any.
+    std::optional<ReplicaKey> key;
+    AttemptProgress progress;
+    /// Whether the attempt is counted in the target selector.
+    bool isCounted = false;
+    /// Whether the attempt is counted in RequestContext::runs.
+    bool hasRun = false;
+};
+
+struct Takeover;
+
 /// State of one request while it is processed.
-struct RequestContext
+struct RequestContext : std::enable_shared_from_this<RequestContext>
 {
     const HttpRequest *http = nullptr;
     CallerRequest caller;
@@ -116,20 +126,16 @@
     std::optional<TimePoint> lastChunkAt;
     /// Splits the stream, so that the caller gets complete events only.
     EventSplitter events;
-    TargetId lastTarget;
-    /// Whether a retry was taken from the budget for the next attempt.
-    bool isRetryReserved = false;
-    /// Start time of the run of `lastTarget` to which the request was sent.
-    std::uint64_t lastTargetStartTimeMs = 0;
-    AttemptProgress progress;
+    /// The attempt whose response is passed on, or the last one.
+    Attempt latest;
+    /// Set while another target may take the request over from a silent one.
+    std::shared_ptr<Takeover> takeover;
     /// Whether the request tries a prompt part that is in quarantine.
     bool isTrial = false;
     /// End of the first hold-off that the request waits for, if it waits for nothing else.
     std::optional<TimePoint> holdOffEnd;
     /// The latest notice that has affected the request.
     std::optional<TargetNotice> notice;
-    /// Set while an attempt is counted in the target selector.
-    std::optional<RunningAttempt> running;
     /// Entry in the demand statistics while the request waits.
     std::optional<WaitId> wait;
 };
@@ -157,6 +163,9 @@
     std::optional<HttpResponse> response = std::nullopt;
 };
 
+/// Notes that the target of an attempt has executed the request, or may have.
+void noteRun(RequestContext &it, Attempt &attempt);
+
 [[nodiscard]] std::string_view toString(Delivery delivery) noexcept;
 
 /// \returns an error of a request that reached no target
--- a/programs/gateway/requestlog.cpp
+++ b/programs/gateway/requestlog.cpp
@@ -54,16 +54,17 @@
 
 } // namespace
 
-void recordFailedAttempt(const RequestContext &it, const Error &error, Metrics &metrics)
+void recordFailedAttempt(const RequestContext &it, const Attempt &attempt, const Error &error,
+                         Metrics &metrics)
 {
     const auto now = BootClock::now();
-    const auto &progress = it.progress;
+    const auto &progress = attempt.progress;
     metrics.count("bluebell_failed_attempts_total",
                   { it.organisation, ClassId(it.route ? it.route->name : std::string()), {} });
     log::warning("attempt failed",
                  { { "request", it.caller.attempt.value() },
-                   { "target", it.lastTarget.value() },
-                   { "start_time_ms", std::to_string(it.lastTargetStartTimeMs) },
+                   { "target", attempt.target.value() },
+                   { "start_time_ms", std::to_string(attempt.startTimeMs) },
                    { "cause", error.message },
                    { "sent_ago_ms", millisecondsBetween(progress.sentAt, now) },
                    { "head_ago_ms", millisecondsBetween(progress.headAt, now) },
@@ -103,7 +104,7 @@
                 { "organisation", it.organisation.value() },
                 { "route", it.route ? it.route->name : std::string() },
                 { "replica", it.caller.replica ? toString(*it.caller.replica) : std::string() },
-                { "target", it.lastTarget.value() },
+                { "target", it.latest.target.value() },
                 { "sends", std::to_string(it.sends) },
                 { "runs", std::to_string(it.runs) },
                 { "waited_ms", std::to_string(toMilliseconds(it.waited).count()) },
--- a/programs/gateway/requestlog.h
+++ b/programs/gateway/requestlog.h
@@ -13,7 +13,8 @@
 
 /// Writes metrics and the log line of an attempt that may have run and has brought no valid
 /// response.
-void recordFailedAttempt(const RequestContext &it, const Error &error, Metrics &metrics);
+void recordFailedAttempt(const RequestContext &it, const Attempt &attempt, const Error &error,
+                         Metrics &metrics);
 
 /// Writes metrics and the log line of a finished request.
 void recordOutcome(const RequestContext &it, const Result<void> &result, Delivery delivery,
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -1,10 +1,9 @@
 #include "gateway/requestproxy.h"
 
 #include "core/log.h"
-#include "gateway/attemptevidence.h"
+#include "gateway/requestlimits.h"
 #include "gateway/requestlog.h"
 #include "platform/requests.h"
-#include "routing/silencedecision.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,7 +15,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration ConnectTimeout = milliseconds(200);
 /// Pause before targets are tried again when all usable ones have refused.
 constexpr Duration RefusalRetryDelay = milliseconds(30);
 /// Maximum time between two checks of the retry budget for a stream that waits for it.
@@ -27,54 +25,18 @@
 constexpr Duration PlacementTime = milliseconds(500);
 /// How long the demand of a rejected request is kept after its Retry-After time.
 constexpr Duration RetryAllowance = milliseconds(500);
-/// Maximum number of attempts for one request, including those that fail to connect.
-constexpr std::uint32_t MaxSends = 8;
-/// Requests that arrive during a stop end this long before the kill of the process.
-constexpr Duration StopMargin = milliseconds(600);
-/// Time that a stream may take. A stopping daemon starts no stream when less than this is left.
-constexpr Duration MinTimeForStream = milliseconds(4500);
-/// The same for all other requests.
-constexpr Duration MinTimeForRequest = milliseconds(1500);
 /// Minimum time that a running request gets after its key was withdrawn.
 constexpr Duration WithdrawnKeyGracePeriod = std::chrono::seconds(4);
 
-/// \returns the gap in a stream, or the time before it, after which its caller gives up
-Duration callersPatience(const Route &route)
-{
-    return streamFirstByteTimeout(route.latencyGoal, route.eventGapGoal);
-}
-
 } // namespace
 
-bool RequestProxy::isTooLateToStart(const RequestContext &it, TimePoint now) const
-{
-    if (!m_state.stopRequestedAt)
-        return false;
-    const auto end = *m_state.stopRequestedAt + m_state.settings.stopTimeout - StopMargin;
-    // No other daemon can complete a response that has begun.
-    if (it.hasStartedResponse)
-        return now >= end;
-    const bool isStream = it.route->kind == RequestKind::Streaming;
-    return end - now < (isStream ? MinTimeForStream : MinTimeForRequest);
-}
-
-TargetRequirements RequestProxy::targetRequirements(const RequestContext &it) const
-{
-    TargetRequirements requirements;
-    requirements.service = it.service->name;
-    if (it.service->engine)
-        requirements.key = it.caller.replica;
-    requirements.excluded = it.triedTargets;
-    return requirements;
-}
-
 std::optional<Result<TargetId>> RequestProxy::selectTarget(RequestContext &it, TimePoint now)
 {
     if (it.cancel->isCancelled())
         return it.isKeyWithdrawn
                 ? notRun(ErrorCode::KeyWithdrawn, "the key was withdrawn", Duration::zero())
                 : notRun(ErrorCode::Unavailable, "the caller has disconnected", Duration::zero());
-    if (isTooLateToStart(it, now))
+    if (isTooLateToStart(m_state, it, now))
         return notRun(ErrorCode::Unavailable, "the daemon is stopping", Duration::zero());
     if (auto allowed = m_admission.checkQuarantine(it); !allowed)
         return allowed.error();
@@ -164,96 +126,6 @@
     return m_state.selector.choose(anyEngine, m_state.registry.targets(), {}, now).has_value();
 }
 
-std::optional<SilencePolicy> RequestProxy::silencePolicy(RequestContext &it, Duration limit)
-{
-    if (!it.route->isRetryable())
-        return std::nullopt;
-    const auto runs = it.runs + 1;
-    return SilencePolicy { limit, [this, &it, runs] {
-                              return tryLeaveTarget(it, runs);
-                          } };
-}
-
-bool RequestProxy::hasOtherTarget(const RequestContext &it, TimePoint now)
-{
-    auto requirements = targetRequirements(it);
-    requirements.excluded.insert(it.lastTarget);
-    const auto other = m_state.selector.choose(requirements, m_state.registry.targets(),
-                                               m_state.residents(now), now);
-    return other && !m_state.selector.isInBackoff(*other, now);
-}
-
-bool RequestProxy::tryLeaveTarget(RequestContext &it, std::uint32_t runs)
-{
-    const auto now = BootClock::now();
-    auto &budget = m_state.retryBudgetOf(it.service->name);
-    SilenceFacts facts;
-    facts.isWanted = !it.cancel->isCancelled() && now < it.deadline && it.sends < MaxSends
-            && !isTooLateToStart(it, now);
-    facts.isRetryable = it.route->isRetryable() && it.events.canResume();
-    facts.runs = runs;
-    facts.maxTargets = it.route->maxTargets;
-    facts.hasRetry = budget.hasRetry();
-    if (!canLeaveSilentTarget(facts) || !hasOtherTarget(it, now))
-        return false;
-    // Taken at once: other requests at the same silent target ask next.
-    it.isRetryReserved = budget.takeRetry();
-    return it.isRetryReserved;
-}
-
-asio::awaitable<AttemptResult> RequestProxy::attempt(RequestContext &it, TargetId id,
-                                                     HttpResponder &responder)
-{
-    const auto *target = m_state.registry.find(id);
-    if (!target)
-        co_return AttemptResult { AttemptOutcome::NotSent,
-                                  notRun(ErrorCode::Unavailable, "the target has left", {}) };
-    const auto now = BootClock::now();
-    ForwardDetails details;
-    details.target = id;
-    details.timeLeft = it.deadline - now;
-    details.organisation = it.organisation;
-    details.priority = it.priority;
-    details.lastEventId = it.events.lastId().value_or(it.caller.lastEventId);
-    HttpCall call;
-    call.endpoint = target->address;
-    call.request = platform::encodeForward(*it.http, details);
-    call.bodyLimit = it.route->kind == RequestKind::Streaming ? MaxStreamBytes : MaxResponseBytes;
-    call.timeout = std::max<Duration>(it.deadline - now, milliseconds(1));
-    call.silence = silencePolicy(it, responseSilenceLimit(it.route->latencyGoal));
-    call.connectTimeout = ConnectTimeout;
-    call.cancel = it.cancel;
-    const auto streamSilence = silencePolicy(it, streamSilenceLimit(callersPatience(*it.route)));
-    const auto key = it.service->engine ? it.caller.replica : std::nullopt;
-    m_state.selector.noteStarted(id, key);
-    it.running = RunningAttempt { id, key };
-    it.lastTarget = id;
-    it.lastTargetStartTimeMs = target->startTimeMs;
-    ++it.sends;
-    it.progress = {};
-    it.progress.sentAt = now;
-    auto stream = co_await openStream(std::move(call));
-    AttemptResult result;
-    if (stream) {
-        auto relayed = m_relay.relay(it, id, std::move(stream.value()), responder, streamSilence);
-        result = co_await std::move(relayed);
-    } else {
-        const bool isNotSent = stream.error().execution == Execution::NotRun;
-        if (!it.cancel->isCancelled())
-            m_state.selector.noteOutcome(
-                    id, isNotSent ? TargetOutcome::Unreachable : TargetOutcome::Broken,
-                    BootClock::now());
-        it.runs += isNotSent ? 0 : 1;
-        result = { isNotSent ? AttemptOutcome::NotSent : AttemptOutcome::Failed, stream.error() };
-    }
-    it.running.reset();
-    m_state.selector.noteEnded(id, key);
-    noteAttemptEnd(m_state, it, result, BootClock::now());
-    if (result.outcome == AttemptOutcome::Failed && !it.cancel->isCancelled())
-        recordFailedAttempt(it, result.error, m_state.metrics);
-    co_return result;
-}
-
 bool RequestProxy::isRetryAllowed(const RequestContext &it, AttemptOutcome outcome,
                                   TimePoint now) const
 {
@@ -261,15 +133,13 @@
         return false;
     if (outcome != AttemptOutcome::Failed)
         return true;
-    if (m_state.quarantine.forbidsRetry(it.caller.sharedParts))
-        return false;
-    return it.route->isRetryable() && it.events.canResume() && it.runs < it.route->maxTargets;
+    return mayRunAgain(m_state, it);
 }
 
 bool RequestProxy::takeRetry(RequestContext &it, AttemptOutcome outcome)
 {
     // An attempt that was not sent adds no load to the targets, so it needs no retry budget.
-    if (outcome == AttemptOutcome::NotSent || std::exchange(it.isRetryReserved, false))
+    if (outcome == AttemptOutcome::NotSent)
         return true;
     return m_state.retryBudgetOf(it.service->name).takeRetry();
 }
@@ -285,7 +155,7 @@
         // Without a retry, a stream that has begun would be cut.
         const auto patienceEnd =
                 it.lastChunkAt.value_or(it.receivedAt) + callersPatience(*it.route);
-        if (!it.hasStartedResponse || now >= patienceEnd || isTooLateToStart(it, now))
+        if (!it.hasStartedResponse || now >= patienceEnd || isTooLateToStart(m_state, it, now))
             co_return false;
         co_await m_state.stateChanged.wait(RetryCheckInterval);
     }
@@ -307,7 +177,8 @@
             co_return error;
         }
         const auto id = target.value();
-        auto result = co_await attempt(it, id, responder);
+        auto attempted = m_attempts.run(it, id, responder);
+        auto result = co_await std::move(attempted);
         if (result.outcome == AttemptOutcome::Answered)
             co_return BOOST_OUTCOME_V2_NAMESPACE::success();
         if (result.outcome == AttemptOutcome::Undeliverable)
@@ -365,9 +236,7 @@
 {
     log::error("request failed by an exception",
                { { "request", it.caller.attempt.value() }, { "cause", std::string(cause) } });
-    if (it.running)
-        m_state.selector.noteEnded(it.running->target, it.running->key);
-    it.running.reset();
+    m_attempts.abandon(it);
     if (it.wait)
         m_state.demand.endWait(*std::exchange(it.wait, std::nullopt));
     m_state.metrics.count("bluebell_request_exceptions_total",
--- a/programs/gateway/requestproxy.h
+++ b/programs/gateway/requestproxy.h
@@ -1,17 +1,20 @@
 #pragma once
 
 #include "gateway/activerequests.h"
+#include "gateway/attempts.h"
 #include "gateway/gatewaystate.h"
 #include "gateway/requestadmission.h"
 #include "gateway/requestcontext.h"
-#include "gateway/responserelay.h"
 #include "http/server.h"
 #include "queue/waitdecision.h"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <utility>
+
 /// \file
-/// Proxies callers' requests to targets: target selection, attempts and retries.
+/// Proxies callers' requests to targets: target selection and retries.
 
 namespace bluebell::gateway {
 
@@ -19,7 +22,8 @@
 class RequestProxy
 {
 public:
-    explicit RequestProxy(GatewayState &state) : m_state(state), m_admission(state), m_relay(state)
+    RequestProxy(boost::asio::any_io_executor executor, GatewayState &state)
+        : m_state(state), m_admission(state), m_attempts(std::move(executor), state)
     {
     }
 
@@ -55,8 +59,6 @@
     /// \returns the target, the error that ends the request, or nothing if the request keeps
     /// waiting
     [[nodiscard]] std::optional<Result<TargetId>> selectTarget(RequestContext &it, TimePoint now);
-    boost::asio::awaitable<AttemptResult> attempt(RequestContext &it, TargetId target,
-                                                  HttpResponder &responder);
     /// \returns whether another attempt is allowed after one that ended with `outcome`, apart from
     /// the retry budget
     [[nodiscard]] bool isRetryAllowed(const RequestContext &it, AttemptOutcome outcome,
@@ -68,10 +70,6 @@
     ///
     /// \returns whether another attempt may begin
     boost::asio::awaitable<bool> awaitRetry(RequestContext &it, AttemptOutcome outcome);
-    /// \returns whether the request might not finish before this daemon stops; the caller should
-    /// then retry at another daemon. A response that has begun is continued as long as possible.
-    [[nodiscard]] bool isTooLateToStart(const RequestContext &it, TimePoint now) const;
-    [[nodiscard]] TargetRequirements targetRequirements(const RequestContext &it) const;
     [[nodiscard]] WaitFacts waitFacts(const RequestContext &it, TimePoint now) const;
     /// Notes in the request which hold-off it waits for, if hold-offs are all that keeps it from
     /// its targets.
@@ -79,19 +77,6 @@
     /// \returns whether the leader may still find a target that loads the request's model sooner
     /// than a hold-off ends
     [[nodiscard]] bool mayBeLoadedElsewhere(const RequestContext &it, TimePoint now) const;
-    /// \returns the policy for an attempt that begins now, or nothing if the request cannot be sent
-    /// again
-    ///
-    /// \param limit time without a byte after which the target may be given up
-    [[nodiscard]] std::optional<SilencePolicy> silencePolicy(RequestContext &it, Duration limit);
-    /// \returns whether another target than the current one can serve the request now, and has not
-    /// refused or failed a request just before
-    [[nodiscard]] bool hasOtherTarget(const RequestContext &it, TimePoint now);
-    /// Takes a retry from the budget if the request can be sent to another target than its current
-    /// one now.
-    ///
-    /// \param runs targets that may have executed the request, the current one included
-    [[nodiscard]] bool tryLeaveTarget(RequestContext &it, std::uint32_t runs);
     /// Sends the error response of a request that has got no response yet.
     ///
     /// \returns what the caller has got
@@ -100,7 +85,7 @@
 
     GatewayState &m_state;
     RequestAdmission m_admission;
-    ResponseRelay m_relay;
+    Attempts m_attempts;
     ActiveRequests m_active;
 };
 
--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -17,6 +17,9 @@
 
 constexpr unsigned StatusServerError = 500;
 
+constexpr unsigned StatusClassSize = 100;
+constexpr unsigned SuccessClass = 2;
+
 /// \returns the content type without parameters
 std::string mediaTypeOf(const HttpStream &stream)
 {
@@ -36,40 +39,51 @@
 
 } // namespace
 
-asio::awaitable<AttemptResult> ResponseRelay::relay(RequestContext &it, const TargetId &target,
-                                                    HttpStream stream, HttpResponder &responder,
-                                                    const std::optional<SilencePolicy> &silence)
+bool isSuccess(const HttpStream &stream)
+{
+    return stream.status() / StatusClassSize == SuccessClass;
+}
+
+std::optional<AttemptResult> ResponseRelay::checkHead(RequestContext &it, Attempt &attempt,
+                                                      const HttpStream &stream)
 {
     const auto now = BootClock::now();
     const auto head = platform::decodeResponse(stream.head(), it.caller.attempt);
-    noteResponseHead(m_state, it, head, now);
-    applyNotices(m_state, it, head.notices, now);
+    noteResponseHead(m_state, attempt, head, now);
+    applyNotices(m_state, it, attempt, head.notices, now);
     // Targets may omit the id when they refuse; the connection has carried no other request.
     if (head.isNotRun && !head.namesOtherAttempt) {
         if (head.isMisdirected && it.caller.replica)
-            m_state.selector.noteNotResident(target, *it.caller.replica, now);
+            m_state.selector.noteNotResident(attempt.target, *it.caller.replica, now);
         else
-            m_state.selector.noteOutcome(target, TargetOutcome::Full, now);
-        co_return AttemptResult { AttemptOutcome::NotRun,
-                                  notRun(ErrorCode::Overloaded, "the target refused the request",
-                                         milliseconds(200)) };
+            m_state.selector.noteOutcome(attempt.target, TargetOutcome::Full, now);
+        return AttemptResult { AttemptOutcome::NotRun,
+                               notRun(ErrorCode::Overloaded, "the target refused the request",
+                                      milliseconds(200)) };
     }
-    ++it.runs;
+    noteRun(it, attempt);
     const bool isUntrusted =
             !head.matchesAttempt || head.isEncoded || (head.isSuccess() && !head.isSigned);
     if (isUntrusted) {
-        m_state.selector.noteOutcome(target, TargetOutcome::Broken, now);
-        co_return AttemptResult { AttemptOutcome::Failed,
-                                  mayHaveRun(ErrorCode::Unavailable,
-                                             "the answer is not the target's own") };
+        m_state.selector.noteOutcome(attempt.target, TargetOutcome::Broken, now);
+        return AttemptResult { AttemptOutcome::Failed,
+                               mayHaveRun(ErrorCode::Unavailable,
+                                          "the answer is not the target's own") };
     }
     if (it.hasStartedResponse && (!head.isSuccess() || mediaTypeOf(stream) != it.mediaType)) {
-        m_state.selector.noteOutcome(target, TargetOutcome::Failed, now);
-        co_return truncated("the stream did not go on", false);
+        m_state.selector.noteOutcome(attempt.target, TargetOutcome::Failed, now);
+        return truncated("the stream did not go on", false);
     }
-    const bool isStream = it.route->kind == RequestKind::Streaming && head.isSuccess();
+    return std::nullopt;
+}
+
+asio::awaitable<AttemptResult> ResponseRelay::relay(RequestContext &it, HttpStream stream,
+                                                    HttpResponder &responder,
+                                                    const std::optional<SilencePolicy> &silence)
+{
+    const bool isStream = it.route->kind == RequestKind::Streaming && isSuccess(stream);
     if (!isStream) {
-        auto relayed = relayBody(it, target, std::move(stream), responder);
+        auto relayed = relayBody(it, std::move(stream), responder);
         co_return co_await std::move(relayed);
     }
     if (!it.hasStartedResponse) {
@@ -81,6 +95,7 @@
     }
     auto events = relayEvents(it, std::move(stream), responder, silence);
     auto result = co_await std::move(events);
+    const auto &target = it.latest.target;
     if (result.outcome == AttemptOutcome::Answered)
         m_state.selector.noteOutcome(target, TargetOutcome::Answered, BootClock::now());
     else if (result.outcome == AttemptOutcome::Failed && !it.cancel->isCancelled())
@@ -88,9 +103,10 @@
     co_return result;
 }
 
-asio::awaitable<AttemptResult> ResponseRelay::relayBody(RequestContext &it, const TargetId &target,
-                                                        HttpStream stream, HttpResponder &responder)
+asio::awaitable<AttemptResult> ResponseRelay::relayBody(RequestContext &it, HttpStream stream,
+                                                        HttpResponder &responder)
 {
+    const auto &target = it.latest.target;
     auto response = platform::encodeResponse(stream.head());
     for (;;) {
         auto chunk = co_await stream.read(it.deadline);
--- a/programs/gateway/targetnotices.cpp
+++ b/programs/gateway/targetnotices.cpp
@@ -45,14 +45,14 @@
     }
 }
 
-void applyNotices(GatewayState &state, RequestContext &it, const TargetNotices &notices,
-                  TimePoint now)
+void applyNotices(GatewayState &state, RequestContext &it, const Attempt &attempt,
+                  const TargetNotices &notices, TimePoint now)
 {
-    applyNotices(state, it.lastTarget, it.lastTargetStartTimeMs, notices, now);
+    applyNotices(state, attempt.target, attempt.startTimeMs, notices, now);
     if (!notices.isLeaving && !notices.holdOff)
         return;
     it.notice = TargetNotice { notices.isLeaving ? NoticeKind::Leaving : NoticeKind::HoldOff,
-                               it.lastTarget, it.lastTargetStartTimeMs, now };
+                               attempt.target, attempt.startTimeMs, now };
 }
 
 } // namespace bluebell::gateway
--- a/programs/gateway/targetnotices.h
+++ b/programs/gateway/targetnotices.h
@@ -14,9 +14,9 @@
 void applyNotices(GatewayState &state, const TargetId &target, std::uint64_t startTimeMs,
                   const TargetNotices &notices, TimePoint now);
 
-/// Applies the notices of the response to the latest attempt of a caller's request. Called before
-/// any part of the response is passed on.
-void applyNotices(GatewayState &state, RequestContext &it, const TargetNotices &notices,
-                  TimePoint now);
+/// Applies the notices of the response to an attempt of a caller's request. Called before any part
+/// of the response is passed on.
+void applyNotices(GatewayState &state, RequestContext &it, const Attempt &attempt,
+                  const TargetNotices &notices, TimePoint now);
 
 } // namespace bluebell::gateway
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -152,8 +152,8 @@
     auto tryGiveUp = [this, policy = std::move(silence->tryGiveUp)] {
         return unreadBytes() == 0 && policy();
     };
-    m_watch = std::make_shared<SilenceWatch>(m_stream.get_executor(),
-                                             SilencePolicy { silence->limit, std::move(tryGiveUp) },
+    silence->tryGiveUp = std::move(tryGiveUp);
+    m_watch = std::make_shared<SilenceWatch>(m_stream.get_executor(), std::move(*silence),
                                              [this] { close(); });
     m_watch->start();
 }
@@ -163,6 +163,8 @@
     const auto watch = std::exchange(m_watch, nullptr);
     if (watch)
         watch->stop();
+    if (watch && !ec)
+        watch->noteBytes();
     if (!ec)
         return std::nullopt;
     if (watch && watch->hasGivenUp())
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -77,6 +77,8 @@
     Duration limit {};
     /// Returns whether to end the exchange; called no more after it has returned true.
     std::function<bool()> tryGiveUp;
+    /// Called when bytes arrive after `tryGiveUp` has been called; may be empty.
+    std::function<void()> noteEndOfSilence = nullptr;
 };
 
 /// A request with its destination and timeouts.
--- a/src/http/silencewatch.cpp
+++ b/src/http/silencewatch.cpp
@@ -37,8 +37,15 @@
     });
 }
 
+void SilenceWatch::noteBytes()
+{
+    if (m_hasAsked && m_policy.noteEndOfSilence)
+        m_policy.noteEndOfSilence();
+}
+
 void SilenceWatch::ask()
 {
+    m_hasAsked = true;
     if (!m_policy.tryGiveUp()) {
         askAfter(RecheckInterval);
         return;
--- a/src/http/silencewatch.h
+++ b/src/http/silencewatch.h
@@ -25,6 +25,8 @@
     void start();
     /// Stops watching, because bytes have arrived or the exchange has ended.
     void stop();
+    /// Tells the policy that the silence has ended with bytes.
+    void noteBytes();
     /// \returns whether the exchange was given up
     [[nodiscard]] bool hasGivenUp() const noexcept { return m_hasGivenUp; }
 
@@ -36,6 +38,7 @@
     SilencePolicy m_policy;
     std::function<void()> m_giveUp;
     bool m_isActive = false;
+    bool m_hasAsked = false;
     bool m_hasGivenUp = false;
 };
 
--- a/tests/tst_adapter_silenttargets.cpp
+++ b/tests/tst_adapter_silenttargets.cpp
@@ -107,3 +107,62 @@
     EXPECT_EQ(reply->body(), FiveEvents);
     EXPECT_EQ(other.runs.size(), 1U);
 }
+
+/// Regression: the silent target was given up before the other one, which was full, had accepted
+/// the stream, and the refusals used up the retry budget, so that streams of a sound target were
+/// cut.
+TEST_F(SilentTargets, StreamsSurviveWhenTheOtherTargetRefusesThem)
+{
+    auto &silent = addTarget("e1", "engines", { "m0" });
+    silent.behaviour.silentAfterEvents = 2;
+    silent.behaviour.silence = 1650ms;
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    run(300ms);
+    const auto replies = sendAll("/review/x", ModelZero);
+    ASSERT_TRUE(runUntil([&] { return silent.runs.size() == CallerCount; }));
+    auto &full = addTarget("e2", "engines", { "m0" });
+    full.behaviour.isFull = true;
+    expectAnswers(replies, FiveEvents);
+    EXPECT_EQ(silent.runs.size(), CallerCount);
+    EXPECT_GT(full.refusals, 0U);
+}
+
+/// Regression: the same with responses that have not begun.
+TEST_F(SilentTargets, IdempotentRequestsSurviveWhenTheOtherTargetRefusesThem)
+{
+    auto &silent = addTarget("p1", "plain");
+    silent.behaviour.workDuration = 1000ms;
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    const auto replies = sendAll("/look/x");
+    ASSERT_TRUE(runUntil([&] { return silent.runs.size() == CallerCount; }));
+    auto &full = addTarget("p2", "plain");
+    full.behaviour.isFull = true;
+    expectAnswers(replies, "answer of p1");
+    EXPECT_EQ(silent.runs.size(), CallerCount);
+}
+
+/// Two targets must not work on a stream side by side, and none of their events may be mixed.
+TEST_F(SilentTargets, ATargetThatGoesOnKeepsItsStreamFromOneThatIsSlowToAccept)
+{
+    auto &silent = addTarget("e1", "engines", { "m0" });
+    silent.behaviour.silentAfterEvents = 2;
+    silent.behaviour.silence = 1700ms;
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    run(300ms);
+    const auto reply = send(0, "/review/x", "key-1", ModelZero);
+    ASSERT_TRUE(runUntil([&] { return silent.runs.size() == 1; }));
+    auto &slow = addTarget("e2", "engines", { "m0" });
+    slow.behaviour.headDelay = 800ms;
+    std::vector<TargetStep> steps;
+    slow.observer = [&](TargetStep step, const std::string &) {
+        steps.push_back(step);
+    };
+    ASSERT_TRUE(runUntil([&] { return reply->result.has_value(); }, 3s));
+    EXPECT_EQ(reply->body(), FiveEvents);
+    EXPECT_EQ(slow.runs.size(), 1U);
+    ASSERT_TRUE(runUntil([&] { return steps.size() == 3; }, 2s));
+    EXPECT_EQ(steps.back(), TargetStep::Disconnected);
+}
