Bound the memory of all responses together

What other operators saw: a faulty server sent bytes without end, and the machine that had called it ran out of memory, with the requests of all other clients on it.

Cause: here each body was bounded, by 4 MiB, but not their sum: 64 requests at one such target take 256 MiB, a VM's memory. So did incomplete events (256 KiB each), the leader's reports (16 MiB, 64 under way) and calls of services on sites of our own.

Change: MemoryBudget, a quarter of the VM's memory for all responses that are being received. A response may grow while it holds no more than what is free, so that large ones end before small ones.

--- a/programs/entry/servicehandler.cpp
+++ b/programs/entry/servicehandler.cpp
@@ -22,6 +22,8 @@
 /// Maximum time from a claim to its last write, with 4 s of allowance.
 constexpr Duration MaxClaimTime =
         ClaimTimeout + CallTimeout + RecordTimeout + std::chrono::seconds(4);
+/// Maximum size of all responses that are being received.
+constexpr std::size_t MaxResponseMemory = 64U << 20U;
 constexpr std::size_t IdBytes = 12;
 constexpr std::size_t MaxIdempotencyKeyBytes = 200;
 
@@ -57,7 +59,8 @@
 ServiceHandler::ServiceHandler(const ConfigView &config, RecordTable records,
                                RateLimiter &rateLimiter, Metrics &metrics)
     : m_config(config), m_records(std::move(records)), m_rateLimiter(rateLimiter),
-      m_metrics(metrics), m_claims(MaxClaimTime), m_budget(RetryBudget::Settings {})
+      m_metrics(metrics), m_claims(MaxClaimTime), m_budget(RetryBudget::Settings {}),
+      m_memory(std::make_shared<MemoryBudget>(MaxResponseMemory))
 {
 }
 
@@ -112,7 +115,7 @@
         if (targets.empty() || timeLeft <= Duration::zero() || (n > 0 && !m_budget.takeRetry()))
             break;
         auto response = co_await callService(targets[m_nextTarget++ % targets.size()], request,
-                                             std::min<Duration>(timeLeft, CallTimeout));
+                                             std::min<Duration>(timeLeft, CallTimeout), m_memory);
         if (response)
             co_return toRecordedResponse(std::move(response.value()));
         error = response.error();
@@ -173,7 +176,7 @@
         co_return flow.dispatched(
                 NotStarted { makeError(ErrorCode::Unavailable, "the route has no target") });
     auto response = co_await callService(targets[m_nextTarget++ % targets.size()],
-                                         std::move(request), CallTimeout);
+                                         std::move(request), CallTimeout, m_memory);
     if (response)
         co_return flow.dispatched(Completed { toRecordedResponse(std::move(response.value())) });
     if (response.error().execution == Execution::NotRun)
--- a/programs/entry/servicehandler.h
+++ b/programs/entry/servicehandler.h
@@ -48,6 +48,7 @@
     Metrics &m_metrics;
     ClaimTracker m_claims;
     RetryBudget m_budget;
+    std::shared_ptr<MemoryBudget> m_memory;
     /// Counter for round-robin selection of targets.
     std::size_t m_nextTarget = 0;
 };
--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -195,6 +195,8 @@
     else if (request.path == "/metrics") {
         response.contentType = "text/plain; version=0.0.4";
         m_state.metrics.setGauge("bluebell_task_failures", static_cast<double>(taskFailures()));
+        m_state.metrics.setGauge("bluebell_response_bytes_peak",
+                                 static_cast<double>(m_state.responseMemory->peak()));
         response.body = m_state.metrics.exposition();
     } else
         response = errorResponse(makeError(ErrorCode::NotFound, "no such call"), {});
--- a/programs/gateway/gatewaystate.cpp
+++ b/programs/gateway/gatewaystate.cpp
@@ -32,15 +32,24 @@
     return it;
 }
 
+/// \returns the bytes that all responses that are being received may take
+std::size_t responseMemoryLimit(const GatewaySettings &settings)
+{
+    constexpr std::size_t Unknown = 64U << 20U;
+    constexpr std::uint64_t Divisor = 4;
+    return settings.memoryLimit == 0 ? Unknown : settings.memoryLimit / Divisor;
+}
+
 } // namespace
 
 GatewayState::GatewayState(const boost::asio::any_io_executor &executor, GatewaySettings given)
     : settings(std::move(given)), incarnation(randomHex(8)), startedAt(BootClock::now()),
       fleet(selfMember(settings, incarnation)), relayNode(settings.vm, startedAt),
       selector(settings.dataCentre, settings.vm.value()),
-      leadership(settings.vm, incarnation, leadershipSettings(settings)), stateChanged(executor),
-      statusDue(executor), demandDue(executor), reportDue(executor), peerDataDue(executor),
-      digestDue(executor), quarantineDue(executor)
+      leadership(settings.vm, incarnation, leadershipSettings(settings)),
+      responseMemory(std::make_shared<MemoryBudget>(responseMemoryLimit(settings))),
+      stateChanged(executor), statusDue(executor), demandDue(executor), reportDue(executor),
+      peerDataDue(executor), digestDue(executor), quarantineDue(executor)
 {
 }
 
--- a/programs/gateway/gatewaystate.h
+++ b/programs/gateway/gatewaystate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/memorybudget.h"
 #include "gateway/settings.h"
 #include "io/notifier.h"
 #include "membership/fleet.h"
@@ -70,6 +71,8 @@
     /// Replicas resident at the engines; maintained only while this daemon is the leader.
     PlacementPublisher placement;
     Metrics metrics;
+    /// For the bodies of targets' responses that are kept until they are complete.
+    std::shared_ptr<MemoryBudget> responseMemory;
     /// When the store last replied to a read of the targets.
     TimePoint targetsReadAt;
     /// When a graceful stop was requested.
--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -103,11 +103,18 @@
     co_return result;
 }
 
+AttemptResult ResponseRelay::noMemory()
+{
+    m_state.metrics.count("bluebell_responses_without_memory_total", {});
+    return truncated("no memory is left for the response", false);
+}
+
 asio::awaitable<AttemptResult> ResponseRelay::relayBody(RequestContext &it, HttpStream stream,
                                                         HttpResponder &responder)
 {
     const auto &target = it.latest.target;
     auto response = platform::encodeResponse(stream.head());
+    MemoryShare share(m_state.responseMemory);
     for (;;) {
         auto chunk = co_await stream.read(it.deadline);
         if (!chunk) {
@@ -117,6 +124,10 @@
         }
         if (!chunk.value())
             break;
+        if (!share.grow(chunk.value()->size())) {
+            m_state.selector.noteOutcome(target, TargetOutcome::Broken, BootClock::now());
+            co_return noMemory();
+        }
         response.body += *chunk.value();
     }
     const bool isError = response.status >= StatusServerError;
@@ -137,6 +148,7 @@
                            const std::optional<SilencePolicy> &silence)
 {
     it.events.discardPartialEvent();
+    MemoryShare share(m_state.responseMemory);
     for (;;) {
         auto chunk = co_await stream.read(it.deadline, silence);
         if (!chunk)
@@ -146,6 +158,8 @@
         auto events = it.events.add(*chunk.value());
         if (it.events.isTooLarge())
             co_return truncated("an event of the stream has no end", false);
+        if (!share.resize(it.events.partialSize()))
+            co_return noMemory();
         if (it.events.isOutOfOrder())
             co_return truncated("the target did not continue the stream", false);
         if (events.empty())
--- a/programs/gateway/responserelay.h
+++ b/programs/gateway/responserelay.h
@@ -42,6 +42,8 @@
           const std::optional<SilencePolicy> &silence);
 
 private:
+    /// \returns the result of an attempt whose response can't be kept; counts it
+    [[nodiscard]] AttemptResult noMemory();
     /// Reads the complete body and then sends the response. An error response of the target is
     /// returned, not sent.
     boost::asio::awaitable<AttemptResult> relayBody(RequestContext &it, HttpStream stream,
--- a/programs/gateway/settings.h
+++ b/programs/gateway/settings.h
@@ -33,6 +33,8 @@
     std::uint32_t capacity = 0;
     /// Maximum number of file descriptors of the process; 0 if unknown.
     std::uint32_t maxDescriptors = 0;
+    /// Maximum memory of the process in bytes; 0 if unknown.
+    std::uint64_t memoryLimit = 0;
     /// Address of the platform's store.
     Endpoint store;
     /// Whether all daemons of the site start for the first time, at the same moment.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -310,6 +310,7 @@
 {
     const auto deadline = BootClock::now() + call.timeout;
     const auto keptHeaders = std::move(call.keptHeaders);
+    MemoryShare share(std::move(call.memory));
     auto stream = co_await openStream(std::move(call));
     if (!stream)
         co_return stream.error();
@@ -325,6 +326,9 @@
             co_return chunk.error();
         if (!chunk.value())
             co_return response;
+        if (!share.grow(chunk.value()->size()))
+            co_return Error { ErrorCode::Unavailable, "no memory is left for the response",
+                              Execution::OutcomeUnknown, std::nullopt };
         response.body += *chunk.value();
     }
 }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "core/memorybudget.h"
 #include "core/result.h"
 #include "core/time.h"
 
@@ -97,6 +98,8 @@
     std::vector<std::string> keptHeaders = { "Execution", "Retry-After" };
     /// Maximum size of the response's body.
     std::uint64_t bodyLimit = std::uint64_t(16) << 20U;
+    /// Bounds the bytes that exchange() holds of the bodies of several responses; may be null.
+    std::shared_ptr<MemoryBudget> memory = nullptr;
     /// Closes the connection when triggered; may be null.
     std::shared_ptr<CancelSource> cancel = nullptr;
 };
--- a/src/streams/eventsplitter.h
+++ b/src/streams/eventsplitter.h
@@ -26,6 +26,8 @@
 
     /// \returns whether bytes of an incomplete event are buffered
     [[nodiscard]] bool hasPartialEvent() const noexcept { return !m_partial.empty(); }
+    /// \returns the size of the incomplete event in bytes
+    [[nodiscard]] std::size_t partialSize() const noexcept { return m_partial.size(); }
     /// \returns whether the incomplete event is larger than MaxEventBytes
     [[nodiscard]] bool isTooLarge() const noexcept { return m_partial.size() > MaxEventBytes; }
     /// \returns whether the stream was resumed with events that do not follow the last one; they
--- a/src/target/targetclient.cpp
+++ b/src/target/targetclient.cpp
@@ -15,6 +15,8 @@
 constexpr std::string_view EventPrefix = "data: ";
 constexpr std::string_view EventTerminator = "\n\n";
 constexpr std::size_t MaxEventBytes = 64U << 10U;
+/// Maximum size of a response to a call that is no caller's request.
+constexpr std::uint64_t MaxControlBytes = 1U << 20U;
 constexpr Duration CancelTimeout = std::chrono::seconds(1);
 constexpr Duration ConnectTimeout = std::chrono::seconds(5);
 
@@ -28,9 +30,11 @@
 HttpCall makeCall(Endpoint target, std::string method, std::string path, std::string body,
                   Duration timeout)
 {
-    return { std::move(target),
-             { std::move(method), std::move(path), {}, std::move(body) },
-             timeout };
+    HttpCall call { std::move(target),
+                    { std::move(method), std::move(path), {}, std::move(body) },
+                    timeout };
+    call.bodyLimit = MaxControlBytes;
+    return call;
 }
 
 Error statusError(unsigned status, std::string_view execution)
@@ -200,9 +204,11 @@
 }
 
 asio::awaitable<Result<HttpResponse>> callService(Endpoint target, HttpRequest request,
-                                                  Duration timeout)
+                                                  Duration timeout,
+                                                  std::shared_ptr<MemoryBudget> memory)
 {
     HttpCall call { std::move(target), std::move(request), timeout };
+    call.memory = std::move(memory);
     auto response = co_await exchange(std::move(call));
     if (!response)
         co_return response.error();
--- a/src/target/targetclient.h
+++ b/src/target/targetclient.h
@@ -81,7 +81,10 @@
 ///
 /// \returns the response, or an error; its execution is NotRun when the call cannot have reached
 ///          the service or the service reports that it did not run
+///
+/// \param memory bounds what is held of several responses while they arrive; may be null
 [[nodiscard]] boost::asio::awaitable<Result<HttpResponse>>
-callService(Endpoint target, HttpRequest request, Duration timeout);
+callService(Endpoint target, HttpRequest request, Duration timeout,
+            std::shared_ptr<MemoryBudget> memory = nullptr);
 
 } // namespace bluebell
--- a/tests/tst_adapter_endlessresponse.cpp
+++ b/tests/tst_adapter_endlessresponse.cpp
@@ -286,3 +286,33 @@
     events.discardPartialEvent();
     EXPECT_FALSE(events.isTooLarge());
 }
+
+/// Regression: each response could take 4 MiB, however many there were, so that the requests that
+/// one target attracted could take all memory of the VM.
+TEST_F(EndlessResponseOfATarget, BodiesOfAllRequestsTogetherAreBounded)
+{
+    constexpr std::size_t RequestCount = 48;
+    /// Of a gateway that knows no limit of its memory.
+    constexpr std::size_t MaxResponseMemory = 64U << 20U;
+    /// What the sockets of a connection may hold.
+    constexpr std::size_t SocketBytes = 1U << 20U;
+    // With a timeout that leaves time for the largest response.
+    setConfig(siteConfig(2, 1));
+    auto &target = addEndless("plain", "text/plain", std::string(16384, 'x'), Duration::zero());
+    addGateway("vm-1");
+    ASSERT_TRUE(awaitReady(0));
+    run(300ms);
+    std::vector<std::shared_ptr<Reply>> replies;
+    for (std::size_t n = 0; n < RequestCount; ++n)
+        replies.push_back(send(0, "/look/x"));
+    std::size_t peak = 0;
+    const auto haveAnswers = [&] {
+        peak = std::max(peak, target.openBytes());
+        return std::all_of(replies.begin(), replies.end(),
+                           [](const auto &it) { return it->result.has_value(); });
+    };
+    EXPECT_TRUE(runUntil(haveAnswers));
+    EXPECT_LE(peak, MaxResponseMemory + RequestCount * SocketBytes);
+    requestSystem(settings[0].control, "/metrics");
+    EXPECT_NE(lastBody.find("bluebell_responses_without_memory_total"), std::string::npos);
+}
