Send no body in a response to HEAD, and expect none

Cause: HttpSession wrote the body of each response without regard to the request's method, and the client waited for the body that the length in a target's head tells of.

Change: a response to HEAD ends with its head, which keeps the length that a target gives; the client reads no body after HEAD.

Evidence: HeadRequests.ARefusalHasNoBody and .ATargetsResponseIsPassedOnWithItsLength failed on the code before and pass.

--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -114,6 +114,10 @@
 {
     const auto &target = it.latest.target;
     auto response = platform::encodeResponse(stream.head());
+    // Only the length tells a response to HEAD from one without a body.
+    if (const auto length = stream.header("Content-Length");
+        it.http->method == "HEAD" && !length.empty())
+        response.headers.push_back({ "Content-Length", length });
     MemoryShare share(m_state.responseMemory);
     for (;;) {
         auto chunk = co_await stream.read(it.deadline);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -193,6 +193,7 @@
     beast::error_code ignored;
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
 
+    m_parser.skip(request.method == "HEAD");
     http::request<http::string_body> message;
     message.method_string(request.method);
     message.target(request.path);
--- a/src/http/httpsession.cpp
+++ b/src/http/httpsession.cpp
@@ -211,6 +211,7 @@
     startPhase(Phase::Reading);
     m_hasBegun = false;
     m_hasEnded = false;
+    m_request.reset();
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
             m_limits.headerBytes, std::numeric_limits<std::uint32_t>::max())));
@@ -348,6 +349,11 @@
                    { "response", response } });
 }
 
+bool HttpSession::isHeadRequest() const
+{
+    return m_request && m_request->method == "HEAD";
+}
+
 template<typename Message>
 void HttpSession::fillHead(Message &message, const HttpResponse &response) const
 {
@@ -379,10 +385,18 @@
     http::response<http::string_body> message;
     fillHead(message, response);
     message.body() = std::move(response.body);
-    message.prepare_payload();
+    // In a response to HEAD, a length that is given tells of the body that GET would bring.
+    if (!isHeadRequest() || response.header("Content-Length").empty())
+        message.prepare_payload();
     m_hasBegun = true;
     m_stream.expires_after(m_limits.transferTimeout);
-    const auto [ec, n] = co_await http::async_write(m_stream, message, Await);
+    http::response_serializer<http::string_body> serializer(message);
+    if (isHeadRequest()) {
+        const auto [ec, n] = co_await http::async_write_header(m_stream, serializer, Await);
+        m_hasEnded = !ec;
+        co_return noteWritten(ec);
+    }
+    const auto [ec, n] = co_await http::async_write(m_stream, serializer, Await);
     m_hasEnded = !ec;
     co_return noteWritten(ec);
 }
@@ -402,6 +416,8 @@
 
 asio::awaitable<bool> HttpSession::write(std::string chunk)
 {
+    if (isHeadRequest())
+        co_return true;
     m_stream.expires_after(m_limits.transferTimeout);
     const auto [ec, n] =
             co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(chunk)), Await);
@@ -410,6 +426,10 @@
 
 asio::awaitable<bool> HttpSession::end()
 {
+    if (isHeadRequest()) {
+        m_hasEnded = true;
+        co_return true;
+    }
     m_stream.expires_after(m_limits.transferTimeout);
     const auto [ec, n] = co_await asio::async_write(m_stream, http::make_chunk_last(), Await);
     m_hasEnded = !ec;
--- a/src/http/httpsession.h
+++ b/src/http/httpsession.h
@@ -102,6 +102,8 @@
     /// Logs that the connection ends although the caller has sent bytes that were not read, or
     /// waits for a response.
     void logUnfinished();
+    /// \returns whether the request is HEAD, so that its response ends with its head
+    [[nodiscard]] bool isHeadRequest() const;
     template<typename Message>
     void fillHead(Message &message, const HttpResponse &response) const;
 
