Reserve a slot before the entry daemon leaves a silent target

Change: Dispatcher::tryAcquire assigns the slot of another target before the silent one is given up; the retry is taken only with it.

--- a/programs/entry/chathandler.cpp
+++ b/programs/entry/chathandler.cpp
@@ -111,8 +111,10 @@
                         {},
                         {},
                         false,
-                        false };
+                        std::nullopt };
     const auto outcome = co_await relay(it);
+    if (it.reserved)
+        m_dispatcher.release(*it.reserved, context, AttemptResult::Succeeded, 0);
     const auto delivered = static_cast<Tokens>(it.assembler.offset());
     const bool hasRun = outcome || outcome.error().execution != Execution::NotRun || delivered > 0;
     m_rateLimiter.settle(context, hasRun ? context.chat->promptTokens + delivered : 0);
@@ -125,7 +127,12 @@
 {
     auto resume = it.assembler.start(BootClock::now());
     for (;;) {
-        const auto assignment = co_await m_dispatcher.acquire(it.context);
+        auto reserved = std::exchange(it.reserved, std::nullopt);
+        Result<Assignment> assignment = makeError(ErrorCode::Unavailable, "no target is assigned");
+        if (reserved)
+            assignment = std::move(*reserved);
+        else
+            assignment = co_await m_dispatcher.acquire(it.context);
         if (!assignment) {
             auto error = assignment.error();
             if (it.assembler.offset() > 0)
@@ -143,24 +150,24 @@
         if (const auto *abort = std::get_if<Abort>(&outcome.action))
             co_return abort->error;
         if (const auto *next = std::get_if<Resume>(&outcome.action); next != nullptr) {
-            const bool isReserved = std::exchange(it.isRetryReserved, false);
-            if (next->attempt != resume.attempt && !isReserved && !m_budget.takeRetry())
+            if (next->attempt != resume.attempt && !it.reserved && !m_budget.takeRetry())
                 co_return makeError(ErrorCode::Overloaded, "too many retries are under way");
             resume = *next;
         }
     }
 }
 
-SilencePolicy ChatHandler::silencePolicy(ActiveResponse &it)
+SilencePolicy ChatHandler::silencePolicy(ActiveResponse &it, const TargetId &target)
 {
-    return { StreamAssembler::Settings {}.progressTimeout, [this, &it] {
+    return { StreamAssembler::Settings {}.progressTimeout, [this, &it, target] {
                 const auto now = BootClock::now();
                 // After the deadline, no target is assigned any more.
-                const bool canRetry = it.assembler.mayRetry(now) && now < it.context.deadline
-                        && m_dispatcher.hasFreeTarget(it.context.chat->replica, now);
+                if (!it.assembler.mayRetry(now) || now >= it.context.deadline
+                    || !m_budget.hasRetry())
+                    return false;
                 // Taken at once: other requests at the same silent target ask next.
-                it.isRetryReserved = canRetry && m_budget.takeRetry();
-                return it.isRetryReserved;
+                it.reserved = m_dispatcher.tryAcquire(it.context, target);
+                return it.reserved && m_budget.takeRetry();
             } };
 }
 
@@ -175,7 +182,7 @@
                         context.chat->maxTokens,
                         resume.offset,
                         context.classRule.weight };
-    const auto policy = silencePolicy(it);
+    const auto policy = silencePolicy(it, assignment.target);
     auto starting =
             startGeneration(assignment.address, std::move(call), startTimeout(context), policy);
     auto stream = co_await std::move(starting);
--- a/programs/entry/chathandler.h
+++ b/programs/entry/chathandler.h
@@ -42,8 +42,8 @@
         TimePoint lastTokenAt;
         /// The caller closed its connection or reads too slowly.
         bool isDisconnected = false;
-        /// Whether a retry was taken from the budget for the next attempt.
-        bool isRetryReserved = false;
+        /// The target of the next attempt, with a retry taken from the budget for it.
+        std::optional<Assignment> reserved;
     };
 
     /// How one attempt at a target ended.
@@ -60,7 +60,7 @@
                                                    Resume resume);
     /// \returns the policy for a target that sends nothing: it is given up once another attempt is
     /// certain
-    [[nodiscard]] SilencePolicy silencePolicy(ActiveResponse &it);
+    [[nodiscard]] SilencePolicy silencePolicy(ActiveResponse &it, const TargetId &target);
     /// Checks the caller's key again, and waits while the configuration is not confirmed, up to
     /// MaxResponseTime after the arrival.
     ///
--- a/programs/entry/dispatcher.cpp
+++ b/programs/entry/dispatcher.cpp
@@ -79,8 +79,7 @@
     while (it.queue.size() > 0) {
         const auto choice = m_router.choose(it.resident, now);
         if (const auto *needed = std::get_if<Router::NeedsReport>(&choice)) {
-            if (m_refreshing.insert(needed->target).second)
-                asio::co_spawn(m_executor, refreshReport(needed->target), asio::detached);
+            requestReport(needed->target);
             return;
         }
         const auto *chosen = std::get_if<Router::Chosen>(&choice);
@@ -114,9 +113,7 @@
     const auto it = m_tickets.find(waiting->ticket);
     if (it == m_tickets.end())
         return;
-    m_router.noteStarted(target);
-    ++state.running[waiting->organisation];
-    ++m_running;
+    noteAssigned(state, target, waiting->organisation);
     it->second->outcome = Assignment { key, target, rule->second.address };
     it->second->assigned.notify();
     m_tickets.erase(it);
@@ -143,11 +140,41 @@
     dispatchAllQueues();
 }
 
-bool Dispatcher::hasFreeTarget(const ReplicaKey &replica, TimePoint now) const
+std::optional<Assignment> Dispatcher::tryAcquire(const RequestContext &context,
+                                                 const TargetId &current)
+{
+    const auto &key = context.chat->replica;
+    auto &it = state(key);
+    if (it.queue.size() > 0)
+        return std::nullopt;
+    auto others = it.resident;
+    others.erase(current);
+    const auto choice = m_router.choose(others, BootClock::now());
+    if (const auto *needed = std::get_if<Router::NeedsReport>(&choice))
+        requestReport(needed->target);
+    const auto *chosen = std::get_if<Router::Chosen>(&choice);
+    if (chosen == nullptr)
+        return std::nullopt;
+    const auto rules = m_config.replica().rules();
+    const auto rule = rules->targets.find(chosen->target);
+    if (rule == rules->targets.end())
+        return std::nullopt;
+    noteAssigned(it, chosen->target, context.organisation);
+    return Assignment { key, chosen->target, rule->second.address };
+}
+
+void Dispatcher::noteAssigned(ReplicaState &state, const TargetId &target,
+                              const OrganisationId &organisation)
+{
+    m_router.noteStarted(target);
+    ++state.running[organisation];
+    ++m_running;
+}
+
+void Dispatcher::requestReport(const TargetId &target)
 {
-    const auto it = m_states.find(replica);
-    return it != m_states.end() && it->second.queue.size() == 0
-            && m_router.hasAvailable(it->second.resident, now);
+    if (m_refreshing.insert(target).second)
+        asio::co_spawn(m_executor, refreshReport(target), asio::detached);
 }
 
 void Dispatcher::fail(TicketId ticket, Error error)
--- a/programs/entry/dispatcher.h
+++ b/programs/entry/dispatcher.h
@@ -64,9 +64,12 @@
     void release(const Assignment &assignment, const RequestContext &context, AttemptResult result,
                  Tokens served);
 
-    /// \returns whether a request for the replica would be assigned now, without waiting in the
-    /// queue
-    [[nodiscard]] bool hasFreeTarget(const ReplicaKey &replica, TimePoint now) const;
+    /// Assigns a request to another target than `current` if one can take it without waiting in the
+    /// queue.
+    ///
+    /// \returns the assignment, to be given back with release(), or nothing
+    [[nodiscard]] std::optional<Assignment> tryAcquire(const RequestContext &context,
+                                                       const TargetId &current);
 
     /// \returns the number of queued and running requests
     [[nodiscard]] std::size_t load() const noexcept { return m_tickets.size() + m_running; }
@@ -98,6 +101,11 @@
     /// Assigns queued requests of one replica while the router finds a free target.
     void dispatchQueue(const ReplicaKey &key);
     void dispatchAllQueues();
+    /// Counts a request that runs at a target from now on.
+    void noteAssigned(ReplicaState &state, const TargetId &target,
+                      const OrganisationId &organisation);
+    /// Requests a new report of a target unless one is on its way.
+    void requestReport(const TargetId &target);
     void assign(ReplicaState &state, const ReplicaKey &key, const TargetId &target);
     void fail(TicketId ticket, Error error);
     void expire(TimePoint now);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -87,14 +87,6 @@
     return Chosen { *best };
 }
 
-bool Router::hasAvailable(const std::set<TargetId> &candidates, TimePoint now) const
-{
-    return std::any_of(candidates.begin(), candidates.end(), [&](const auto &target) {
-        const auto *view = find(target);
-        return !view || isAvailable(*view, now);
-    });
-}
-
 const TargetView *Router::find(const TargetId &target) const
 {
     const auto it = m_views.find(target);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -106,10 +106,6 @@
 
     // Queries.
 
-    /// \returns whether one of the candidates could take a request now, apart from a new report
-    /// that may be needed
-    [[nodiscard]] bool hasAvailable(const std::set<TargetId> &candidates, TimePoint now) const;
-
     [[nodiscard]] const TargetView *find(const TargetId &target) const;
 
 private:
