Let a stream return to its silent target over a new connection

Cause: the current target was left out of the choice. Only its connection may be silent, and then a new one to it works.

Change: the current target is chosen when no other one is available.

--- a/programs/entry/dispatcher.cpp
+++ b/programs/entry/dispatcher.cpp
@@ -147,9 +147,13 @@
     auto &it = state(key);
     if (it.queue.size() > 0)
         return std::nullopt;
+    const auto now = BootClock::now();
     auto others = it.resident;
-    others.erase(current);
-    const auto choice = m_router.choose(others, BootClock::now());
+    const bool mayStay = others.erase(current) > 0;
+    auto choice = m_router.choose(others, now);
+    // Only the connection to the current target may be silent.
+    if (mayStay && std::holds_alternative<Router::NoneAvailable>(choice))
+        choice = m_router.choose({ current }, now);
     if (const auto *needed = std::get_if<Router::NeedsReport>(&choice))
         requestReport(needed->target);
     const auto *chosen = std::get_if<Router::Chosen>(&choice);
--- a/programs/entry/dispatcher.h
+++ b/programs/entry/dispatcher.h
@@ -64,8 +64,8 @@
     void release(const Assignment &assignment, const RequestContext &context, AttemptResult result,
                  Tokens served);
 
-    /// Assigns a request to another target than `current` if one can take it without waiting in the
-    /// queue.
+    /// Assigns a request to another target than `current`, or else to `current` again, if it can
+    /// take the request without waiting in the queue.
     ///
     /// \returns the assignment, to be given back with release(), or nothing
     [[nodiscard]] std::optional<Assignment> tryAcquire(const RequestContext &context,
