Tell versions and fencing numbers of the store's eras apart

Cause: the store may come back from a copy of its data that is some seconds old. Versions then go back and are given out again. A target's row with a lower version than the known one was ignored for good, a role's row that came back with an earlier holder gave its fencing number out a second time, and a conditional write could hit a version that had been given to another write.

Change: a row version contains the era that the store states in the header Store-Era, so versions only rise; the adapter makes it from each response and takes it apart for calls. A leader row of an earlier era proves nothing: it must stay unchanged for a whole lease with the full takeover delay after it, its former holder does not resume, and the fencing number contains the era. Only the daemon whose lease is still valid may claim at once, under a new number. Without the header nothing changes.

--- a/programs/gateway/gatewaystate.cpp
+++ b/programs/gateway/gatewaystate.cpp
@@ -29,6 +29,7 @@
 {
     Leadership::Settings it;
     it.takeoverDelay = settings.minTakeoverDelay + ClockDriftAllowance;
+    it.isFirstStart = settings.isFirstStart;
     return it;
 }
 
--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -29,7 +29,7 @@
 constexpr Duration MaxPlanInterval = milliseconds(25);
 constexpr Duration OrderTimeout = milliseconds(150);
 constexpr Duration ReportTimeout = milliseconds(300);
-/// Leaders count their epochs one by one; a record beyond this is not theirs.
+/// Beyond the epochs of the largest era; a record with such a number is not a leader's.
 constexpr Epoch MaxEpoch = Epoch(1) << 62U;
 /// A record with a longer wait for the first order is cut to this.
 constexpr Duration MaxTakeoverDelay = std::chrono::minutes(1);
@@ -144,7 +144,7 @@
         record = decodeRecord(it.value);
         version = it.version;
     }
-    leadership.readSucceeded(record, version, BootClock::now());
+    leadership.readSucceeded(record, version, eraOf(rows.value().version), BootClock::now());
 }
 
 asio::awaitable<void> PlacementCoordinator::writeRole()
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -15,12 +15,22 @@
 
 namespace bluebell {
 
+/// Bits of an epoch that count the holders within one era of the store.
+inline constexpr unsigned EpochCounterBits = 32;
+
+/// \returns the lowest epoch of an era; every holder's epoch is above it
+[[nodiscard]] constexpr Epoch firstEpochOf(StoreEra era) noexcept
+{
+    return era << EpochCounterBits;
+}
+
 /// The leader row in the store.
 struct LeaderRecord
 {
     VmId vm;
     IncarnationId incarnation;
-    /// Fencing number; every change of holder increments it.
+    /// Fencing number; every change of holder increments it. It contains the era of the store, so
+    /// that no number is used by two holders when the store comes back from an older copy.
     Epoch epoch = 0;
     /// Remaining takeover delay when the row was written: the holder sends no order before it has
     /// passed, because the former holder may have sent one shortly before.
@@ -49,6 +59,11 @@
 /// stayed unchanged for longer than that. It then waits for the takeover delay: the time that must
 /// pass between orders of two VMs. A new incarnation on the same VM starts no new delay and waits
 /// only for the rest of a delay that the row still states.
+///
+/// When the store has come back from an older copy of its data, a row of an earlier era, or none,
+/// says nothing of who has sent orders since it was written. Its holder does not own it, and it
+/// must stay unchanged as above, with the full takeover delay after it, whatever it states. Only
+/// the daemon whose lease is still valid then may claim the role at once, with a new epoch.
 class Leadership
 {
 public:
@@ -63,6 +78,8 @@
         Duration leaderTimeout = std::chrono::milliseconds(700);
         /// Time between two reads of the row while another daemon is the leader.
         Duration readInterval = std::chrono::milliseconds(300);
+        /// Whether all daemons start for the first time, so that there was no leader before.
+        bool isFirstStart = false;
     };
 
     Leadership(VmId vm, IncarnationId incarnation, Settings settings);
@@ -83,7 +100,8 @@
     void setCandidate(bool isCandidate) noexcept { m_isCandidate = isCandidate; }
     void readSent(TimePoint now) noexcept;
     /// \param record empty when the row is absent
-    void readSucceeded(const std::optional<LeaderRecord> &record, RowVersion version,
+    /// \param era era of the store when it sent the row
+    void readSucceeded(const std::optional<LeaderRecord> &record, RowVersion version, StoreEra era,
                        TimePoint now);
     void readFailed() noexcept { m_isCallPending = false; }
     void writeSent(TimePoint now) noexcept;
@@ -109,6 +127,10 @@
 
 private:
     [[nodiscard]] bool ownsRecord() const;
+    /// \returns whether the row may have been written by another holder after what was read
+    [[nodiscard]] bool isRecordOutdated() const;
+    /// Starts a new era of the store.
+    void startEra(StoreEra era, TimePoint now);
     [[nodiscard]] bool mayClaim(TimePoint now) const;
     [[nodiscard]] Duration takeoverDelayLeft(TimePoint now) const;
 
@@ -127,6 +149,12 @@
     bool m_hasRead = false;
     std::optional<LeaderRecord> m_record;
     RowVersion m_version = 0;
+    /// Era of the store at the last read.
+    std::optional<StoreEra> m_era;
+    /// Whether the era has changed since the start of this daemon.
+    bool m_hasEraChanged = false;
+    /// End of the lease with which this daemon saw a new era; it may claim the role until then.
+    std::optional<TimePoint> m_reclaimUntil;
     /// When the current version of the row was first read.
     TimePoint m_versionSince;
     Epoch m_epoch = 0;
--- a/src/membership/lease.h
+++ b/src/membership/lease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/rowversion.h"
 #include "core/time.h"
 
 #include <cstdint>
@@ -11,9 +12,6 @@
 
 namespace bluebell {
 
-/// Version of a row of the table service; 0 stands for an absent row.
-using RowVersion = std::uint64_t;
-
 /// Timing on which all holders and observers of a lease must agree.
 struct LeaseSettings
 {
--- a/tests/tst_adapter_oddnumbers.cpp
+++ b/tests/tst_adapter_oddnumbers.cpp
@@ -323,11 +323,12 @@
 {
     constexpr std::size_t Depth = 500000;
     const auto deep = std::string(Depth, '[') + std::string(Depth, ']');
-    EXPECT_FALSE(platform::decodeSnapshot(deep));
-    EXPECT_FALSE(platform::decodeWritten(deep));
+    EXPECT_FALSE(platform::decodeSnapshot(deep, 0));
+    EXPECT_FALSE(platform::decodeWritten(deep, 0));
     EXPECT_FALSE(platform::decodeReport(deep));
-    const auto snapshot = platform::decodeSnapshot(R"({"Ver":)" + deep + R"(,"Rows":[)" + deep
-                                                   + R"(,{"Key":"k","Value":)" + deep + "}]}");
+    const auto snapshot = platform::decodeSnapshot(
+            R"({"Ver":)" + deep + R"(,"Rows":[)" + deep + R"(,{"Key":"k","Value":)" + deep + "}]}",
+            0);
     ASSERT_TRUE(snapshot);
     ASSERT_EQ(snapshot.value().rows.size(), 1U);
     EXPECT_EQ(snapshot.value().rows[0].value, "");
--- a/tests/tst_adapter_storecodec.cpp
+++ b/tests/tst_adapter_storecodec.cpp
@@ -85,21 +85,47 @@
     snapshot.version = 9;
     snapshot.hasMore = true;
     snapshot.rows = { { "t", "k", "v", 4, false }, { "t", "l", "", 5, true } };
-    const auto back = platform::decodeSnapshot(platform::encodeSnapshot(snapshot));
+    const auto back = platform::decodeSnapshot(platform::encodeSnapshot(snapshot), 0);
     ASSERT_TRUE(back);
     EXPECT_EQ(back.value().version, 9U);
     EXPECT_TRUE(back.value().hasMore);
     ASSERT_EQ(back.value().rows.size(), 2U);
     EXPECT_EQ(back.value().rows[0].value, "v");
     EXPECT_TRUE(back.value().rows[1].isDeleted);
-    EXPECT_EQ(platform::decodeWritten(platform::encodeWritten(8)).value(), 8U);
-    EXPECT_FALSE(platform::decodeSnapshot("[]"));
-    EXPECT_FALSE(platform::decodeSnapshot("{"));
-    EXPECT_FALSE(platform::decodeWritten(""));
+    EXPECT_EQ(platform::decodeWritten(platform::encodeWritten(8), 0).value(), 8U);
+    EXPECT_FALSE(platform::decodeSnapshot("[]", 0));
+    EXPECT_FALSE(platform::decodeSnapshot("{", 0));
+    EXPECT_FALSE(platform::decodeWritten("", 0));
     EXPECT_FALSE(platform::decodeCall({ "POST", "/-/rows-tx", {}, "garbage" }));
     EXPECT_FALSE(platform::decodeCall({ "GET", "/elsewhere", {}, {} }));
 }
 
+// Guards against versions that go back: the store gives them out again after it has come back from
+// an older copy.
+TEST(StoreCodec, VersionsOfALaterEraAreNewer)
+{
+    platform::StoreSnapshot snapshot;
+    snapshot.version = 9;
+    snapshot.rows = { { "t", "k", "v", 4, false } };
+    const auto text = platform::encodeSnapshot(snapshot);
+    const auto before = platform::decodeSnapshot(text, 1).value();
+    snapshot.version = 5;
+    snapshot.rows[0].version = 3;
+    const auto after = platform::decodeSnapshot(platform::encodeSnapshot(snapshot), 2).value();
+    EXPECT_GT(after.version, before.version);
+    EXPECT_GT(after.rows[0].version, before.rows[0].version);
+    const auto call = roundTrip(platform::Transact { { { "t", "k", after.rows[0].version } }, {} });
+    EXPECT_EQ(call.conditions[0].version, 3U);
+    EXPECT_EQ(roundTrip(platform::FollowRows { "t", after.version, {} }).after, 5U);
+}
+
+TEST(StoreCodec, MalformedErasAreNoEra)
+{
+    EXPECT_EQ(platform::decodeEra("7"), 7U);
+    for (const auto *text : { "", "-1", "1.5", "x", "7 ", "18446744073709551616", "4294967296" })
+        EXPECT_FALSE(platform::decodeEra(text)) << text;
+}
+
 TEST_F(RecordTableTest, ReadsARangeOfSeveralPages)
 {
     for (int n = 0; n < 1200; ++n)
--- a/tests/tst_leadership.cpp
+++ b/tests/tst_leadership.cpp
@@ -14,21 +14,44 @@
 
 constexpr TimePoint Start { 1000s };
 
-/// The leader row in a fake store that replies at once.
+/// The leader row in a fake store that replies at once, and that may come back from an older copy.
 struct FakeLeaderRow
 {
-    std::optional<LeaderRecord> record;
-    RowVersion version = 0;
-    RowVersion counter = 10;
+    struct State
+    {
+        std::optional<LeaderRecord> record;
+        /// The store's own version of the row.
+        std::uint64_t version = 0;
+        std::uint64_t counter = 10;
+    };
+
+    [[nodiscard]] RowVersion version() const { return makeRowVersion(era, state.version); }
 
+    /// \returns whether the writer is told that the row was written
     bool write(const LeaderRecord &it, RowVersion expected)
     {
-        if (expected != version)
+        // The store does not compare eras, but its client does.
+        if (storeVersionOf(expected) != state.version)
             return false;
-        record = it;
-        version = ++counter;
-        return true;
+        state.record = it;
+        state.version = ++state.counter;
+        return expected == 0 || eraOf(expected) == era;
+    }
+
+    /// Notes the state of which a copy may be made.
+    void keepCopy(TimePoint now) { copies[now] = state; }
+    /// Comes back from the copy that was made at `at` or just before.
+    void restore(TimePoint at)
+    {
+        const auto later = copies.upper_bound(at);
+        state = later == copies.begin() ? State() : std::prev(later)->second;
+        copies.erase(later, copies.end());
+        ++era;
     }
+
+    State state;
+    StoreEra era = 1;
+    std::map<TimePoint, State> copies;
 };
 
 /// One daemon that performs the steps of Leadership unless it is paused. All its calls to the store
@@ -36,8 +59,16 @@
 struct CandidateDaemon
 {
     CandidateDaemon(const std::string &vm, int incarnation)
-        : leadership(VmId(vm), IncarnationId(vm + std::to_string(incarnation)), {})
+        : leadership(VmId(vm), IncarnationId(vm + std::to_string(incarnation)),
+                     settings(incarnation))
+    {
+    }
+
+    static Leadership::Settings settings(int incarnation)
     {
+        Leadership::Settings it;
+        it.isFirstStart = incarnation == 1;
+        return it;
     }
 
     void step(FakeLeaderRow &row, TimePoint now)
@@ -52,14 +83,14 @@
             if (isPartitioned)
                 leadership.readFailed();
             else
-                leadership.readSucceeded(row.record, row.version, now);
+                leadership.readSucceeded(row.state.record, row.version(), row.era, now);
             break;
         case LeadershipStep::Write: {
             const auto record = leadership.record(now);
             const auto expected = leadership.version();
             leadership.writeSent(now);
             if (!isPartitioned && row.write(record, expected))
-                leadership.writeSucceeded(row.version);
+                leadership.writeSucceeded(row.version());
             else
                 leadership.writeFailed();
             break;
@@ -85,6 +116,7 @@
     void run(Duration length)
     {
         for (const auto end = now + length; now < end; now += 20ms) {
+            row.keepCopy(now);
             for (auto &[vm, it] : candidates)
                 it.step(row, now);
             for (auto &[vm, it] : candidates)
@@ -165,7 +197,7 @@
     const auto before = simulation.orders;
     simulation.run(200ms);
     EXPECT_GT(simulation.orders, before);
-    EXPECT_EQ(simulation.lastEpoch, 2U);
+    EXPECT_EQ(simulation.lastEpoch, firstEpochOf(1) + 2);
 }
 
 TEST(Leadership, RestartDuringTakeoverDelayKeepsTheDelay)
@@ -201,6 +233,7 @@
 {
     for (const auto delay : { Duration::max(), Duration::min() }) {
         FakeLeaderRow row;
+        row.era = 0;
         row.write({ VmId("odd"), IncarnationId("odd1"), 3, delay, true }, 0);
         CandidateDaemon daemon("a", 1);
         auto now = Start;
@@ -213,9 +246,59 @@
     }
 }
 
+// Guards against a fencing number that is given out twice: the copy of the store does not know of
+// the second holder, so the next one would count on from the first.
+TEST(Leadership, EpochsRiseWhenTheStoreForgetsAHolder)
+{
+    LeadershipSimulation simulation;
+    simulation.add("a");
+    simulation.run(2s);
+    const auto beforeTakeover = simulation.now;
+    simulation.candidates.at("a").isPartitioned = true;
+    simulation.add("b");
+    simulation.run(8s);
+    ASSERT_EQ(simulation.lastVm, "b");
+    simulation.candidates.erase("b");
+    simulation.row.restore(beforeTakeover);
+    simulation.add("c");
+    simulation.run(8s);
+    EXPECT_EQ(simulation.lastVm, "c");
+    EXPECT_EQ(eraOf(simulation.row.version()), 2U);
+}
+
+// Guards against a former holder that finds itself in the copy and goes on beside its successor.
+TEST(Leadership, FormerHolderInAnOlderCopyDoesNotResume)
+{
+    LeadershipSimulation simulation;
+    simulation.add("a");
+    simulation.run(2s);
+    const auto beforeTakeover = simulation.now;
+    simulation.candidates.at("a").isPartitioned = true;
+    simulation.add("b");
+    simulation.run(8s);
+    ASSERT_EQ(simulation.lastVm, "b");
+    simulation.row.restore(beforeTakeover);
+    simulation.candidates.at("a").isPartitioned = false;
+    const auto orders = simulation.orders;
+    simulation.run(1s);
+    EXPECT_EQ(simulation.lastVm, "b");
+    EXPECT_GT(simulation.orders, orders);
+}
+
+// Guards against a version that is given out again after a restore and looks like one row that was
+// not renewed, so that the role is taken from a live leader.
+TEST(Leadership, AVersionGivenOutAgainIsNotObservedAsUnchanged)
+{
+    LeaseObserver observer({ 1300ms, 100ms, 400ms, 1000ms });
+    observer.noteRead(makeRowVersion(1, 20), Start);
+    observer.noteRead(makeRowVersion(1, 20), Start + 800ms);
+    observer.noteRead(makeRowVersion(2, 20), Start + 1500ms);
+    EXPECT_FALSE(observer.hasExpired(Start + 1500ms));
+}
+
 TEST(Leadership, RandomFaultsNeverViolateTakeoverDelayOrEpochs)
 {
-    for (unsigned seed = 1; seed <= 60; ++seed) {
+    for (unsigned seed = 1; seed <= 100; ++seed) {
         std::mt19937 random(seed);
         LeadershipSimulation simulation;
         const std::vector<std::string> vms { "a", "b", "c" };
@@ -224,7 +307,7 @@
         std::map<std::string, int> incarnations;
         for (int n = 0; n < 40; ++n) {
             const auto &vm = vms[random() % vms.size()];
-            switch (random() % 4) {
+            switch (random() % 5) {
             case 0:
                 simulation.candidates.at(vm).isPartitioned =
                         !simulation.candidates.at(vm).isPartitioned;
@@ -235,6 +318,9 @@
             case 2:
                 simulation.add(vm, 2 + incarnations[vm]++);
                 break;
+            case 3:
+                simulation.row.restore(simulation.now - std::chrono::milliseconds(random() % 6000));
+                break;
             default:
                 break;
             }
