Let the test double of the store come back from an older copy

Change: PlatformServer::rollback() undoes the writes of the given time, of at most 30 s and 20,000 writes and not beyond a compaction, raises the era and states it in every response from then on. Rows of the tables of operators and targets are written again after a moment, unless they have been written anew by then. The control call takes rollback_ms and era.

Evidence: RecordTableTest.ARollbackDiscardsWhatWasWrittenAndGivesVersionsOutAgain, .TheControlCallPlaysARollback.

--- a/programs/standin/platformserver.cpp
+++ b/programs/standin/platformserver.cpp
@@ -1,10 +1,14 @@
 #include "standin/platformserver.h"
 
+#include "platform/names.h"
 #include "standin/common.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace asio = boost::asio;
 using nlohmann::json;
@@ -29,6 +33,13 @@
     return response;
 }
 
+/// \returns whether only operators and targets write the table
+bool isRewritten(const std::string &table)
+{
+    return table == platform::names::OperatorTable || table == platform::names::ServerTable
+            || table == VmTable;
+}
+
 } // namespace
 
 PlatformServer::PlatformServer(asio::io_context &context, PlatformLimits limits)
@@ -41,13 +52,60 @@
 
 void PlatformServer::put(const std::string &table, const std::string &key, std::string value)
 {
-    m_rows[{ table, key }] = { std::move(value), ++m_version, false };
+    setRow({ table, key }, { std::move(value), ++m_version, false });
     m_changed.notify();
 }
 
 void PlatformServer::remove(const std::string &table, const std::string &key)
 {
-    m_rows[{ table, key }] = { {}, ++m_version, true };
+    setRow({ table, key }, { {}, ++m_version, true });
+    m_changed.notify();
+}
+
+void PlatformServer::setRow(const RowId &id, Row row)
+{
+    const auto now = BootClock::now();
+    const auto known = m_rows.find(id);
+    const auto before = known == m_rows.end() ? std::nullopt : std::optional(known->second);
+    m_history.push_back({ now, id, before, row.version - 1 });
+    while (m_history.size() > MaxHistory || now - m_history.front().at > MaxHistoryAge)
+        m_history.pop_front();
+    m_rows[id] = std::move(row);
+    m_lost.erase(id);
+}
+
+void PlatformServer::rollback(Duration age, Duration rewriteDelay)
+{
+    const auto restoredAt = BootClock::now() - age;
+    // The changes of one transaction have the same version before them.
+    const auto isLost = [&](const Change &it) {
+        return it.at >= restoredAt || it.versionBefore == m_version;
+    };
+    while (!m_history.empty() && isLost(m_history.back())) {
+        auto change = std::move(m_history.back());
+        m_history.pop_back();
+        auto &row = m_rows[change.id];
+        if (isRewritten(change.id.first))
+            m_lost.try_emplace(change.id, row);
+        if (change.before)
+            row = std::move(*change.before);
+        else
+            m_rows.erase(change.id);
+        m_version = change.versionBefore;
+    }
+    m_era = era() + 1;
+    m_changed.notify();
+    asio::co_spawn(m_context, writeAgain(rewriteDelay), asio::detached);
+}
+
+asio::awaitable<void> PlatformServer::writeAgain(Duration delay)
+{
+    const auto era = m_era;
+    co_await sleepFor(delay);
+    if (m_era != era)
+        co_return;
+    for (auto &[id, row] : std::exchange(m_lost, {}))
+        setRow(id, { std::move(row.value), ++m_version, row.isDeleted });
     m_changed.notify();
 }
 
@@ -61,6 +119,7 @@
 {
     std::erase_if(m_rows, [](const auto &it) { return it.second.isDeleted; });
     m_oldestResumableVersion = ++m_version;
+    m_history.clear();
     m_changed.notify();
 }
 
@@ -90,12 +149,7 @@
         co_await awaitChange(*follow);
     if (m_faults.connectionLosses != losses)
         co_await sleepFor(std::chrono::hours(1));
-    if (m_faults.outage) {
-        (void)co_await responder.send(jsonErrorResponse(503, "outage"));
-        co_return;
-    }
-    auto response = admitCall(request.method != "GET") ? dispatch(call.value())
-                                                       : jsonErrorResponse(429, "rate");
+    auto response = answer(request, call.value());
     const bool isCommitted =
             std::holds_alternative<Transact>(call.value()) && response.status == 200;
     if (isCommitted && m_faults.lostReplies > 0) {
@@ -103,13 +157,25 @@
         co_return;
     }
     m_usage.bytes += response.body.size() + request.body.size();
+    if (m_era)
+        response.headers.push_back(
+                { std::string(platform::names::StoreEra), std::to_string(*m_era) });
     (void)co_await responder.send(std::move(response));
 }
 
+HttpResponse PlatformServer::answer(const HttpRequest &request, const StoreCall &call)
+{
+    if (m_faults.outage)
+        return jsonErrorResponse(503, "outage");
+    if (!admitCall(request.method != "GET"))
+        return jsonErrorResponse(429, "rate");
+    return dispatch(call);
+}
+
 asio::awaitable<void> PlatformServer::awaitChange(const FollowRows &call)
 {
     const auto end = BootClock::now() + call.wait;
-    while (!m_faults.outage && call.after >= m_oldestResumableVersion
+    while (!m_faults.outage && hasHistoryAfter(call.after)
            && changesAfter(call.table, call.after).rows.empty() && BootClock::now() < end)
         co_await m_changed.wait(std::max<Duration>(end - BootClock::now(), Duration(1)));
 }
@@ -168,7 +234,7 @@
 
 HttpResponse PlatformServer::execute(const FollowRows &call) const
 {
-    if (call.after < m_oldestResumableVersion)
+    if (!hasHistoryAfter(call.after))
         return jsonErrorResponse(410, "the history is not kept any more");
     return okResponse(encodeSnapshot(changesAfter(call.table, call.after)));
 }
@@ -186,7 +252,7 @@
             return jsonErrorResponse(412, "a condition does not hold");
     ++m_version;
     for (const auto &it : call.changes)
-        m_rows[{ it.table, it.key }] = { it.value.value_or(""), m_version, !it.value };
+        setRow({ it.table, it.key }, { it.value.value_or(""), m_version, !it.value });
     m_changed.notify();
     return okResponse(platform::encodeWritten(m_version));
 }
@@ -214,6 +280,10 @@
     m_faults.lostReplies = it.value("lost_replies", m_faults.lostReplies);
     m_faults.delay =
             std::chrono::milliseconds(it.value("delay_ms", toMilliseconds(m_faults.delay).count()));
+    if (it.contains("era"))
+        setEra(it["era"].get<StoreEra>());
+    if (it.contains("rollback_ms"))
+        rollback(std::chrono::milliseconds(it["rollback_ms"].get<std::int64_t>()));
     for (const auto &vm : it.value("live_vms", json::array()))
         setVm(VmId(vm.get<std::string>()), VmState::Live);
     for (const auto &vm : it.value("leaving_vms", json::array()))
@@ -224,7 +294,8 @@
                         { { "reads", m_usage.reads },
                           { "writes", m_usage.writes },
                           { "refused", m_usage.refused },
-                          { "bytes", m_usage.bytes } });
+                          { "bytes", m_usage.bytes },
+                          { "era", era() } });
 }
 
 } // namespace bluebell::standin
--- a/programs/standin/platformserver.h
+++ b/programs/standin/platformserver.h
@@ -7,8 +7,10 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstddef>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -53,6 +55,11 @@
 class PlatformServer
 {
 public:
+    /// Changes that rollback() can discard.
+    static constexpr Duration MaxHistoryAge = std::chrono::seconds(30);
+    static constexpr std::size_t MaxHistory = 20000;
+    static constexpr Duration DefaultRewriteDelay = std::chrono::seconds(1);
+
     PlatformServer(boost::asio::io_context &context, PlatformLimits limits);
 
     Result<Endpoint> listen(const Endpoint &endpoint) { return m_server.listen(endpoint); }
@@ -66,11 +73,22 @@
     // Faults.
 
     [[nodiscard]] PlatformFaults &faults() noexcept { return m_faults; }
-    /// Drops the change history, so that every feed has to read its table again.
+    /// Drops the change history, so that every feed has to read its table again. Earlier changes
+    /// can't be rolled back any more.
     void compact();
+    /// States `era` in the header of every response from now on, also if it is 0.
+    void setEra(StoreEra era) noexcept { m_era = era; }
+    /// Comes back from a copy of the data that is `age` old, or as old as the history that is kept,
+    /// MaxHistoryAge and MaxHistory. Versions go back and are given out again; the era rises by
+    /// one.
+    ///
+    /// \param rewriteDelay time after which operators and targets write again what they have lost,
+    ///        unless they have written the row anew by then
+    void rollback(Duration age, Duration rewriteDelay = DefaultRewriteDelay);
 
     // Queries.
 
+    [[nodiscard]] StoreEra era() const noexcept { return m_era.value_or(0); }
     /// \returns the value of a row, or an empty string when the row does not exist
     [[nodiscard]] std::string value(const std::string &table, const std::string &key) const;
     [[nodiscard]] const PlatformUsage &usage() const noexcept { return m_usage; }
@@ -86,9 +104,28 @@
     /// Table and key.
     using RowId = std::pair<std::string, std::string>;
 
+    /// A write, as it is undone.
+    struct Change
+    {
+        TimePoint at;
+        RowId id;
+        /// The row before, or nothing if there was none.
+        std::optional<Row> before;
+        RowVersion versionBefore = 0;
+    };
+
+    void setRow(const RowId &id, Row row);
+    /// Writes the rows of m_lost after a time, unless there was another rollback since.
+    boost::asio::awaitable<void> writeAgain(Duration delay);
     boost::asio::awaitable<void> handle(const HttpRequest &request, HttpResponder &responder);
     /// Delays a call of the change feed until there is a change or its wait time is over.
     boost::asio::awaitable<void> awaitChange(const platform::FollowRows &call);
+    /// \returns whether a feed can resume after `version`
+    [[nodiscard]] bool hasHistoryAfter(RowVersion version) const noexcept
+    {
+        return version >= m_oldestResumableVersion && version <= m_version;
+    }
+    [[nodiscard]] HttpResponse answer(const HttpRequest &request, const platform::StoreCall &call);
     [[nodiscard]] HttpResponse dispatch(const platform::StoreCall &call);
     [[nodiscard]] HttpResponse execute(const platform::ReadRows &call) const;
     [[nodiscard]] HttpResponse execute(const platform::FollowRows &call) const;
@@ -114,6 +151,11 @@
     std::deque<TimePoint> m_recentReads;
     std::deque<TimePoint> m_recentWrites;
     RowVersion m_version = 1;
+    std::deque<Change> m_history;
+    /// Rows of operators and targets that a rollback has discarded and that they will write again.
+    std::map<RowId, Row> m_lost;
+    /// Stated in responses if it is set.
+    std::optional<StoreEra> m_era;
     /// Oldest version from which a change feed can resume.
     RowVersion m_oldestResumableVersion = 0;
     Notifier m_changed;
--- a/tests/tst_adapter_storecodec.cpp
+++ b/tests/tst_adapter_storecodec.cpp
@@ -1,4 +1,8 @@
+#include "http/client.h"
+#include "io/notifier.h"
+#include "platform/store.h"
 #include "platform/storecodec.h"
+#include "records/configstore.h"
 #include "records/table.h"
 #include "standin/platformserver.h"
 
@@ -21,11 +25,19 @@
     return std::get<Call>(back.value());
 }
 
+asio::awaitable<bool> sleepForResult(Duration length)
+{
+    co_await sleepFor(length);
+    co_return true;
+}
+
 /// Runs a RecordTable against a stand-in for the store.
 class RecordTableTest : public ::testing::Test
 {
 protected:
-    RecordTableTest() : store(context, {}), table(store.listen({ "127.0.0.1", 0 }).value(), 500ms)
+    RecordTableTest()
+        : store(context, {}), storeAddress(store.listen({ "127.0.0.1", 0 }).value()),
+          table(storeAddress, 500ms)
     {
     }
 
@@ -50,8 +62,22 @@
         return { ChangeId(value), { { key, version } }, { { key, value } } };
     }
 
+    /// Commits a change that adds `line` to what `replica` has.
+    void publish(ConfigReplica &replica, const std::string &line)
+    {
+        ConfigDelta delta;
+        delta.added = { line };
+        delta.author = "test";
+        delta.change = ChangeId(line);
+        const auto published = run(publishConfig(table, replica.lines(), replica.version(),
+                                                 std::move(delta), BootClock::now() + 2s));
+        ASSERT_TRUE(published && std::holds_alternative<Published>(published.value()));
+        ASSERT_TRUE(run(pullConfig(table, replica)));
+    }
+
     asio::io_context context;
     standin::PlatformServer store;
+    Endpoint storeAddress;
     RecordTable table;
 };
 
@@ -171,3 +197,106 @@
     EXPECT_EQ(vms.value()[0].state, VmState::Live);
     EXPECT_EQ(vms.value()[1].state, VmState::Leaving);
 }
+
+// Guards against acting on a commit whose conditions were read before the store came back from an
+// older copy: their versions may have been given to other writes.
+TEST_F(RecordTableTest, ACommitOnConditionsOfAnEarlierEraFails)
+{
+    const auto deadline = BootClock::now() + 2s;
+    const auto first = run(table.commit(writing("k", "one", 0), deadline));
+    ASSERT_TRUE(first);
+    const auto version = std::get<Committed>(first.value()).version;
+    store.rollback(0s);
+    const auto second = run(table.commit(writing("k", "two", version), deadline));
+    ASSERT_FALSE(second);
+    EXPECT_EQ(second.error().execution, Execution::OutcomeUnknown);
+    const auto row = run(table.get("k"));
+    ASSERT_TRUE(row && row.value());
+    EXPECT_EQ(eraOf(row.value()->version), 1U);
+    const auto third = run(table.commit(writing("k", "three", row.value()->version), deadline));
+    EXPECT_TRUE(third && std::holds_alternative<Committed>(third.value()));
+}
+
+TEST_F(RecordTableTest, ARollbackDiscardsWhatWasWrittenAndGivesVersionsOutAgain)
+{
+    platform::Store client(storeAddress);
+    store.put("op", "config", "old");
+    run(sleepForResult(60ms));
+    const auto before = run(client.read("own", 1s)).value().version;
+    EXPECT_EQ(eraOf(before), 0U);
+    ASSERT_TRUE(run(client.put("own", "k", "lost", 1s)));
+    store.put("op", "config", "new");
+    const auto lost = run(client.read("own", 1s)).value().version;
+    EXPECT_GT(lost, before);
+    store.rollback(50ms, 200ms);
+    EXPECT_EQ(store.value("own", "k"), "");
+    EXPECT_EQ(store.value("op", "config"), "old");
+    const auto after = run(client.read("own", 1s)).value().version;
+    EXPECT_EQ(after, makeRowVersion(1, before));
+    // The store answers 410 to the lost version, and the client tells the eras of others apart.
+    const auto feeds = { lost, before };
+    for (const auto version : feeds) {
+        const auto feed = run(client.changes("own", version, 0s));
+        EXPECT_TRUE(feed && std::holds_alternative<platform::HistoryLost>(feed.value()));
+    }
+    ASSERT_TRUE(run(client.put("own", "other", "x", 1s)));
+    EXPECT_EQ(storeVersionOf(run(client.read("own", 1s)).value().version),
+              storeVersionOf(before) + 1);
+    run(sleepForResult(300ms));
+    EXPECT_EQ(store.value("op", "config"), "new");
+}
+
+// Guards against a configuration that reverts, or that differs between daemons for good: without
+// the lost versions, their numbers would be given to other changes.
+TEST_F(RecordTableTest, VersionsOfTheConfigurationThatWereLostAreWrittenAgain)
+{
+    ConfigReplica replica;
+    publish(replica, "class a weight=1 timeout=1s # x");
+    run(sleepForResult(60ms));
+    publish(replica, "class b weight=1 timeout=1s # x");
+    publish(replica, "class c weight=1 timeout=1s # x");
+    ASSERT_EQ(replica.version(), 3U);
+    store.rollback(50ms);
+    ConfigReplica starting;
+    ASSERT_TRUE(run(pullConfig(table, starting)));
+    ASSERT_EQ(starting.version(), 1U);
+    ASSERT_TRUE(run(pullConfig(table, replica)));
+    EXPECT_EQ(replica.version(), 3U);
+    ASSERT_TRUE(run(pullConfig(table, starting)));
+    EXPECT_EQ(starting.version(), 3U);
+    EXPECT_EQ(starting.lines(), replica.lines());
+}
+
+TEST_F(RecordTableTest, LostVersionsDoNotReplaceAnotherChange)
+{
+    ConfigReplica replica;
+    publish(replica, "class a weight=1 timeout=1s # x");
+    run(sleepForResult(60ms));
+    publish(replica, "class b weight=1 timeout=1s # x");
+    publish(replica, "class c weight=1 timeout=1s # x");
+    store.rollback(50ms);
+    ConfigReplica other;
+    ASSERT_TRUE(run(pullConfig(table, other)));
+    publish(other, "class d weight=1 timeout=1s # x");
+    ASSERT_EQ(other.version(), 2U);
+    const auto pulled = run(pullConfig(table, replica));
+    ASSERT_FALSE(pulled);
+    EXPECT_EQ(pulled.error().code, ErrorCode::Conflict);
+    EXPECT_EQ(replica.version(), 3U);
+    ASSERT_TRUE(run(pullConfig(table, other)));
+    EXPECT_EQ(other.version(), 2U);
+}
+
+TEST_F(RecordTableTest, TheControlCallPlaysARollback)
+{
+    store.put("own", "k", "lost");
+    HttpCall call;
+    call.endpoint = storeAddress;
+    call.request = { "POST", "/control", {}, R"({"rollback_ms":1000})" };
+    call.timeout = 1s;
+    const auto response = run(exchange(std::move(call)));
+    ASSERT_TRUE(response);
+    EXPECT_NE(response.value().body.find("\"era\":1"), std::string::npos);
+    EXPECT_EQ(store.value("own", "k"), "");
+    EXPECT_EQ(store.era(), 1U);
+}
