Keep the records of our own sites sound when the store comes back

Change: the epoch contains the era. A role row with an epoch of an earlier era, or a lost one, makes nobody a holder and is claimed only after lease duration and margin in the new era. A member whose renewal spans two eras starts as a new incarnation. RecordTable::commit() fails when its conditions are of another era than its outcome.

Without the three rules in RoleTable the three Roles.AfterARestore tests fail.

--- a/programs/controller/configsync.cpp
+++ b/programs/controller/configsync.cpp
@@ -35,6 +35,7 @@
     while (!m_isStopping) {
         const auto before = m_replica.version();
         const auto pulled = co_await pullConfig(m_records, m_replica);
+        noteConflict(pulled);
         if (!pulled)
             log::debug("cannot read the table service", { { "cause", pulled.error().message } });
         updateMembers();
@@ -48,6 +49,15 @@
     }
 }
 
+void ConfigSync::noteConflict(const Result<void> &pulled)
+{
+    const bool isConflict = !pulled && pulled.error().code == ErrorCode::Conflict;
+    if (isConflict && pulled.error().message != m_lastConflict)
+        log::warning("the configuration differs from the table service's",
+                     { { "cause", pulled.error().message } });
+    m_lastConflict = isConflict ? pulled.error().message : std::string();
+}
+
 void ConfigSync::updateMembers()
 {
     std::set<VmId> members = m_roles.listedVms();
--- a/programs/controller/configsync.h
+++ b/programs/controller/configsync.h
@@ -44,6 +44,8 @@
     void applyResponse(const SyncAnswer &response, TimePoint sentAt);
     /// Passes the listed VMs and the live members to the replica.
     void updateMembers();
+    /// Logs once that the table service has other changes than this daemon.
+    void noteConflict(const Result<void> &pulled);
     [[nodiscard]] std::vector<Endpoint> peerAddresses() const;
 
     RecordTable m_records;
@@ -53,6 +55,8 @@
     ConfigReplica m_replica;
     std::mt19937_64 m_random;
     std::size_t m_round = 0;
+    /// Cause of the last pull's conflict; empty if there was none.
+    std::string m_lastConflict;
     bool m_isStopping = false;
 };
 
--- a/programs/controller/placementservice.cpp
+++ b/programs/controller/placementservice.cpp
@@ -87,9 +87,7 @@
         const auto role = placementRole(n);
         const auto *row = m_roles.table().find(role);
         const auto it = m_shards.find(n);
-        const bool isHolder =
-                row != nullptr && row->holder.incarnation == m_roles.self().incarnation;
-        if (!isHolder) {
+        if (!m_roles.table().heldEpoch(role)) {
             m_shards.erase(n);
             continue;
         }
--- a/programs/controller/rolemanager.cpp
+++ b/programs/controller/rolemanager.cpp
@@ -62,10 +62,9 @@
 
 const RoleRow *RoleManager::heldRole(const RoleId &role, TimePoint now) const
 {
-    const auto *row = m_table.find(role);
-    if (row == nullptr || row->holder.incarnation != m_self.incarnation)
+    if (!m_table.heldEpoch(role))
         return nullptr;
-    return isBaseShare(role) || m_lease.isValid(now) ? row : nullptr;
+    return isBaseShare(role) || m_lease.isValid(now) ? m_table.find(role) : nullptr;
 }
 
 asio::awaitable<void> RoleManager::run()
@@ -89,7 +88,7 @@
 
 void RoleManager::startNewIncarnation()
 {
-    log::warning("the member lease was taken over; starting anew",
+    log::warning("the member lease was taken over or lost with the store's data; starting anew",
                  { { "incarnation", m_self.incarnation.value() } });
     m_self.incarnation = IncarnationId(randomHex(IdBytes));
     m_lease = LeaseHolder(m_settings);
@@ -104,7 +103,10 @@
     if (!row)
         co_return;
     const auto &found = row.value();
-    if (found && found->value.find(m_lostRenewal->value()) != std::string::npos)
+    const bool isWritten = found && found->value.find(m_lostRenewal->value()) != std::string::npos;
+    const bool isOfOneEra =
+            m_memberVersion == 0 || !found || eraOf(found->version) == eraOf(m_memberVersion);
+    if (isWritten && isOfOneEra)
         m_memberVersion = found->version;
     else if ((found ? found->version : 0) != m_memberVersion)
         m_lease.fenced();
@@ -254,7 +256,7 @@
     co_await readMembers();
     std::vector<RoleRow> heldRoles;
     for (const auto &[role, row] : m_table.roles())
-        if (row.holder.incarnation == m_self.incarnation && !isBaseShare(role))
+        if (m_table.heldEpoch(role) && !isBaseShare(role))
             heldRoles.push_back(row);
     for (const auto &row : heldRoles) {
         auto rateHandover = handover(row.role);
--- a/src/membership/leadership.h
+++ b/src/membership/leadership.h
@@ -15,15 +15,6 @@
 
 namespace bluebell {
 
-/// Bits of an epoch that count the holders within one era of the store.
-inline constexpr unsigned EpochCounterBits = 32;
-
-/// \returns the lowest epoch of an era; every holder's epoch is above it
-[[nodiscard]] constexpr Epoch firstEpochOf(StoreEra era) noexcept
-{
-    return era << EpochCounterBits;
-}
-
 /// The leader row in the store.
 struct LeaderRecord
 {
--- a/src/membership/roles.cpp
+++ b/src/membership/roles.cpp
@@ -105,6 +105,7 @@
 {
     std::set<IncarnationId> seen;
     for (const auto &row : rows) {
+        noteEra(eraOf(row.version), now);
         const auto &id = row.member.incarnation;
         seen.insert(id);
         auto &it = m_members.try_emplace(id, ObservedMember { row, LeaseObserver(m_settings) })
@@ -116,6 +117,30 @@
     m_hasRead = true;
 }
 
+void RoleTable::noteEra(StoreEra era, TimePoint now)
+{
+    if (era <= m_era)
+        return;
+    m_era = era;
+    m_eraSince = now;
+}
+
+bool RoleTable::isOutdated(const RoleRow *row) const
+{
+    return m_era > 0 && (row == nullptr || row->epoch < firstEpochOf(m_era));
+}
+
+bool RoleTable::awaitsFormerEra(TimePoint now) const
+{
+    return m_eraSince && now - *m_eraSince < m_settings.duration + m_settings.margin;
+}
+
+Epoch RoleTable::nextEpoch(const RoleRow *row) const
+{
+    const auto last = row == nullptr ? Epoch(0) : row->epoch;
+    return std::max(last, firstEpochOf(m_era)) + 1;
+}
+
 void RoleTable::noteClaimed(const RoleClaim &claim, RowVersion version)
 {
     m_roles.insert_or_assign(claim.role, RoleRow { claim.role, m_self, claim.epoch, version, {} });
@@ -143,24 +168,28 @@
     return m_everListed.contains(vm) && !m_listed.contains(vm);
 }
 
-std::optional<RoleClaim> RoleTable::claimForBaseShare(const RoleId &role) const
+std::optional<RoleClaim> RoleTable::claimForBaseShare(const RoleId &role, TimePoint now) const
 {
     const auto *row = find(role);
+    if (row == nullptr && awaitsFormerEra(now))
+        return std::nullopt;
     if (row == nullptr)
-        return RoleClaim { role, 1, 0, std::nullopt };
+        return RoleClaim { role, nextEpoch(row), 0, std::nullopt };
     const bool isOwnRestart = row->holder.vm == m_self.vm && row->holder.address == m_self.address
             && row->holder.incarnation != m_self.incarnation;
     if (isOwnRestart || isVmRemoved(row->holder.vm))
-        return RoleClaim { role, row->epoch + 1, row->version, std::nullopt };
+        return RoleClaim { role, nextEpoch(row), row->version, std::nullopt };
     return std::nullopt;
 }
 
 std::optional<RoleClaim> RoleTable::claimForLeasedRole(const RoleId &role, TimePoint now) const
 {
     const auto *row = find(role);
+    if (isOutdated(row) && awaitsFormerEra(now))
+        return std::nullopt;
     if (row == nullptr)
-        return RoleClaim { role, 1, 0, std::nullopt };
-    RoleClaim claim { role, row->epoch + 1, row->version,
+        return RoleClaim { role, nextEpoch(row), 0, std::nullopt };
+    RoleClaim claim { role, nextEpoch(row), row->version,
                       MemberRow { row->holder, 0, std::nullopt } };
     const auto it = m_members.find(row->holder.incarnation);
     if (it == m_members.end())
@@ -180,7 +209,7 @@
     for (const auto &role : wanted) {
         const bool isShare = isBaseShare(role);
         // Members are ranked only for roles without a live holder, which are few.
-        auto claim = isShare ? claimForBaseShare(role) : claimForLeasedRole(role, now);
+        auto claim = isShare ? claimForBaseShare(role, now) : claimForLeasedRole(role, now);
         if (!claim)
             continue;
         const auto *row = find(role);
@@ -203,7 +232,7 @@
 std::optional<Epoch> RoleTable::heldEpoch(const RoleId &role) const
 {
     const auto *row = find(role);
-    if (row == nullptr || row->holder.incarnation != m_self.incarnation)
+    if (row == nullptr || row->holder.incarnation != m_self.incarnation || isOutdated(row))
         return std::nullopt;
     return row->epoch;
 }
--- a/src/membership/roles.h
+++ b/src/membership/roles.h
@@ -17,9 +17,19 @@
 
 namespace bluebell {
 
-/// Fencing number of a role. Every change of holder increments it.
+/// Fencing number of a role. Every change of holder increments it. It contains the era of the
+/// store, so that no number is used by two holders when the store comes back from an older copy.
 using Epoch = std::uint64_t;
 
+/// Bits of an epoch that count the holders within one era of the store.
+inline constexpr unsigned EpochCounterBits = 32;
+
+/// \returns the lowest epoch of an era; every holder's epoch is above it
+[[nodiscard]] constexpr Epoch firstEpochOf(StoreEra era) noexcept
+{
+    return era << EpochCounterBits;
+}
+
 /// One run of a daemon on a VM.
 struct Member
 {
@@ -99,6 +109,11 @@
 /// only when the platform has listed the holder's VM and then dropped it, or to a new incarnation
 /// that listens at the same address on the same VM. Share n, from 0, goes to the member of rank n
 /// by score.
+///
+/// When the store has come back from an older copy of its data, a role row with an epoch of an
+/// earlier era, or none, says nothing of who has claimed the role since it was written. Nobody
+/// holds the role by such a row, and nobody claims it before a lease that was renewed in the
+/// earlier era has expired.
 class RoleTable
 {
 public:
@@ -159,8 +174,17 @@
         LeaseObserver observer;
     };
 
+    /// Notes the store's era in the rows of a read that completed at `now`.
+    void noteEra(StoreEra era, TimePoint now);
+    /// \returns whether the role may have been claimed after `row`, which may be null, was written
+    [[nodiscard]] bool isOutdated(const RoleRow *row) const;
+    /// \returns whether a lease that was renewed in an earlier era of the store may still be valid
+    [[nodiscard]] bool awaitsFormerEra(TimePoint now) const;
+    /// \returns the epoch of the next holder
+    [[nodiscard]] Epoch nextEpoch(const RoleRow *row) const;
     [[nodiscard]] bool isVmRemoved(const VmId &vm) const;
-    [[nodiscard]] std::optional<RoleClaim> claimForBaseShare(const RoleId &role) const;
+    [[nodiscard]] std::optional<RoleClaim> claimForBaseShare(const RoleId &role,
+                                                             TimePoint now) const;
     [[nodiscard]] std::optional<RoleClaim> claimForLeasedRole(const RoleId &role,
                                                               TimePoint now) const;
 
@@ -174,6 +198,10 @@
     std::set<VmId> m_listed;
     /// VMs that were in any list since the start.
     std::set<VmId> m_everListed;
+    /// The latest era of the store in any row.
+    StoreEra m_era = 0;
+    /// When a row of that era was first read; not set in era 0.
+    std::optional<TimePoint> m_eraSince;
     bool m_hasRead = false;
     bool m_isLeaving = false;
 };
--- a/src/records/configstore.cpp
+++ b/src/records/configstore.cpp
@@ -1,5 +1,6 @@
 #include "records/configstore.h"
 
+#include "core/digest.h"
 #include "records/rows.h"
 
 #include <utility>
@@ -11,6 +12,9 @@
 
 /// Number of versions between two snapshots in the object store.
 constexpr ConfigVersion SnapshotInterval = 200;
+/// Versions that one transaction writes again; the others follow with the next call.
+constexpr std::size_t MaxLostVersions = 50;
+constexpr std::size_t ChangeIdBytes = 8;
 
 /// The head row with its row version; both are 0 before the first change.
 struct Head
@@ -60,6 +64,68 @@
     co_return replica.apply(deltas);
 }
 
+Error lostVersionsError(const std::string &cause)
+{
+    return makeError(ErrorCode::Conflict, "versions of the configuration are lost, " + cause);
+}
+
+/// \returns whether the log has the change that `delta` made
+asio::awaitable<Result<bool>> hasChange(RecordTable &records, const ConfigDelta &delta)
+{
+    auto row = co_await records.get(rows::configLogKey(delta.version));
+    if (!row)
+        co_return row.error();
+    if (!row.value())
+        co_return false;
+    auto found = rows::decodeDelta(row.value()->value);
+    if (!found)
+        co_return found.error();
+    co_return found.value().change == delta.change;
+}
+
+/// \returns the transaction that appends `deltas` to the log whose head is `head`
+Transaction appendingLost(const Head &head, const std::vector<ConfigDelta> &deltas)
+{
+    const std::string headKey(rows::ConfigHead);
+    const rows::ConfigHeadRow next { deltas.back().version, head.row.snapshot };
+    Transaction it { ChangeId(randomHex(ChangeIdBytes)), {}, {} };
+    it.conditions.push_back({ headKey, head.version });
+    it.mutations.push_back({ headKey, rows::encode(next, it.change) });
+    for (const auto &delta : deltas) {
+        const auto key = rows::configLogKey(delta.version);
+        it.conditions.push_back({ key, 0 });
+        it.mutations.push_back({ key, rows::encode(delta) });
+    }
+    return it;
+}
+
+/// Writes the versions again that the replica has and the table service has lost.
+asio::awaitable<Result<void>> writeLostVersions(RecordTable &records, const ConfigReplica &replica,
+                                                Head head)
+{
+    // The version of the head comes first, to compare it.
+    const bool isEmpty = head.row.version == 0;
+    const auto update = replica.updateSince(isEmpty ? 0 : head.row.version - 1);
+    const auto *kept = update ? std::get_if<std::vector<ConfigDelta>>(&*update) : nullptr;
+    if (kept == nullptr)
+        co_return lostVersionsError("and no longer known here");
+    auto deltas = *kept;
+    if (!isEmpty) {
+        const auto isSame = co_await hasChange(records, deltas.front());
+        if (!isSame)
+            co_return isSame.error();
+        if (!isSame.value())
+            co_return lostVersionsError("another change has taken their place");
+        deltas.erase(deltas.begin());
+    }
+    if (deltas.size() > MaxLostVersions)
+        deltas.resize(MaxLostVersions);
+    auto outcome = co_await records.commitOnce(appendingLost(head, deltas));
+    if (!outcome)
+        co_return outcome.error();
+    co_return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
 } // namespace
 
 asio::awaitable<Result<void>> pullConfig(RecordTable &records, ConfigReplica &replica)
@@ -80,6 +146,8 @@
             co_return pulled;
     }
     replica.noteHead(row.version, sentAt);
+    if (row.version < replica.version())
+        co_return co_await writeLostVersions(records, replica, head.value());
     co_return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/src/records/configstore.h
+++ b/src/records/configstore.h
@@ -31,6 +31,10 @@
 ///
 /// Starts from the newest snapshot if the replica is older than it, then applies the deltas.
 ///
+/// If the replica is newer than the table service, which has come back from an older copy, it keeps
+/// its version, and the versions that were lost are written again. That fails when another change
+/// has been committed in their place, or when the replica does not keep them any more.
+///
 /// \returns an error when a row or object could not be read, decoded or applied; the replica then
 ///          keeps the version that it has reached
 [[nodiscard]] boost::asio::awaitable<Result<void>> pullConfig(RecordTable &records,
--- a/src/records/table.cpp
+++ b/src/records/table.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace asio = boost::asio;
@@ -36,6 +37,14 @@
     return 0;
 }
 
+/// \returns whether no condition of `it` is of another era of the store
+bool isOfEra(const Transaction &it, StoreEra era)
+{
+    return std::all_of(it.conditions.begin(), it.conditions.end(), [&](const auto &condition) {
+        return condition.version == 0 || eraOf(condition.version) == era;
+    });
+}
+
 /// Marks the error of a read as not executed, because a read changes nothing.
 Error toReadError(Error error)
 {
@@ -99,7 +108,13 @@
         maybeCommitted = maybeCommitted
                 || (!outcome && outcome.error().execution == Execution::OutcomeUnknown);
         const auto row = co_await get(key);
-        if (row && row.value() && row.value()->value.find(it.change.value()) != std::string::npos)
+        const bool isWritten = row && row.value()
+                && row.value()->value.find(it.change.value()) != std::string::npos;
+        if (isWritten && !isOfEra(it, eraOf(row.value()->version)))
+            co_return Error { ErrorCode::Unavailable,
+                              "the platform has come back from an older copy",
+                              Execution::OutcomeUnknown, std::nullopt };
+        if (isWritten)
             co_return CommitOutcome(Committed { row.value()->version });
         if (row && !writesValue && !row.value())
             co_return CommitOutcome(Committed { 0 });
--- a/src/records/table.h
+++ b/src/records/table.h
@@ -109,6 +109,9 @@
     /// Sends a transaction, retries it after failures, and after a lost reply reads whether it was
     /// committed.
     ///
+    /// It fails with an unknown outcome if the store has come back from an older copy since a
+    /// version in the conditions was read, even if the row shows that it was committed.
+    ///
     /// The first mutation must write a value that includes the change id, or delete its row.
     ///
     /// \param deadline no retry is scheduled after this time
--- a/tests/tst_lease.cpp
+++ b/tests/tst_lease.cpp
@@ -186,3 +186,59 @@
     EXPECT_TRUE(table.claims({ Role }, at(0)).empty());
     EXPECT_EQ(table.successor(Role, at(0)), other);
 }
+
+namespace {
+
+RowVersion inEra(StoreEra era, std::uint64_t version)
+{
+    return makeRowVersion(era, version);
+}
+
+} // namespace
+
+// Guards against two holders of one fencing number: the row that names the last holder was lost
+// when the store came back from an older copy.
+TEST(Roles, AfterARestoreNoEpochIsGivenTwice)
+{
+    const auto self = member("vm-a", "1");
+    const auto former = member("vm-b", "2");
+    RoleTable table(self, Settings);
+    noteRows(table, { { Role, self, 5, inEra(0, 20), {} } }, { { self, inEra(0, 21), {} } }, at(0));
+    EXPECT_EQ(table.heldEpoch(Role), 5U);
+    const std::vector<RoleRow> roles { { Role, former, 4, inEra(1, 9), {} } };
+    const std::vector<MemberRow> rows { { self, inEra(1, 10), {} } };
+    noteRowsEverySecond(table, roles, rows, 1, 10);
+    // The holder whose claim was lost may still have a valid lease.
+    EXPECT_TRUE(table.claims({ Role }, at(10)).empty());
+    noteRowsEverySecond(table, roles, rows, 11, 11);
+    const auto claims = table.claims({ Role }, at(11));
+    ASSERT_EQ(claims.size(), 1U);
+    EXPECT_EQ(claims[0].epoch, firstEpochOf(1) + 1);
+}
+
+TEST(Roles, AfterARestoreNobodyHoldsARoleByAnEarlierRow)
+{
+    const auto self = member("vm-a", "1");
+    RoleTable table(self, Settings);
+    // This daemon has handed the role over, but the row that says so was lost.
+    noteRows(table, { { Role, self, 4, inEra(1, 9), {} } }, { { self, inEra(1, 10), {} } }, at(0));
+    EXPECT_FALSE(table.heldEpoch(Role));
+    noteRows(table, { { Role, self, firstEpochOf(1) + 1, inEra(1, 11), {} } },
+             { { self, inEra(1, 12), {} } }, at(1));
+    EXPECT_EQ(table.heldEpoch(Role), firstEpochOf(1) + 1);
+}
+
+TEST(Roles, AfterARestoreALostRowIsNotTakenForAVacantRole)
+{
+    const auto self = member("vm-a", "1");
+    const auto share = baseShareRole(OrganisationId("shop"), 0);
+    RoleTable table(self, Settings);
+    const std::vector<MemberRow> rows { { self, inEra(1, 10), {} } };
+    noteRowsEverySecond(table, {}, rows, 0, 9);
+    EXPECT_TRUE(table.claims({ Role, share }, at(9)).empty());
+    noteRowsEverySecond(table, {}, rows, 10, 10);
+    const auto claims = table.claims({ Role, share }, at(10));
+    ASSERT_EQ(claims.size(), 2U);
+    for (const auto &it : claims)
+        EXPECT_EQ(it.epoch, firstEpochOf(1) + 1);
+}
