Recover the gateways' state when the store comes back from an older copy

What callers saw: a daemon whose row was lost before any relay had read it took itself for registered for good, since no relay told of a removal; the others did not list it.

Change: whether the own row must be written is decided by the known state of the table: the row is there, or it was written later than that state. The first table that is read in a new era ends the held calls of the others, which the store may hold for up to 15 s, and the era is logged and a gauge, bluebell_store_era.

--- a/programs/gateway/gatewaystate.cpp
+++ b/programs/gateway/gatewaystate.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewaystate.h"
 
 #include "core/digest.h"
+#include "core/log.h"
 
 #include <utility>
 
@@ -170,6 +171,19 @@
     return retryBudgets.try_emplace(service, RetryBudgetPerDaemon).first->second;
 }
 
+bool GatewayState::noteStoreEra(StoreEra era)
+{
+    if (m_storeEra && era <= *m_storeEra)
+        return false;
+    const bool isRestored = m_storeEra.has_value();
+    if (isRestored)
+        log::warning("the store has come back from an older copy",
+                     { { "era", std::to_string(era) }, { "before", std::to_string(*m_storeEra) } });
+    m_storeEra = era;
+    metrics.setGauge("bluebell_store_era", static_cast<double>(era));
+    return isRestored;
+}
+
 void GatewayState::noteStatus(const DaemonStatus &received, TimePoint now)
 {
     noteQuarantine(received.quarantine, now);
--- a/programs/gateway/gatewaystate.h
+++ b/programs/gateway/gatewaystate.h
@@ -138,6 +138,10 @@
                          const std::vector<RateUsage> &levels, TimePoint now);
     /// Applies the status timing for the current fleet size.
     void applyStatusTiming();
+    /// Notes the store's era at a read, here or at a relay.
+    ///
+    /// \returns whether the store has come back from an older copy since the last read
+    bool noteStoreEra(StoreEra era);
     /// Processes a status of another daemon.
     void noteStatus(const DaemonStatus &received, TimePoint now);
     /// Wakes the tasks that wait for targets, and schedules a status message to all daemons.
@@ -158,6 +162,8 @@
     [[nodiscard]] SharedRate *knownRate(const OrganisationId &organisation, TimePoint now);
     [[nodiscard]] DaemonStatus statusWithoutPlacement(StatusRecipient recipient, TimePoint now);
 
+    /// The latest known era of the store.
+    std::optional<StoreEra> m_storeEra;
     /// Relay process whose counts were applied last.
     IncarnationId m_countingRelay;
     /// Resident replicas as listed in the target entries, for use while no leader is known.
--- a/programs/gateway/siteupdates.cpp
+++ b/programs/gateway/siteupdates.cpp
@@ -150,8 +150,6 @@
     };
     for (const auto &row : rows)
         runGuarded("daemon row " + row.key, [&] { add(row); });
-    const auto own = members.find(m_state.settings.vm);
-    m_isRegistered = own != members.end() && own->second == m_state.fleet.self();
     applyMembers(m_state.memberRows.replaceAll(members, version));
 }
 
@@ -163,8 +161,8 @@
     for (const auto &vm : changed) {
         const auto *row = m_state.memberRows.find(vm);
         if (vm == m_state.settings.vm)
-            m_isRegistered = row && *row == m_state.fleet.self();
-        else if (row)
+            continue;
+        if (row)
             m_state.fleet.putMember(*row, now);
         else
             m_state.fleet.removeMember(vm);
@@ -173,6 +171,13 @@
     m_state.notifyRelays();
 }
 
+bool SiteUpdates::isRegistered() const
+{
+    const auto *row = m_state.memberRows.find(m_state.settings.vm);
+    const bool isKnown = row && *row == m_state.fleet.self();
+    return isKnown || m_state.memberRows.version() < m_registeredAt;
+}
+
 bool SiteUpdates::hasFreshTargets(TimePoint now) const
 {
     return m_state.isReader(now) && now - m_state.targetsReadAt < MaxFreshAge;
@@ -192,6 +197,7 @@
         targets = m_state.targetRows.apply(digest.targets);
     applyTargets(targets, digest.targets.number);
     applyMembers(m_state.memberRows.apply(digest.members));
+    (void)m_state.noteStoreEra(eraOf(m_state.memberRows.version()));
     m_state.isBehindRelay = m_state.targetRows.isBehind() || m_state.memberRows.isBehind()
             || (digest.placement.update.number > 0 && fleet.placement().isIncomplete());
     const bool hasChanged = !targets.empty() || fleet.placement().number() != placement;
--- a/programs/gateway/siteupdates.h
+++ b/programs/gateway/siteupdates.h
@@ -39,9 +39,12 @@
     /// Applies a relay's digest, apart from its sums.
     void applyDigest(const FleetDigest &digest, TimePoint now);
 
-    /// Whether this daemon's row is in the store, as far as it is known.
-    [[nodiscard]] bool isRegistered() const noexcept { return m_isRegistered; }
-    void setRegistered(bool isRegistered) noexcept { m_isRegistered = isRegistered; }
+    /// Notes that this daemon's row has been written.
+    void noteRegistered(RowVersion version) noexcept { m_registeredAt = version; }
+    /// \returns whether this daemon's row is in the store, as far as it is known. A row that was
+    ///          written is missing if a later state of the table lacks it, as after the store has
+    ///          come back from an older copy.
+    [[nodiscard]] bool isRegistered() const;
 
 private:
     void updateTarget(const platform::StoreRow &row, RowVersion version);
@@ -53,7 +56,8 @@
 
     GatewayState &m_state;
     std::function<void()> m_configChanged;
-    bool m_isRegistered = false;
+    /// Version of the store at which this daemon has written its row; 0 if it has not.
+    RowVersion m_registeredAt = 0;
 };
 
 } // namespace bluebell::gateway
--- a/programs/gateway/storewatch.cpp
+++ b/programs/gateway/storewatch.cpp
@@ -134,6 +134,11 @@
     if (!m_contact.noteReply(sentAt))
         return;
     m_contactRegained.notify();
+    cancelCallsBefore(sentAt);
+}
+
+void StoreWatch::cancelCallsBefore(TimePoint sentAt)
+{
     std::vector<std::shared_ptr<CancelSource>> lost;
     for (const auto &[table, call] : m_heldCalls)
         if (call.sentAt < sentAt)
@@ -205,6 +210,9 @@
             onSuccess(sentAt);
             mustRead = false;
             version = snapshot.value().version;
+            // The store may hold the other tables' calls although their rows have gone back.
+            if (m_state.noteStoreEra(eraOf(*version)))
+                cancelCallsBefore(sentAt);
             table.onSnapshot(snapshot.value().rows, *version);
             continue;
         }
@@ -240,8 +248,11 @@
     const auto value = encodeMember(m_state.fleet.self());
     while (!m_isDeregistering) {
         if (!m_updates.isRegistered()) {
-            const auto done = co_await m_store.put(MemberTable, vm, value, ReadTimeout);
-            m_updates.setRegistered(done.has_value());
+            platform::Transact row { {}, { { MemberTable, vm, value } } };
+            const auto done = co_await m_store.write(std::move(row), ReadTimeout);
+            if (const auto *written =
+                        done ? std::get_if<platform::Written>(&done.value()) : nullptr)
+                m_updates.noteRegistered(written->version);
         }
         co_await sleepFor(CheckInterval);
     }
--- a/programs/gateway/storewatch.h
+++ b/programs/gateway/storewatch.h
@@ -83,6 +83,8 @@
     awaitChanges(const Table &table, RowVersion version, Duration wait);
     /// Notes a reply; after an outage, the calls that may have been lost in it are repeated.
     void noteReply(TimePoint sentAt);
+    /// Repeats the calls to the feeds that were sent before `sentAt`.
+    void cancelCallsBefore(TimePoint sentAt);
     /// \returns a random time up to `wait`
     [[nodiscard]] Duration randomWait(Duration wait);
     /// Writes this daemon's row again whenever it is missing or outdated.
--- a/tests/platformstandin.cpp
+++ b/tests/platformstandin.cpp
@@ -49,13 +49,9 @@
 {
     ++crashes;
     auto restart = [](TargetStandIn &self) -> asio::awaitable<void> {
-        self.m_server.reset();
+        self.stop();
         co_await sleepFor(self.behaviour.restartTime);
-        self.startTimeMs += 1000;
-        self.m_sequence = 0;
-        self.createServer();
-        self.listen();
-        self.publishEntry();
+        self.restart();
     };
     asio::co_spawn(m_context, restart(*this), asio::detached);
 }
@@ -71,6 +67,15 @@
     m_server.reset();
 }
 
+void TargetStandIn::restart()
+{
+    startTimeMs += 1000;
+    m_sequence = 0;
+    createServer();
+    listen();
+    publishEntry();
+}
+
 json TargetStandIn::state() const
 {
     json it = { { "born", startTimeMs }, { "Sequence", m_sequence } };
--- a/tests/platformstandin.h
+++ b/tests/platformstandin.h
@@ -91,6 +91,8 @@
     void publishEntry(const std::string &state = "ready");
     /// Stops accepting connections.
     void stop();
+    /// Starts the process anew, after stop(), with another start time and address.
+    void restart();
 
     /// Whether the target is an engine.
     bool isEngine = false;
