Keep the evacuated data centres and send their targets no request

Callers saw requests at targets of a data centre that operators had asked to evacuate: the rows evacuate/DATACENTRE of the store's operator table were not known to any part of the system.

Statuses and summaries carry the list; TargetSelector never chooses a target of such a data centre. The gateway does not feed it yet.

--- a/src/membership/daemonstatus.h
+++ b/src/membership/daemonstatus.h
@@ -6,6 +6,7 @@
 #include "placement/modeldemand.h"
 #include "placement/placementupdate.h"
 #include "quarantine/crashreport.h"
+#include "site/evacuations.h"
 #include "site/siteconfig.h"
 
 #include <vector>
@@ -54,6 +55,7 @@
     /// When models that are being loaded will be ready. Only the leader sends them.
     std::vector<LoadEstimate> estimates;
     QuarantineUpdate quarantine;
+    EvacuationUpdate evacuations;
 };
 
 /// The leader as a daemon knows it.
--- a/src/peer/relaycodec.cpp
+++ b/src/peer/relaycodec.cpp
@@ -260,6 +260,7 @@
     it.knowsAvailability = in.getKnowsAvailability();
     it.unavailable = readVms(in.getUnavailable());
     it.quarantine = detail::readQuarantine(in.getQuarantine());
+    it.evacuations = detail::readEvacuations(in.getEvacuations());
     return it;
 }
 
@@ -330,6 +331,7 @@
     write(summary.unavailable,
           out.initUnavailable(static_cast<unsigned>(summary.unavailable.size())));
     detail::writeQuarantine(summary.quarantine, out.initQuarantine());
+    detail::writeEvacuations(summary.evacuations, out.initEvacuations());
     return headerBytes(KindSummary, false, 0) + bytesOf(message);
 }
 
--- a/src/peer/statuscodec.cpp
+++ b/src/peer/statuscodec.cpp
@@ -217,6 +217,34 @@
     return update;
 }
 
+void writeEvacuations(const EvacuationUpdate &update, wire::Evacuations::Builder out)
+{
+    out.setVersion(update.version);
+    auto all = out.initDataCentres(static_cast<unsigned>(update.listed.size()
+                                                         + update.kept.size()));
+    unsigned n = 0;
+    for (const auto &it : update.listed)
+        all[n++].setName(it.value());
+    for (const auto &[dataCentre, left] : update.kept) {
+        all[n].setName(dataCentre.value());
+        all[n++].setKeptMs(std::max(toWire(left), 1U));
+    }
+}
+
+EvacuationUpdate readEvacuations(wire::Evacuations::Reader in)
+{
+    EvacuationUpdate update;
+    update.version = in.getVersion();
+    for (const auto it : in.getDataCentres()) {
+        const DataCentreId dataCentre(text(it.getName()));
+        if (it.getKeptMs() > 0)
+            update.kept.emplace(dataCentre, fromWire(it.getKeptMs()));
+        else
+            update.listed.insert(dataCentre);
+    }
+    return update;
+}
+
 void writeStatus(const DaemonStatus &status, wire::Status::Builder out)
 {
     out.setVm(status.vm.value());
@@ -237,6 +265,7 @@
     out.setTellsDemand(status.includesDemand);
     writeEstimates(status.estimates, out);
     writeQuarantine(status.quarantine, out.initQuarantine());
+    writeEvacuations(status.evacuations, out.initEvacuations());
 }
 
 DaemonStatus readStatus(wire::Status::Reader in)
@@ -269,6 +298,7 @@
                                      milliseconds(it.getReadyInMs()) });
     status.placement.changed = readResidents(in.getResidents());
     status.quarantine = readQuarantine(in.getQuarantine());
+    status.evacuations = readEvacuations(in.getEvacuations());
     return status;
 }
 
--- a/src/peer/wirefields.h
+++ b/src/peer/wirefields.h
@@ -21,6 +21,8 @@
 [[nodiscard]] DaemonStatus readStatus(wire::Status::Reader in);
 void writeQuarantine(const QuarantineUpdate &update, wire::Quarantine::Builder out);
 [[nodiscard]] QuarantineUpdate readQuarantine(wire::Quarantine::Reader in);
+void writeEvacuations(const EvacuationUpdate &update, wire::Evacuations::Builder out);
+[[nodiscard]] EvacuationUpdate readEvacuations(wire::Evacuations::Reader in);
 void writeResidents(const ResidentReplicas &residents,
                     capnp::List<wire::StatusResident>::Builder out);
 [[nodiscard]] ResidentReplicas readResidents(capnp::List<wire::StatusResident>::Reader in);
--- a/src/relay/digest.h
+++ b/src/relay/digest.h
@@ -88,6 +88,7 @@
     /// Daemons of the relay's group that callers can't use.
     std::vector<VmId> unavailable;
     QuarantineUpdate quarantine;
+    EvacuationUpdate evacuations;
 };
 
 } // namespace bluebell
--- a/src/routing/targetselector.cpp
+++ b/src/routing/targetselector.cpp
@@ -28,11 +28,12 @@
 /// Largest cost added to order targets that are otherwise equal; the order differs by daemon.
 constexpr double MaxTieBreak = 0.01;
 
-/// \returns whether the target can serve the request, apart from its health and earlier attempts
-bool meets(const TargetRequirements &requirements, const TargetEntry &target,
-           const ResidentReplicas &residents)
+} // namespace
+
+bool TargetSelector::meets(const TargetRequirements &requirements, const TargetEntry &target,
+                           const ResidentReplicas &residents) const
 {
-    if (target.service != requirements.service || target.isDraining)
+    if (target.service != requirements.service || target.isDraining || isEvacuated(target))
         return false;
     if (!requirements.key)
         return true;
@@ -40,7 +41,19 @@
     return held != residents.end() && held->second.contains(*requirements.key);
 }
 
-} // namespace
+bool TargetSelector::isEvacuated(const ServiceId &service,
+                                 const std::map<TargetId, TargetEntry> &targets) const
+{
+    bool hasEvacuated = false;
+    for (const auto &[id, target] : targets) {
+        if (target.service != service || target.isDraining)
+            continue;
+        if (!isEvacuated(target))
+            return false;
+        hasEvacuated = true;
+    }
+    return hasEvacuated;
+}
 
 void TargetSelector::noteStarted(const TargetId &target, const std::optional<ReplicaKey> &key)
 {
--- a/src/routing/targetselector.h
+++ b/src/routing/targetselector.h
@@ -85,6 +85,8 @@
     void notePeerCounts(const VmId &vm, std::map<TargetId, std::uint32_t> counts, TimePoint now);
     /// Sets how long another daemon's counts are used when they are not renewed.
     void setPeerCountsLifetime(Duration lifetime) { m_peerCountsLifetime = lifetime; }
+    /// Sets the data centres whose targets get no request.
+    void setEvacuated(std::set<DataCentreId> dataCentres) { m_evacuated = std::move(dataCentres); }
     /// Drops the health of targets that are not in `targets` and have no request of this daemon in
     /// flight.
     void retainOnly(const std::map<TargetId, TargetEntry> &targets);
@@ -104,6 +106,16 @@
                    const std::map<TargetId, TargetEntry> &targets,
                    const ResidentReplicas &residents, TimePoint now) const;
 
+    /// \returns whether the target is in a data centre that is evacuated
+    [[nodiscard]] bool isEvacuated(const TargetEntry &target) const
+    {
+        return m_evacuated.contains(target.dataCentre);
+    }
+    /// \returns whether the service has targets that are not leaving, and all are in evacuated data
+    /// centres
+    [[nodiscard]] bool isEvacuated(const ServiceId &service,
+                                   const std::map<TargetId, TargetEntry> &targets) const;
+
     [[nodiscard]] const HoldOffs &holdOffs() const noexcept { return m_holdOffs; }
 
     /// \returns whether the target has just refused or failed a request of this daemon
@@ -137,6 +149,9 @@
         TimePoint at;
     };
 
+    /// \returns whether the target can serve the request, apart from its health and earlier attempts
+    [[nodiscard]] bool meets(const TargetRequirements &requirements, const TargetEntry &target,
+                             const ResidentReplicas &residents) const;
     /// \returns the cost of sending a request to `target`, in multiples of its slots
     [[nodiscard]] double costOf(const TargetEntry &target, TimePoint now) const;
 
@@ -154,6 +169,7 @@
     std::map<std::pair<TargetId, ReplicaKey>, std::uint32_t> m_inFlight;
     std::map<std::pair<TargetId, ReplicaKey>, TimePoint> m_notResidentUntil;
     HoldOffs m_holdOffs;
+    std::set<DataCentreId> m_evacuated;
 };
 
 } // namespace bluebell
--- a/tests/tst_targetselector.cpp
+++ b/tests/tst_targetselector.cpp
@@ -96,3 +96,35 @@
     EXPECT_FALSE(selector.choose(requirements(), all, {}, Start + 100ms));
     EXPECT_EQ(selector.choose(requirements(), all, {}, Start + 400ms), TargetId("a1"));
 }
+
+/// Guards against requests to an evacuated data centre, also when nothing else is left.
+TEST(TargetSelector, NeverChoosesATargetOfAnEvacuatedDataCentre)
+{
+    TargetSelector selector(DataCentreId("a"), "vm-1");
+    auto all = targets({ "a1", "a2", "b1" });
+    selector.setEvacuated({ DataCentreId("a") });
+    EXPECT_EQ(selector.choose(requirements(), all, {}, Start), TargetId("b1"));
+    EXPECT_FALSE(selector.isEvacuated(Plain, all));
+    auto tried = requirements();
+    tried.excluded.insert(TargetId("b1"));
+    EXPECT_EQ(selector.choose(tried, all, {}, Start), std::nullopt);
+    all.at(TargetId("b1")).isDraining = true;
+    EXPECT_EQ(selector.choose(requirements(), all, {}, Start), std::nullopt);
+    EXPECT_TRUE(selector.isEvacuated(Plain, all));
+    EXPECT_FALSE(selector.isEvacuated(ServiceId("other"), all));
+    selector.setEvacuated({});
+    EXPECT_TRUE(selector.choose(requirements(), all, {}, Start));
+}
+
+/// Guards against a request that waits for the hold-off of an evacuated target.
+TEST(TargetSelector, TheHoldOffOfAnEvacuatedTargetIsNotAwaited)
+{
+    TargetSelector selector(DataCentreId("a"), "vm-1");
+    const auto all = targets({ "a1", "b1" });
+    selector.noteHoldOff(TargetId("a1"), 0, 1s, Start);
+    selector.noteHoldOff(TargetId("b1"), 0, 9s, Start);
+    selector.setEvacuated({ DataCentreId("a") });
+    const auto soonest = selector.soonestHoldOff(requirements(), all, {}, Start);
+    ASSERT_TRUE(soonest);
+    EXPECT_EQ(soonest->target, TargetId("b1"));
+}
