Obey evacuations and send few requests to cold targets

Callers saw a data centre's targets used after operators had asked to evacuate it, and targets that had just started were sent their normal load, although they crash above ColdPerS requests per second.

The gateway reads the rows evacuate/DATACENTRE of the operator table before the configuration of the same response, passes the list on in statuses, digests and summaries and applies it to the target selector and the planner: no request, order or report request goes to an evacuated data centre, and a service that has targets nowhere else refuses at once with a Retry-After. ColdLimits divides a cold target's rate in whole requests among the first daemons of a ranking by hash that is the same everywhere; a request that only cold targets could serve waits for the end of the cold period or is refused with that time. The time left is relayed as time left at sending. Two tests hold that the address lookup names no daemon that has been gone for seven seconds.

--- a/programs/gateway/attempts.cpp
+++ b/programs/gateway/attempts.cpp
@@ -44,6 +44,7 @@
     attempt.progress.sentAt = now;
     attempt.isCounted = true;
     m_state.selector.noteStarted(attempt.target, attempt.key);
+    m_state.selector.noteSent(target, now);
     ++it.sends;
     return call;
 }
--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -152,6 +152,10 @@
     for (const auto &it : config.organisations)
         if (it.limit)
             m_state.rateOf(it, now).setLimit(*it.limit, now);
+    std::map<ServiceId, double> coldRates;
+    for (const auto &[name, service] : config.services)
+        coldRates.emplace(name, service.coldRate);
+    m_state.selector.coldLimits().setRates(std::move(coldRates));
     m_coordinator.applyConfig();
     m_proxy.applyConfig();
 }
--- a/programs/gateway/gatewaystate.cpp
+++ b/programs/gateway/gatewaystate.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewaystate.h"
 
 #include "core/digest.h"
+#include "core/log.h"
 
 #include <utility>
 
@@ -128,6 +129,7 @@
     for (auto &[organisation, rate] : rates)
         it.rates.push_back({ organisation, rate.admitted(), rate.level(now) });
     it.quarantine = quarantine.message(now);
+    it.evacuations = evacuations.message(now);
     if (leadership.isLeader(now)) {
         it.leaderEpoch = leadership.epoch();
         it.estimates = planner.estimates(now);
@@ -173,6 +175,7 @@
 void GatewayState::noteStatus(const DaemonStatus &received, TimePoint now)
 {
     noteQuarantine(received.quarantine, now);
+    noteEvacuations(received.evacuations, received.vm, now);
     if (!fleet.noteStatus(received, now))
         return;
     // The counts of daemons that report to relays are in the relays' sums.
@@ -295,6 +298,43 @@
     digestDue.notify();
 }
 
+void GatewayState::noteEvacuationRows(std::set<DataCentreId> listed, RowVersion version,
+                                      TimePoint now)
+{
+    if (evacuations.noteListed(std::move(listed), version, now))
+        applyEvacuations("store");
+}
+
+void GatewayState::noteEvacuations(const EvacuationUpdate &update, const VmId &sender,
+                                   TimePoint now)
+{
+    if (evacuations.note(update, now))
+        applyEvacuations(sender.value());
+}
+
+void GatewayState::expireEvacuations(TimePoint now)
+{
+    if (evacuations.expire(now))
+        applyEvacuations("end of the time after a restore of the store");
+}
+
+void GatewayState::applyEvacuations(std::string source)
+{
+    const auto &dataCentres = evacuations.dataCentres();
+    std::string names;
+    for (const auto &it : dataCentres)
+        names += (names.empty() ? "" : ", ") + it.value();
+    log::info("evacuated data centres",
+              { { "data_centres", names },
+                { "version", std::to_string(storeVersionOf(evacuations.version())) },
+                { "era", std::to_string(eraOf(evacuations.version())) },
+                { "source", std::move(source) } });
+    selector.setEvacuated(dataCentres);
+    metrics.setGauge("bluebell_evacuated_data_centres", static_cast<double>(dataCentres.size()));
+    notifyChange();
+    notifyRelays();
+}
+
 void GatewayState::notifyQuarantine()
 {
     quarantineDue.notify();
--- a/programs/gateway/gatewaystate.h
+++ b/programs/gateway/gatewaystate.h
@@ -12,6 +12,7 @@
 #include "rate/sharedrate.h"
 #include "relay/relaynode.h"
 #include "routing/targetselector.h"
+#include "site/evacuations.h"
 #include "site/siteindex.h"
 #include "site/targetregistry.h"
 #include "streams/streamassembler.h"
@@ -64,6 +65,7 @@
     TargetSelector selector;
     DemandTracker demand;
     Quarantine quarantine;
+    Evacuations evacuations;
     std::map<OrganisationId, SharedRate> rates;
     std::map<ServiceId, RetryBudget> retryBudgets;
     Leadership leadership;
@@ -146,12 +148,22 @@
     void notifyRelays();
     /// Applies what another daemon tells of quarantines.
     void noteQuarantine(const QuarantineUpdate &update, TimePoint now);
+    /// Applies the list of evacuated data centres in the store at `version`.
+    void noteEvacuationRows(std::set<DataCentreId> listed, RowVersion version, TimePoint now);
+    /// Applies what another daemon tells of evacuations.
+    ///
+    /// \param sender names the daemon in the log
+    void noteEvacuations(const EvacuationUpdate &update, const VmId &sender, TimePoint now);
+    /// Ends evacuations that were only kept after a restore of the store.
+    void expireEvacuations(TimePoint now);
     /// Schedules a decision on quarantines, and messages with what has changed.
     void notifyQuarantine();
     /// Wakes the planner, here or at the leader.
     void notifyDemand();
 
 private:
+    /// Sends no more requests to evacuated data centres, and tells the other daemons.
+    void applyEvacuations(std::string source);
     /// Applies the counts of a daemon that sends its status to all others.
     void noteCounts(const DaemonStatus &received, TimePoint now);
     /// \returns the token bucket of an organisation, or null if it is unknown or has no limit
--- a/programs/gateway/peersync.cpp
+++ b/programs/gateway/peersync.cpp
@@ -57,6 +57,7 @@
     for (;;) {
         co_await m_state.peerDataDue.wait(CheckInterval);
         const auto now = BootClock::now();
+        m_state.expireEvacuations(now);
         if (m_state.registry.expire(now))
             m_state.stateChanged.notify();
         const auto version = m_state.index ? m_state.index->version() : 0;
--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -207,6 +207,7 @@
     auto &planner = m_state.planner;
     planner.noteTargets(m_state.registry.targets(), now);
     planner.noteHoldOffs(m_state.selector.holdOffs().inForce(m_state.registry.targets(), now), now);
+    planner.noteEvacuated(m_state.evacuations.dataCentres(), now);
     planner.noteDemand(m_state.settings.vm, m_state.demand.demand(now), m_state.inFlight(), now);
     const auto limit = MaxReportsInFlight - std::min(m_reportsInFlight, MaxReportsInFlight);
     for (const auto &it : planner.reportsDue(limit, now))
@@ -223,13 +224,18 @@
         m_state.statusDue.notify();
 }
 
+bool PlacementCoordinator::mayCall(const TargetEntry &target, TimePoint now) const
+{
+    const auto &selector = m_state.selector;
+    return !selector.holdOffs().find(target, now) && !selector.isEvacuated(target);
+}
+
 asio::awaitable<void> PlacementCoordinator::sendOrder(PlacementOrder order)
 {
     const auto *target = m_state.registry.find(order.target);
     const auto now = BootClock::now();
     platform::OrderResponse response { OrderOutcome::NotSent };
-    const bool isHeldOff = target && m_state.selector.holdOffs().find(*target, now);
-    if (target && !isHeldOff && m_state.leadership.maySendOrders(now)) {
+    if (target && mayCall(*target, now) && m_state.leadership.maySendOrders(now)) {
         const auto startTimeMs = target->startTimeMs;
         m_state.leadership.noteOrder(now);
         response = co_await platform::sendOrder(*target, order, m_state.settings.vm,
@@ -249,7 +255,8 @@
 asio::awaitable<void> PlacementCoordinator::fetchReport(TargetId id)
 {
     const auto *target = m_state.registry.find(id);
-    if (!target || m_state.selector.holdOffs().find(*target, BootClock::now()))
+    const bool isCalled = target && mayCall(*target, BootClock::now());
+    if (!isCalled)
         co_return;
     const auto startTimeMs = target->startTimeMs;
     ++m_reportsInFlight;
--- a/programs/gateway/placementcoordinator.h
+++ b/programs/gateway/placementcoordinator.h
@@ -34,6 +34,8 @@
     /// Logs changes of leadership, and resets the planner when this daemon becomes the leader.
     void noteLeadership(bool isLeader);
     void runPlan(TimePoint now);
+    /// \returns whether the engine may get an order or a report request
+    [[nodiscard]] bool mayCall(const TargetEntry &target, TimePoint now) const;
     boost::asio::awaitable<void> sendOrder(PlacementOrder order);
     boost::asio::awaitable<void> fetchReport(TargetId target);
 
--- a/programs/gateway/relayservice.cpp
+++ b/programs/gateway/relayservice.cpp
@@ -137,6 +137,8 @@
     summary.isReady = own.isReady;
     summary.uptime = own.uptime;
     summary.quarantine = own.quarantine;
+    summary.evacuations = own.evacuations;
+    m_toldEvacuations = m_state.evacuations.dataCentres();
     if (!own.isReady)
         summary.unavailable.push_back(own.vm);
     const auto bytes = encode(summary);
@@ -166,6 +168,7 @@
     digest.placement.update =
             placement.changesSince(base.epoch == placement.epoch() ? base.placement : 0);
     digest.targets = m_state.targetRows.changesSince(base.targets);
+    setColdLeft(digest.targets, now);
     digest.members = m_state.memberRows.changesSince(base.members);
     const auto &unavailable = m_state.relayNode.unavailable();
     digest.unavailable.assign(unavailable.begin(), unavailable.end());
@@ -198,7 +201,8 @@
 void RelayService::sendUrgentDigest(TimePoint now)
 {
     auto digest = nextDigest(m_digestsToPrimaries, now);
-    if (m_areCountsDue || m_state.quarantine.hasNews(now))
+    const bool hasNewEvacuations = m_toldEvacuations != m_state.evacuations.dataCentres();
+    if (m_areCountsDue || hasNewEvacuations || m_state.quarantine.hasNews(now))
         sendSummaries(false, now);
     if (m_areCountsDue) {
         digest.counts = m_state.relayNode.fleetCounts(now);
@@ -243,6 +247,7 @@
 void RelayService::handle(const ReportDatagram &it, TimePoint now)
 {
     m_state.noteQuarantine(it.status.quarantine, now);
+    m_state.noteEvacuations(it.status.evacuations, it.status.vm, now);
     auto &node = m_state.relayNode;
     const bool wasSubscriber = node.isSubscriber(it.status.vm, now);
     if (!node.noteReport(it.status, it.sequence, it.isPrimary, now))
@@ -274,6 +279,7 @@
 void RelayService::handle(const GroupSummary &it, TimePoint now)
 {
     m_state.noteQuarantine(it.quarantine, now);
+    m_state.noteEvacuations(it.evacuations, it.relay, now);
     m_state.relayNode.noteSummary(it, now);
     DaemonStatus status;
     status.vm = it.relay;
--- a/programs/gateway/relayservice.h
+++ b/programs/gateway/relayservice.h
@@ -70,6 +70,8 @@
     DigestHistory m_digestsToPrimaries;
     /// Whether the next digest must contain the admitted tokens, because a rate is nearly used up.
     bool m_areCountsDue = false;
+    /// The evacuated data centres in the last summaries.
+    std::set<DataCentreId> m_toldEvacuations;
 };
 
 } // namespace bluebell::gateway
--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -132,8 +132,11 @@
     std::shared_ptr<Takeover> takeover;
     /// Whether the request tries a prompt part that is in quarantine.
     bool isTrial = false;
-    /// End of the first hold-off that the request waits for, if it waits for nothing else.
+    /// End of the first hold-off or cold period that the request waits for, if it waits for nothing
+    /// else.
     std::optional<TimePoint> holdOffEnd;
+    /// Whether that is a cold period.
+    bool isHeldOffByCold = false;
     /// The latest notice that has affected the request.
     std::optional<TargetNotice> notice;
     /// Entry in the demand statistics while the request waits.
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -23,6 +23,9 @@
 constexpr Duration MaxSelectionInterval = milliseconds(250);
 /// Time in which the leader decides where to load a model.
 constexpr Duration PlacementTime = milliseconds(500);
+/// Retry-After of a request whose service has only evacuated targets: operators end an evacuation
+/// by hand, so no time is known.
+constexpr Duration EvacuationRetryAfter = std::chrono::seconds(2);
 /// How long the demand of a rejected request is kept after its Retry-After time.
 constexpr Duration RetryAllowance = milliseconds(500);
 /// Minimum time that a running request gets after its key was withdrawn.
@@ -44,6 +47,11 @@
     const auto &targets = m_state.registry.targets();
     if (auto chosen = m_state.selector.choose(requirements, targets, m_state.residents(now), now))
         return std::move(*chosen);
+    if (m_state.selector.isEvacuated(it.service->name, targets)) {
+        m_state.metrics.count("bluebell_evacuated_refusals_total", {});
+        return notRun(ErrorCode::Unavailable, "all data centres of the service are evacuated",
+                      EvacuationRetryAfter);
+    }
     noteHoldOff(it, now);
     if (now >= it.deadline)
         return notRun(ErrorCode::Unavailable, "no target can serve the request", milliseconds(500));
@@ -55,6 +63,10 @@
     const auto retryAfter = decideWait(waitFacts(it, now), now).refuseWithRetryAfter;
     if (!retryAfter)
         return std::nullopt;
+    if (it.holdOffEnd && it.isHeldOffByCold) {
+        m_state.metrics.count("bluebell_cold_refusals_total", {});
+        return notRun(ErrorCode::Overloaded, "the targets have just started", *retryAfter);
+    }
     if (it.holdOffEnd)
         return notRun(ErrorCode::Overloaded, "the targets have asked for a hold-off", *retryAfter);
     // The caller is expected to retry after this time, so its demand is kept until then.
@@ -112,8 +124,11 @@
             targetRequirements(it), m_state.registry.targets(), m_state.residents(now), now);
     if (!soonest)
         return;
-    const auto &[target, holdOff] = *soonest;
+    const auto &[target, holdOff, isCold] = *soonest;
     it.holdOffEnd = holdOff.until;
+    it.isHeldOffByCold = isCold;
+    if (isCold)
+        return;
     it.notice = TargetNotice { NoticeKind::HoldOff, target, holdOff.startTimeMs, holdOff.since };
 }
 
--- a/programs/gateway/siteupdates.cpp
+++ b/programs/gateway/siteupdates.cpp
@@ -4,6 +4,7 @@
 #include "gateway/memberrow.h"
 #include "io/background.h"
 #include "platform/documents.h"
+#include "platform/names.h"
 
 #include <nlohmann/json.hpp>
 
@@ -43,6 +44,31 @@
     return true;
 }
 
+void SiteUpdates::replaceOperatorRows(const std::vector<StoreRow> &rows, RowVersion version)
+{
+    m_evacuated.clear();
+    updateOperatorRows(rows, version);
+}
+
+void SiteUpdates::updateOperatorRows(const std::vector<StoreRow> &rows, RowVersion version)
+{
+    namespace names = platform::names;
+    for (const auto &it : rows) {
+        if (!it.key.starts_with(names::EvacuationPrefix))
+            continue;
+        const DataCentreId dataCentre(it.key.substr(names::EvacuationPrefix.size()));
+        if (it.isDeleted)
+            m_evacuated.erase(dataCentre);
+        else if (!dataCentre.isEmpty())
+            m_evacuated.insert(dataCentre);
+    }
+    // Before the configuration, which may be the first one.
+    m_state.noteEvacuationRows(m_evacuated, version, BootClock::now());
+    for (const auto &it : rows)
+        if (it.key == names::ConfigKey && !it.isDeleted)
+            updateConfig(it.value);
+}
+
 void SiteUpdates::updateTarget(const StoreRow &row, RowVersion version)
 {
     const auto now = BootClock::now();
@@ -60,6 +86,8 @@
     auto accepted = entry ? std::optional(std::move(entry.value())) : std::nullopt;
     const TargetId id(row.key);
     const auto *known = m_state.registry.find(id);
+    if (accepted)
+        setColdUntil(*accepted, known, accepted->coldTime, now);
     const auto wasDraining = known ? std::optional(known->isDraining) : std::nullopt;
     m_state.targetRows.put(row.key, relayedRow(accepted), version);
     m_state.registry.put(row.key, std::move(accepted), version);
@@ -169,6 +197,10 @@
         else
             m_state.fleet.removeMember(vm);
     }
+    std::set<VmId> registered;
+    for (const auto &[vm, row] : m_state.memberRows.changesSince(0).rows)
+        registered.insert(vm);
+    m_state.selector.coldLimits().setDaemons(std::move(registered), now);
     m_state.updateRelayGroups(now);
     m_state.notifyRelays();
 }
@@ -178,9 +210,22 @@
     return m_state.isReader(now) && now - m_state.targetsReadAt < MaxFreshAge;
 }
 
+RowChanges<std::string, TargetRow>
+SiteUpdates::withColdTimes(RowChanges<std::string, TargetRow> changes, TimePoint now) const
+{
+    for (auto &[key, row] : changes.rows) {
+        if (!row || !row->entry)
+            continue;
+        const auto *known = m_state.registry.find(TargetId(key));
+        setColdUntil(*row->entry, known, row->coldLeft, now);
+    }
+    return changes;
+}
+
 void SiteUpdates::applyDigest(const FleetDigest &digest, TimePoint now)
 {
     auto &fleet = m_state.fleet;
+    m_state.noteEvacuations(digest.relay.evacuations, digest.relay.vm, now);
     fleet.noteRelayStatus(digest.relay, now);
     if (digest.leader)
         m_state.noteLeader(*digest.leader, digest.relay.estimates, now);
@@ -189,7 +234,7 @@
     m_state.registry.noteContact(now - digest.relay.timeSinceStoreReply);
     std::set<std::string> targets;
     if (!hasFreshTargets(now))
-        targets = m_state.targetRows.apply(digest.targets);
+        targets = m_state.targetRows.apply(withColdTimes(digest.targets, now));
     applyTargets(targets, digest.targets.number);
     applyMembers(m_state.memberRows.apply(digest.members));
     m_state.isBehindRelay = m_state.targetRows.isBehind() || m_state.memberRows.isBehind()
--- a/programs/gateway/siteupdates.h
+++ b/programs/gateway/siteupdates.h
@@ -5,6 +5,7 @@
 #include "relay/digest.h"
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,10 @@
     /// \returns whether the configuration is valid and newer than the current one
     bool updateConfig(const std::string &text);
 
+    /// Replaces all rows of the operators' table by those in the store at `version`.
+    void replaceOperatorRows(const std::vector<platform::StoreRow> &rows, RowVersion version);
+    void updateOperatorRows(const std::vector<platform::StoreRow> &rows, RowVersion version);
+
     /// Replaces all target entries by those in the store at `version`.
     void replaceTargets(const std::vector<platform::StoreRow> &rows, RowVersion version);
     void updateTargets(const std::vector<platform::StoreRow> &rows, RowVersion version);
@@ -49,11 +54,16 @@
     void applyTargets(const std::set<std::string> &changed, RowVersion version);
     /// \returns whether this daemon has just read the target entries itself
     [[nodiscard]] bool hasFreshTargets(TimePoint now) const;
+    /// \returns the relayed rows with the times until which targets are cold
+    [[nodiscard]] RowChanges<std::string, TargetRow>
+    withColdTimes(RowChanges<std::string, TargetRow> changes, TimePoint now) const;
     void applyMembers(const std::set<VmId> &changed);
 
     GatewayState &m_state;
     std::function<void()> m_configChanged;
     bool m_isRegistered = false;
+    /// The evacuated data centres as last read from the store by this daemon.
+    std::set<DataCentreId> m_evacuated;
 };
 
 } // namespace bluebell::gateway
--- a/programs/gateway/storewatch.cpp
+++ b/programs/gateway/storewatch.cpp
@@ -58,11 +58,6 @@
 void StoreWatch::start()
 {
     namespace names = platform::names;
-    const auto onOperatorRows = [this](const std::vector<StoreRow> &rows, RowVersion) {
-        for (const auto &it : rows)
-            if (it.key == names::ConfigKey && !it.isDeleted)
-                m_updates.updateConfig(it.value);
-    };
     Table config;
     config.name = names::OperatorTable;
     config.maxWait = MaxConfigWait;
@@ -71,8 +66,12 @@
     config.minInterval = [] {
         return Duration::zero();
     };
-    config.onSnapshot = onOperatorRows;
-    config.onChanges = onOperatorRows;
+    config.onSnapshot = [this](const auto &rows, RowVersion version) {
+        m_updates.replaceOperatorRows(rows, version);
+    };
+    config.onChanges = [this](const auto &rows, RowVersion version) {
+        m_updates.updateOperatorRows(rows, version);
+    };
     Table targets;
     targets.name = names::ServerTable;
     targets.maxWait = MaxTargetWait;
--- a/src/peer/relaycodec.cpp
+++ b/src/peer/relaycodec.cpp
@@ -119,6 +119,8 @@
     out.setIsEngine(it.engine.has_value());
     out.setStartTimeMs(it.startTimeMs);
     out.setHeartbeat(it.heartbeat);
+    out.setColdMs(detail::toWire(it.coldTime));
+    out.setColdLeftMs(detail::toWire(row->coldLeft));
 }
 
 std::optional<TargetRow> read(wire::DigestTarget::Reader in)
@@ -136,9 +138,10 @@
     it.isDraining = in.getIsDraining();
     it.startTimeMs = in.getStartTimeMs();
     it.heartbeat = in.getHeartbeat();
+    it.coldTime = detail::fromWire(in.getColdMs());
     if (in.getIsEngine())
         it.engine = EngineState();
-    return TargetRow { std::move(it) };
+    return TargetRow { std::move(it), detail::fromWire(in.getColdLeftMs()) };
 }
 
 void write(const VmId &vm, const std::optional<FleetMember> &row, wire::DigestMember::Builder out)
--- a/src/placement/enginetracker.cpp
+++ b/src/placement/enginetracker.cpp
@@ -50,6 +50,16 @@
     m_entry = entry;
 }
 
+void EngineTracker::noteEvacuated(bool isEvacuated, TimePoint now)
+{
+    if (isEvacuated == m_isEvacuated)
+        return;
+    m_isEvacuated = isEvacuated;
+    m_hasReport = false;
+    m_missedReports = 0;
+    m_reportAt = now;
+}
+
 void EngineTracker::noteReport(const EngineState &state, TimePoint now)
 {
     m_reportAt.reset();
@@ -229,8 +239,8 @@
 
 std::optional<PlacementOrder> EngineTracker::takeOrderToResend(TimePoint now)
 {
-    if (!m_pending || m_pending->phase != Phase::Unknown || now < m_pending->resendAt
-        || isHeldOff())
+    if (!m_pending || m_pending->phase != Phase::Unknown || now < m_pending->resendAt || isHeldOff()
+        || m_isEvacuated)
         return std::nullopt;
     m_pending->phase = Phase::Sent;
     return m_pending->order;
@@ -238,7 +248,7 @@
 
 std::optional<TimePoint> EngineTracker::reportDueSince(Duration idleInterval, TimePoint now) const
 {
-    if (isHeldOff())
+    if (isHeldOff() || m_isEvacuated)
         return std::nullopt;
     auto dueAt = m_reportAt;
     if (!dueAt && m_pending && m_pending->phase == Phase::InProgress)
@@ -266,7 +276,8 @@
 
 bool EngineTracker::isLoadingFromStore() const noexcept
 {
-    return m_pending && m_pending->timing.isFromStore;
+    // No report shows the end of a load at an evacuated engine.
+    return m_pending && m_pending->timing.isFromStore && !m_isEvacuated;
 }
 
 Duration EngineTracker::timeLeft(TimePoint now) const
@@ -306,7 +317,7 @@
 
 bool EngineTracker::isUsable(const ServiceId &service) const
 {
-    return m_entry.service == service && !m_entry.isDraining
+    return m_entry.service == service && !m_entry.isDraining && !m_isEvacuated
             && m_missedReports < UnavailableAfterMissedReports && m_holdOffLeft < LongHoldOff;
 }
 
--- a/src/placement/enginetracker.h
+++ b/src/placement/enginetracker.h
@@ -52,6 +52,9 @@
     void noteReportFailed() noexcept { ++m_missedReports; }
     /// Notes for how long the engine wants to be sent nothing; zero for no hold-off.
     void noteHoldOff(Duration left) noexcept { m_holdOffLeft = left; }
+    /// Notes whether the engine's data centre is evacuated. When that has ended, orders are sent
+    /// only after a new report.
+    void noteEvacuated(bool isEvacuated, TimePoint now);
     /// Records that requests use a model or an adapter.
     void noteUse(const ReplicaKey &key, TimePoint now) { m_lastUsed[key] = now; }
     /// Applies the outcome of the order in progress; outcomes of other orders are ignored.
@@ -92,8 +95,9 @@
     [[nodiscard]] std::set<ReplicaKey> serving() const;
     [[nodiscard]] bool serves(const ReplicaKey &key) const;
     [[nodiscard]] TimePoint lastUsedAt(const ReplicaKey &key) const;
-    /// \returns whether the engine belongs to the service, is not draining, responds to report
-    /// requests and has no long hold-off
+    [[nodiscard]] bool isEvacuated() const noexcept { return m_isEvacuated; }
+    /// \returns whether the engine belongs to the service, is not draining and not evacuated,
+    /// responds to report requests and has no long hold-off
     [[nodiscard]] bool isUsable(const ServiceId &service) const;
     /// \returns whether the engine accepts orders, now or after the order in progress
     [[nodiscard]] bool acceptsOrders(const ServiceId &service) const;
@@ -155,6 +159,7 @@
     unsigned m_missedReports = 0;
     /// Time until the end of the engine's hold-off.
     Duration m_holdOffLeft {};
+    bool m_isEvacuated = false;
     std::map<ReplicaKey, TimePoint> m_lastUsed;
     /// A model with its adapters whose unload counts as completed by its duration, without a
     /// report. Its memory and adapter slots stay unavailable to adapters, because the engine
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -99,6 +99,12 @@
     }
 }
 
+void SwapPlanner::noteEvacuated(const std::set<DataCentreId> &dataCentres, TimePoint now)
+{
+    for (auto &[id, it] : m_engines)
+        it.noteEvacuated(dataCentres.contains(it.entry().dataCentre), now);
+}
+
 void SwapPlanner::noteDemand(const VmId &vm, std::vector<ModelDemand> demand,
                              std::vector<ModelInFlight> inFlight, TimePoint now)
 {
@@ -312,6 +318,7 @@
                                                               TimePoint now) const
 {
     std::optional<Candidate> best;
+    bool isBestCold = false;
     std::uint32_t bestLoad = 0;
     const auto *engine = engineOf(wanted.service);
     if (!engine)
@@ -336,9 +343,13 @@
                     + (inFlightAt(id, victim.model) > 0 ? DrainTime : Duration::zero());
         candidate.victims = std::move(*victims);
         const auto load = targetLoad(id);
-        if (best && std::tie(best->readyIn, bestLoad) <= std::tie(candidate.readyIn, load))
+        const bool isCold = it.entry().isCold(now);
+        if (best
+            && std::tie(best->readyIn, isBestCold, bestLoad)
+                    <= std::tie(candidate.readyIn, isCold, load))
             continue;
         best = std::move(candidate);
+        isBestCold = isCold;
         bestLoad = load;
     }
     return best;
@@ -438,7 +449,7 @@
         const auto *order = it.order();
         const bool isModelLoad =
                 order && order->action == IntentAction::Load && !order->isForAdapter();
-        if (isModelLoad && !it.entry().isDraining)
+        if (isModelLoad && !it.entry().isDraining && !it.isEvacuated())
             all.push_back({ it.entry().service, order->key.model, it.timeLeft(now) });
     }
     return all;
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -46,6 +46,9 @@
     /// Replaces the hold-offs in force, with their ends. Their targets get no orders and no report
     /// requests, and with a long one their replicas do not count as available.
     void noteHoldOffs(const std::map<TargetId, TimePoint> &ends, TimePoint now);
+    /// Replaces the evacuated data centres. Their engines get no orders and no report requests, and
+    /// what they hold does not count as available.
+    void noteEvacuated(const std::set<DataCentreId> &dataCentres, TimePoint now);
     /// Replaces one daemon's demand and requests in flight.
     void noteDemand(const VmId &vm, std::vector<ModelDemand> demand,
                     std::vector<ModelInFlight> inFlight, TimePoint now);
@@ -68,7 +71,7 @@
     /// \returns the replicas that can serve requests at each target, without those being unloaded
     [[nodiscard]] ResidentReplicas residents() const;
     /// \returns for each model being loaded the time until it can serve requests; loads at draining
-    /// targets, which get no requests, are left out
+    /// or evacuated targets, which get no requests, are left out
     [[nodiscard]] std::vector<LoadEstimate> estimates(TimePoint now) const;
 
 private:
--- a/src/relay/digest.h
+++ b/src/relay/digest.h
@@ -19,8 +19,11 @@
 {
     /// Empty if the entry in the store is malformed. `engine` is set but empty for engines.
     std::optional<TargetEntry> entry;
+    /// In a message: how much longer the target is cold when the message is sent.
+    Duration coldLeft {};
 
-    /// Compares everything but the heartbeat, which changes all the time.
+    /// Compares everything but the heartbeat, which changes all the time, and the end of the cold
+    /// period, which is a time of this daemon's clock.
     friend bool operator==(const TargetRow &a, const TargetRow &b);
 };
 
@@ -29,6 +32,9 @@
 /// \returns the row that is relayed for a target's entry
 [[nodiscard]] TargetRow relayedRow(const std::optional<TargetEntry> &entry);
 
+/// Sets the time left in the rows of a message that is about to be sent.
+void setColdLeft(RowChanges<std::string, TargetRow> &targets, TimePoint now);
+
 /// What the leader has published, as a daemon knows it.
 struct RelayedPlacement
 {
--- a/src/routing/targetselector.cpp
+++ b/src/routing/targetselector.cpp
@@ -25,6 +25,9 @@
 constexpr double RemoteCost = 0.12;
 /// Cost of a target that fails every request, as a fraction of its slots.
 constexpr double FailureCost = 2.0;
+/// Cost of a cold target, as a fraction of its slots. It stands few requests, which are kept for
+/// those that no other target can serve.
+constexpr double ColdCost = 2.0;
 /// Largest cost added to order targets that are otherwise equal; the order differs by daemon.
 constexpr double MaxTieBreak = 0.01;
 
@@ -41,6 +44,19 @@
     return held != residents.end() && held->second.contains(*requirements.key);
 }
 
+std::optional<TargetHoldOff> TargetSelector::findHoldOff(const TargetEntry &target,
+                                                         TimePoint now) const
+{
+    const auto *holdOff = m_holdOffs.find(target, now);
+    const auto coldUntil = m_coldLimits.blockedUntil(target, now);
+    const bool isCold = coldUntil && (!holdOff || holdOff->until < *coldUntil);
+    if (isCold)
+        return TargetHoldOff { target.id, { target.startTimeMs, now, *coldUntil }, true };
+    if (!holdOff)
+        return std::nullopt;
+    return TargetHoldOff { target.id, *holdOff };
+}
+
 bool TargetSelector::isEvacuated(const ServiceId &service,
                                  const std::map<TargetId, TargetEntry> &targets) const
 {
@@ -164,6 +180,8 @@
     double cost = load(target.id) / slots;
     if (target.dataCentre != m_dataCentre)
         cost += RemoteCost;
+    if (target.isCold(now))
+        cost += ColdCost;
     const auto tieBreak = static_cast<double>(rendezvousScore(m_salt, target.id.value()) % 1000);
     cost += MaxTieBreak * tieBreak / 1000;
     if (const auto it = m_health.find(target.id); it != m_health.end()) {
@@ -183,7 +201,7 @@
     double bestCost = 0;
     for (const auto &[id, target] : targets) {
         if (!meets(requirements, target, residents) || requirements.excluded.contains(id)
-            || m_holdOffs.find(target, now))
+            || findHoldOff(target, now))
             continue;
         const auto health = m_health.find(id);
         if (health != m_health.end() && now < health->second.unreachableUntil)
@@ -211,11 +229,11 @@
     for (const auto &[id, target] : targets) {
         if (!meets(requirements, target, residents))
             continue;
-        const auto *holdOff = m_holdOffs.find(target, now);
+        auto holdOff = findHoldOff(target, now);
         if (!holdOff)
             return std::nullopt;
-        if (!soonest || holdOff->until < soonest->holdOff.until)
-            soonest = TargetHoldOff { id, *holdOff };
+        if (!soonest || holdOff->holdOff.until < soonest->holdOff.until)
+            soonest = std::move(holdOff);
     }
     return soonest;
 }
--- a/src/routing/targetselector.h
+++ b/src/routing/targetselector.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "placement/placementupdate.h"
+#include "routing/coldlimits.h"
 #include "routing/holdoffs.h"
 #include "site/targetregistry.h"
 
@@ -27,11 +28,14 @@
     std::set<TargetId> excluded;
 };
 
-/// A hold-off in force and the target that asked for it.
+/// Why and until when a target gets no request of this daemon.
 struct TargetHoldOff
 {
     TargetId target;
+    /// The hold-off that the target asked for, or its cold period as far as this daemon may not
+    /// send to it.
     HoldOff holdOff;
+    bool isCold = false;
 };
 
 /// Outcome of an exchange with a target.
@@ -54,14 +58,15 @@
 ///
 /// A target in backoff, after a broken exchange or because it is full, has a high cost but is still
 /// chosen when there is no better one. An unreachable one is not chosen at all for a short time,
-/// and one that asked for a hold-off not before its end.
+/// and one that asked for a hold-off not before its end. A cold one gets few requests, and
+/// only when there is no warm one with a reasonable cost.
 class TargetSelector
 {
 public:
     /// \param dataCentre the data centre of this daemon, whose targets are preferred
-    /// \param salt differs between daemons, so that they spread over targets of equal cost
+    /// \param salt name of this daemon's VM, so that daemons spread over targets of equal cost
     TargetSelector(DataCentreId dataCentre, std::string salt)
-        : m_dataCentre(std::move(dataCentre)), m_salt(std::move(salt))
+        : m_dataCentre(std::move(dataCentre)), m_salt(std::move(salt)), m_coldLimits(VmId(m_salt))
     {
     }
 
@@ -69,6 +74,8 @@
 
     /// Notes that a request was sent to `target`, which needs `key` if given.
     void noteStarted(const TargetId &target, const std::optional<ReplicaKey> &key);
+    /// Notes that a request is sent to `target`, also one that is not counted by noteStarted() yet.
+    void noteSent(const TargetEntry &target, TimePoint now) { m_coldLimits.noteSent(target, now); }
     /// Notes the end of a request that was noted by noteStarted() with the same arguments.
     void noteEnded(const TargetId &target, const std::optional<ReplicaKey> &key);
     /// Notes how an exchange with the target ended.
@@ -87,6 +94,7 @@
     void setPeerCountsLifetime(Duration lifetime) { m_peerCountsLifetime = lifetime; }
     /// Sets the data centres whose targets get no request.
     void setEvacuated(std::set<DataCentreId> dataCentres) { m_evacuated = std::move(dataCentres); }
+    [[nodiscard]] ColdLimits &coldLimits() noexcept { return m_coldLimits; }
     /// Drops the health of targets that are not in `targets` and have no request of this daemon in
     /// flight.
     void retainOnly(const std::map<TargetId, TargetEntry> &targets);
@@ -99,8 +107,9 @@
                                                  const std::map<TargetId, TargetEntry> &targets,
                                                  const ResidentReplicas &residents, TimePoint now);
 
-    /// \returns the hold-off that ends first, if hold-offs are all that keeps the targets that meet
-    /// the requirements from being chosen; targets that were tried already count as well
+    /// \returns the hold-off or cold period that ends first, if these are all that keeps the
+    /// targets that meet the requirements from being chosen; targets that were tried already count
+    /// as well
     [[nodiscard]] std::optional<TargetHoldOff>
     soonestHoldOff(const TargetRequirements &requirements,
                    const std::map<TargetId, TargetEntry> &targets,
@@ -149,9 +158,13 @@
         TimePoint at;
     };
 
-    /// \returns whether the target can serve the request, apart from its health and earlier attempts
+    /// \returns whether the target can serve the request, apart from its health and earlier
+    /// attempts
     [[nodiscard]] bool meets(const TargetRequirements &requirements, const TargetEntry &target,
                              const ResidentReplicas &residents) const;
+    /// \returns the hold-off or cold period because of which `target` gets no request now
+    [[nodiscard]] std::optional<TargetHoldOff> findHoldOff(const TargetEntry &target,
+                                                           TimePoint now) const;
     /// \returns the cost of sending a request to `target`, in multiples of its slots
     [[nodiscard]] double costOf(const TargetEntry &target, TimePoint now) const;
 
@@ -170,6 +183,7 @@
     std::map<std::pair<TargetId, ReplicaKey>, TimePoint> m_notResidentUntil;
     HoldOffs m_holdOffs;
     std::set<DataCentreId> m_evacuated;
+    ColdLimits m_coldLimits;
 };
 
 } // namespace bluebell
--- a/src/site/siteconfig.h
+++ b/src/site/siteconfig.h
@@ -106,6 +106,8 @@
     ServiceId name;
     /// Connections that a target accepts from all daemons together.
     std::uint32_t connectionLimit = 0;
+    /// Requests per second that a cold target stands from all daemons together; 0 for no limit.
+    double coldRate = 0;
     /// Set for model engines, empty for other services.
     std::optional<EngineSpec> engine;
 };
--- a/src/site/targetregistry.cpp
+++ b/src/site/targetregistry.cpp
@@ -4,6 +4,13 @@
 
 namespace bluebell {
 
+void setColdUntil(TargetEntry &entry, const TargetEntry *known, Duration left, TimePoint now)
+{
+    const bool isSame = known && known->startTimeMs == entry.startTimeMs
+            && known->heartbeat == entry.heartbeat && known->coldTime == entry.coldTime;
+    entry.coldUntil = isSame ? known->coldUntil : now + left;
+}
+
 void TargetRegistry::noteContact(TimePoint now)
 {
     if (m_lastContact && now <= *m_lastContact)
--- a/src/site/targetregistry.h
+++ b/src/site/targetregistry.h
@@ -53,10 +53,24 @@
     std::uint64_t startTimeMs = 0;
     /// Number of heartbeats that the target says it has written in this run.
     std::uint64_t heartbeat = 0;
+    /// How much longer the target was cold when the entry was written: it stands few requests then.
+    Duration coldTime {};
+    /// Until when the target is cold, as far as this daemon knows.
+    TimePoint coldUntil;
     /// Set for engines.
     std::optional<EngineState> engine;
+
+    [[nodiscard]] bool isCold(TimePoint now) const noexcept { return now < coldUntil; }
 };
 
+/// Sets TargetEntry::coldUntil of an entry that has just been read. The time since it was written
+/// is unknown, so the target may count as cold for longer than it is, but never for less.
+///
+/// \param known the entry as known before, or null; if it is the same, its time is kept, so that
+///        reading an old entry once more does not make its target cold again
+/// \param left time for which the target is cold from now on
+void setColdUntil(TargetEntry &entry, const TargetEntry *known, Duration left, TimePoint now);
+
 /// The targets that may receive requests.
 ///
 /// Targets cannot renew their entries during an outage of the store, so entries of live targets may
--- a/tests/platformstandin.cpp
+++ b/tests/platformstandin.cpp
@@ -91,11 +91,11 @@
     it["Sequence"] = ++m_heartbeat;
     it["Service"] = m_service;
     it["Address"] = toString(m_address);
-    it["Zone"] = "leicester";
+    it["Zone"] = zone;
     it["Version"] = "v1";
     it["Slots"] = 8;
     it["State"] = stateName;
-    it["ColdLeftMs"] = 0;
+    it["ColdLeftMs"] = coldLeftMs;
     m_store.put("servers", m_id, it.dump());
 }
 
--- a/tests/platformstandin.h
+++ b/tests/platformstandin.h
@@ -96,6 +96,10 @@
     bool isEngine = false;
     std::set<std::string> models;
     std::set<std::string> onDisk;
+    /// Data centre in the target's entry.
+    std::string zone = "leicester";
+    /// Time for which the target is cold, in its entry.
+    int coldLeftMs = 0;
     Duration loadTime = std::chrono::milliseconds(100);
     int events = 5;
     TargetBehaviour behaviour;
--- a/tests/tst_adapter_relaycodec.cpp
+++ b/tests/tst_adapter_relaycodec.cpp
@@ -20,6 +20,7 @@
     it.configVersion = 12;
     it.inFlight.push_back({ TargetId("t1"), {}, 3 });
     it.rates.push_back({ OrganisationId("org"), 500, 200, 480 });
+    it.evacuations = { 31, { DataCentreId("derby") }, { { DataCentreId("leicester"), 2s } } };
     return it;
 }
 
@@ -45,9 +46,10 @@
     entry.slots = 12;
     entry.isDraining = true;
     entry.startTimeMs = 99;
+    entry.coldTime = 1500ms;
     entry.engine = EngineState();
     it.targets = {
-        3, 6, { { "t1", TargetRow { entry } }, { "t2", TargetRow {} }, { "t3", {} } }, 77
+        3, 6, { { "t1", TargetRow { entry, 900ms } }, { "t2", TargetRow {} }, { "t3", {} } }, 77
     };
     FleetMember member { VmId("vm-2"),          IncarnationId("i2"),
                          DataCentreId("derby"), { "10.0.0.2", 1 },
@@ -67,6 +69,10 @@
     EXPECT_EQ(report.sequence, 42U);
     EXPECT_TRUE(report.isPrimary);
     EXPECT_EQ(report.status.rates.at(0).acknowledged, 480);
+    const auto &evacuations = report.status.evacuations;
+    EXPECT_EQ(evacuations.version, 31U);
+    EXPECT_EQ(evacuations.listed, status().evacuations.listed);
+    EXPECT_EQ(evacuations.kept, status().evacuations.kept);
 }
 
 TEST(RelayCodec, RoundTripsADigest)
@@ -77,6 +83,8 @@
     const auto &datagram = std::get<DigestDatagram>(decoded.value());
     EXPECT_EQ(datagram.countedReport, 41U);
     const auto &it = datagram.digest;
+    EXPECT_EQ(it.targets.rows.at("t1")->coldLeft, 900ms);
+    EXPECT_EQ(it.targets.rows.at("t1")->entry->coldTime, 1500ms);
     ASSERT_TRUE(it.leader);
     EXPECT_EQ(it.leader->epoch, 4U);
     EXPECT_EQ(it.leader->age, 150ms);
--- a/tests/tst_fleet.cpp
+++ b/tests/tst_fleet.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace bluebell;
 using namespace std::chrono_literals;
 
@@ -56,6 +58,31 @@
     EXPECT_EQ(fleet.callerDaemons(false, Start + 5s), std::vector { member("a") });
 }
 
+/// Guards against an address lookup that names a daemon that has been gone for more than
+/// StableWindowMs + 3 s, beside running ones, in a fleet without relays.
+TEST(Fleet, ADaemonThatIsGoneIsNotNamedAfterSevenSeconds)
+{
+    for (const int count : { 2, 8, 15 }) {
+        Fleet fleet(member("self"));
+        std::vector<FleetMember> members;
+        for (int n = 0; n < count; ++n)
+            members.push_back(member("vm-" + std::to_string(n)));
+        fleet.replaceMembers(members, Start);
+        for (auto now = Start; now < Start + 30s; now += 100ms) {
+            for (int n = now < Start + 10s ? 0 : 1; n < count; ++n)
+                fleet.noteStatus(status("vm-" + std::to_string(n)), now);
+            const auto named = fleet.callerDaemons(true, now);
+            const bool isNamed = std::count(named.begin(), named.end(), member("vm-0")) > 0;
+            if (now < Start + 10s) {
+                ASSERT_TRUE(isNamed) << count;
+            }
+            if (now >= Start + 17s) {
+                ASSERT_FALSE(isNamed) << count;
+            }
+        }
+    }
+}
+
 TEST(Fleet, LateStatusOfFormerIncarnationIsIgnored)
 {
     Fleet fleet(member("a"));
--- a/tests/tst_relays.cpp
+++ b/tests/tst_relays.cpp
@@ -111,6 +111,32 @@
     }
 }
 
+/// Guards against an address lookup that names a daemon that has been gone for more than
+/// StableWindowMs + 3 s, also when other daemons, relays among them, fail at the same time and
+/// afterwards.
+TEST(Relays, ADaemonThatIsGoneIsNotListedAfterSevenSeconds)
+{
+    constexpr std::size_t Gone = 17;
+    RelaySimulation fleet({});
+    fleet.run(10s);
+    for (std::size_t n = Gone; n < fleet.size(); n += 10)
+        fleet.kill(n);
+    fleet.run(7s);
+    std::size_t listed = 0;
+    for (int step = 0; step < 100; ++step) {
+        if (step == 20)
+            for (std::size_t n = 0; n < fleet.size(); n += 4)
+                fleet.kill(n);
+        fleet.run(50ms);
+        for (std::size_t n = 0; n < fleet.size(); ++n) {
+            const bool isRunning = n % 10 != Gone % 10 && (step < 20 || n % 4 != 0);
+            if (isRunning && fleet.knowsFleet(n))
+                listed += fleet.isUnavailable(n, Gone) ? 0 : 1;
+        }
+    }
+    EXPECT_EQ(listed, 0U);
+}
+
 /// Regression: after all daemons had been killed, a VM that was lost long before was listed until
 /// the new relays had missed its reports, since its row was still in the store.
 TEST(Relays, ALostDaemonIsNotListedAfterARestartOfTheOthers)
--- a/tests/tst_swapplanner.cpp
+++ b/tests/tst_swapplanner.cpp
@@ -50,6 +50,7 @@
     {
         TargetEntry entry;
         entry.id = TargetId(name);
+        entry.dataCentre = DataCentreId(name + "-dc");
         entry.service = Engines;
         entry.slots = 64;
         entry.startTimeMs = 1;
@@ -622,3 +623,62 @@
     m_planner.noteTargets(m_entries, m_now);
     EXPECT_TRUE(m_planner.estimates(m_now).empty());
 }
+
+/// Guards against orders to an evacuated data centre, and against a model that is available only
+/// there.
+TEST_F(SwapPlannerTest, WhatAnEvacuatedEngineHoldsIsLoadedElsewhere)
+{
+    addTarget("t1", { "m0" });
+    addTarget("t2", {}, { "m0" });
+    start();
+    m_planner.noteEvacuated({ DataCentreId("t1-dc") }, m_now);
+    addDemand(model("m0"));
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_FALSE(orders.empty());
+    for (const auto &it : orders)
+        EXPECT_EQ(it.target, TargetId("t2"));
+    EXPECT_EQ(orders.front().key, model("m0"));
+    m_now += 1min;
+    const auto due = m_planner.reportsDue(1000, m_now);
+    EXPECT_EQ(due, std::vector<TargetId>({ TargetId("t2") }));
+}
+
+/// Guards against orders that rely on what an engine reported before its evacuation.
+TEST_F(SwapPlannerTest, AnEngineGetsOrdersAfterAnEvacuationOnlyWithANewReport)
+{
+    addTarget("t1", {}, { "m0" });
+    start();
+    m_planner.noteEvacuated({ DataCentreId("t1-dc") }, m_now);
+    addDemand(model("m0"));
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+    m_planner.noteEvacuated({}, m_now);
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+    EXPECT_EQ(m_planner.reportsDue(1000, m_now).size(), 1U);
+    m_planner.noteReport(TargetId("t1"), 1, report("t1"), m_now);
+    EXPECT_FALSE(m_planner.plan(m_now).empty());
+}
+
+TEST_F(SwapPlannerTest, AnUnansweredOrderIsNotResentDuringAnEvacuation)
+{
+    addTarget("t1", {}, { "m0" });
+    start(1);
+    addDemand(model("m0"));
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    m_planner.noteOutcome(orders.front(), OrderOutcome::Unknown, m_now);
+    m_planner.noteEvacuated({ DataCentreId("t1-dc") }, m_now);
+    m_now += 200ms;
+    EXPECT_TRUE(m_planner.plan(m_now).empty());
+}
+
+TEST_F(SwapPlannerTest, PrefersAWarmEngineWhenBothAreEquallySuitable)
+{
+    addTarget("t1", {}, { "m0" });
+    addTarget("t2", {}, { "m0" });
+    m_entries[TargetId("t1")].coldUntil = Start + 3s;
+    start(1);
+    addDemand(model("m0"));
+    const auto orders = m_planner.plan(m_now);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().target, TargetId("t2"));
+}
--- a/tests/tst_targetselector.cpp
+++ b/tests/tst_targetselector.cpp
@@ -128,3 +128,23 @@
     ASSERT_TRUE(soonest);
     EXPECT_EQ(soonest->target, TargetId("b1"));
 }
+
+/// Guards against more requests to a cold target than this daemon may send, whatever their kind.
+TEST(TargetSelector, AColdTargetGetsOnlyThisDaemonsShare)
+{
+    TargetSelector selector(DataCentreId("a"), "vm-1");
+    auto all = targets({ "a1", "b1" });
+    all.at(TargetId("a1")).coldUntil = Start + 3s;
+    selector.coldLimits().setRates({ { Plain, 1 } });
+    selector.coldLimits().setDaemons({ VmId("vm-1") }, Start - 1h);
+    EXPECT_EQ(selector.choose(requirements(), all, {}, Start), TargetId("b1"));
+    all.erase(TargetId("b1"));
+    ASSERT_EQ(selector.choose(requirements(), all, {}, Start), TargetId("a1"));
+    selector.noteSent(all.at(TargetId("a1")), Start);
+    EXPECT_EQ(selector.choose(requirements(), all, {}, Start), std::nullopt);
+    const auto soonest = selector.soonestHoldOff(requirements(), all, {}, Start);
+    ASSERT_TRUE(soonest);
+    EXPECT_TRUE(soonest->isCold);
+    EXPECT_EQ(soonest->holdOff.until, Start + ColdLimits::Window);
+    EXPECT_TRUE(selector.choose(requirements(), all, {}, Start + 3s));
+}
