Simulate a large site with a slow weight store in the swap simulation

Half of the value on the larger deployments is in requests for 248 rare models, with engines whose disk and memory evict copies and a store that runs two loads at full speed.

The simulation takes sizes, load times, HostMb, DiskMb and goals as settings, shares the store's throughput among the loads in progress, and counts models without a copy at the end. The configuration's HostMb and DiskMb are decoded into EngineSpec.

--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -14,7 +14,7 @@
 /// \file
 /// Compares policies with their baselines on the same generated load, in virtual time.
 ///
-/// usage: bluebell-experiment rate|placement|queue|swaps [FIRST_SEED [SEEDS]]
+/// usage: bluebell-experiment rate|placement|queue|swaps|largeswaps [FIRST_SEED [SEEDS]]
 
 namespace {
 
@@ -242,7 +242,8 @@
     SwapSimulationReport sum;
     for (const auto &it : reports) {
         for (const auto &[total, part] :
-             { std::pair(&sum.chat, &it.chat), std::pair(&sum.rare, &it.rare) }) {
+             { std::pair(&sum.chat, &it.chat), std::pair(&sum.second, &it.second),
+               std::pair(&sum.rare, &it.rare) }) {
             total->requestCount += part->requestCount;
             total->onTime += part->onTime;
             total->late += part->late;
@@ -251,15 +252,21 @@
         sum.orders += it.orders;
         sum.storeLoads += it.storeLoads;
         sum.overcommitted += it.overcommitted;
+        sum.maxStoreLoads = std::max(sum.maxStoreLoads, it.maxStoreLoads);
+        sum.uncovered += it.uncovered;
     }
     const auto share = [](int n, const CallerReport &of) {
         return 100.0 * n / std::max(of.requestCount, 1);
     };
-    fmt::print("  {:<14} chat on time {:5.1f}% timed out {:4.1f}%  rare on time {:5.1f}% "
-               "late {:4.1f}% timed out {:4.1f}%  orders {:5} store loads {:4} overcommitted {}\n",
+    fmt::print("  {:<14} chat on time {:5.1f}% timed out {:4.1f}%  second on time {:5.1f}%  rare "
+               "on time {:5.1f}% "
+               "late {:4.1f}% timed out {:4.1f}%  orders {:5} store loads {:4} (at most {} in 5 s) "
+               "overcommitted {} "
+               "uncovered {}\n",
                policy, share(sum.chat.onTime, sum.chat), share(sum.chat.timedOut, sum.chat),
-               share(sum.rare.onTime, sum.rare), share(sum.rare.late, sum.rare),
-               share(sum.rare.timedOut, sum.rare), sum.orders, sum.storeLoads, sum.overcommitted);
+               share(sum.second.onTime, sum.second), share(sum.rare.onTime, sum.rare),
+               share(sum.rare.late, sum.rare), share(sum.rare.timedOut, sum.rare), sum.orders,
+               sum.storeLoads, sum.maxStoreLoads, sum.overcommitted, sum.uncovered);
 }
 
 /// Runs the load profile of the target deployment: live chat whose set of models changes over time,
@@ -282,6 +289,24 @@
     }
 }
 
+/// Runs the load profile of the larger deployment, with as many engines as rare models need, and
+/// with a start from a weight store that has far more models than the engines.
+void runLargeSite(const Seeds &seeds)
+{
+    for (const int storeOnly : { 12, 60 }) {
+        std::vector<SwapSimulationReport> planned;
+        for (std::uint64_t n = 0; n < seeds.count; ++n) {
+            auto settings = largeSite();
+            settings.seed = static_cast<unsigned>(seeds.first + n);
+            settings.storeOnlyModels = storeOnly;
+            planned.push_back(simulatePlanner(settings));
+        }
+        fmt::print("90 engines, 274 models, 66 rare requests/s, {} models only in the store\n",
+                   storeOnly);
+        printSwaps("planner", planned);
+    }
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -300,9 +325,12 @@
         runQueues(seeds);
     else if (experiment == "swaps")
         runSwaps(seeds);
+    else if (experiment == "largeswaps")
+        runLargeSite(seeds);
     else {
         fmt::print(stderr,
-                   "usage: bluebell-experiment rate|placement|queue|swaps [FIRST_SEED [SEEDS]]\n");
+                   "usage: bluebell-experiment rate|placement|queue|swaps|largeswaps [FIRST_SEED "
+                   "[SEEDS]]\n");
         return 2;
     }
     return 0;
--- a/src/site/siteconfig.h
+++ b/src/site/siteconfig.h
@@ -92,6 +92,10 @@
     std::map<ModelId, ModelSpec> models;
     /// Memory of one target for models and adapters together.
     Megabytes weights = 0;
+    /// Memory of one target for copies of models that are not resident; 0 when it is not stated.
+    Megabytes hostMemory = 0;
+    /// Room for copies on the disk of one target; 0 when it is not stated.
+    Megabytes disk = 0;
     /// Adapters that one target can hold.
     std::uint32_t adapterSlots = 0;
     /// Loads per second that the weight store allows, over all targets.
--- a/tests/swapsimulation.cpp
+++ b/tests/swapsimulation.cpp
@@ -24,9 +24,6 @@
 constexpr Duration ReportLag = milliseconds(200);
 constexpr Duration RunTime = milliseconds(900);
 constexpr Duration UnloadTime = milliseconds(50);
-constexpr Duration StoreLoad = std::chrono::seconds(6);
-constexpr Duration DiskLoad = milliseconds(550);
-constexpr Duration MemoryLoad = milliseconds(440);
 constexpr Duration StoreRateWindow = std::chrono::seconds(5);
 constexpr std::size_t CopiesInMemory = 2;
 /// Number of engines where each busy model is resident at the start.
@@ -41,8 +38,6 @@
     Duration goal;
     Duration maxWait;
 };
-constexpr CallerKind Chat { 1, milliseconds(250), std::chrono::seconds(2) };
-constexpr CallerKind Rare { 0, milliseconds(2500), std::chrono::seconds(10) };
 
 /// A simulated engine, which executes one order at a time.
 struct Engine
@@ -52,15 +47,20 @@
     std::optional<PlacementOrder> order;
     TimePoint orderEnd;
     bool isFromStore = false;
+    /// Time that the load from the weight store still needs at full speed.
+    Duration storeLoadLeft {};
     /// Recent states; reports show the one from ReportLag ago.
     std::deque<std::pair<TimePoint, EngineState>> history;
+    /// Copies, the least recently used first.
     std::deque<ModelId> inMemory;
+    std::deque<ModelId> onDisk;
 };
 
 struct Caller
 {
     ModelId model;
     const CallerKind *kind = nullptr;
+    CallerReport *report = nullptr;
     TimePoint at;
     WaitId wait = 0;
 };
@@ -82,7 +82,11 @@
 {
 public:
     explicit Simulation(const SwapSimulationSettings &settings)
-        : m_settings(settings), m_random(settings.seed)
+        : m_settings(settings),
+          m_random(settings.seed), m_chat { 1, settings.chatGoal, std::chrono::seconds(2) },
+          m_second { 2, settings.secondGoal, std::chrono::seconds(4) }, m_rare {
+              0, settings.rareGoal, std::chrono::seconds(10)
+          }
     {
         makeModels();
         makeEngines();
@@ -93,6 +97,7 @@
     {
         const auto end = Start + m_settings.warmUp + m_settings.length;
         for (m_now = Start; m_now < end; m_now += Step) {
+            advanceStoreLoads();
             finishOrders();
             finishRequests();
             if (m_now >= Start + m_settings.warmUp)
@@ -101,6 +106,7 @@
                 policy.plan(*this);
             serve(policy);
         }
+        countUncovered();
         return m_report;
     }
 
@@ -164,20 +170,35 @@
     }
 
 private:
+    static Megabytes between(Megabytes least, Megabytes most, double share)
+    {
+        return least + (most - least) * share;
+    }
+    static Duration between(Duration least, Duration most, double share)
+    {
+        return least + std::chrono::duration_cast<Duration>((most - least) * share);
+    }
     void makeModels()
     {
         m_spec.weights = m_settings.memory;
         m_spec.adapterSlots = 8;
         m_spec.slots = 64;
+        m_spec.hostMemory = m_settings.hostMemory;
+        m_spec.disk = m_settings.disk;
         m_spec.storeLoadsPerSecond = m_settings.storeLoadsPerSecond;
         for (int n = 0; n < m_settings.models; ++n) {
             ModelSpec model;
             model.weights = n % 3 == 0 ? 72700 : 65100;
             if (n % 5 == 4)
                 model.weights = 42700;
-            model.storeLoadTime = StoreLoad;
-            model.diskLoadTime = DiskLoad;
-            model.memoryLoadTime = MemoryLoad;
+            const auto share = double(n * 7 % 10) / 9;
+            if (m_settings.largestModel > 0)
+                model.weights = between(m_settings.smallestModel, m_settings.largestModel, share);
+            model.storeLoadTime = m_settings.storeLoad;
+            model.diskLoadTime =
+                    between(m_settings.shortestDiskLoad, m_settings.longestDiskLoad, share);
+            model.memoryLoadTime =
+                    between(m_settings.shortestMemoryLoad, m_settings.longestMemoryLoad, share);
             m_spec.models.emplace(modelName(n), model);
         }
     }
@@ -188,11 +209,16 @@
             Engine engine;
             if (n < m_settings.busyNow * BusyCopies)
                 addResident(engine, modelName(n % m_settings.busyNow));
-            while (next < m_settings.models && fits(engine, modelName(next)))
+            const int residentModels = m_settings.diskCopies > 0
+                    ? m_settings.models - m_settings.storeOnlyModels
+                    : m_settings.models;
+            while (next < residentModels && fits(engine, modelName(next)))
                 addResident(engine, modelName(next++));
-            for (int m = n; m < m_settings.models - m_settings.storeOnlyModels;
-                 m += m_settings.engines)
-                engine.state.onDisk.insert(modelName(m));
+            const int copies = std::max(m_settings.diskCopies, 1);
+            for (int m = 0; m < m_settings.models - m_settings.storeOnlyModels; ++m)
+                for (int copy = 0; copy < copies; ++copy)
+                    if ((m + copy * 31) % m_settings.engines == n)
+                        addToDisk(engine, modelName(m));
             m_engines.emplace(TargetId("t" + std::to_string(n)), engine);
         }
         for (auto &[id, engine] : m_engines)
@@ -205,16 +231,48 @@
             held += m_spec.models.at(key.model).weights;
         return held <= m_spec.weights;
     }
-    static void addResident(Engine &engine, const ModelId &model)
+    /// Evicts the least recently used copies beyond the room.
+    void trim(std::deque<ModelId> &copies, Megabytes room) const
+    {
+        Megabytes held = 0;
+        for (const auto &model : copies)
+            held += m_spec.models.at(model).weights;
+        while (held > room) {
+            held -= m_spec.models.at(copies.front()).weights;
+            copies.pop_front();
+        }
+    }
+    void addToDisk(Engine &engine, const ModelId &model) const
+    {
+        std::erase(engine.onDisk, model);
+        engine.onDisk.push_back(model);
+        if (m_settings.disk > 0)
+            trim(engine.onDisk, m_settings.disk);
+        engine.state.onDisk = { engine.onDisk.begin(), engine.onDisk.end() };
+    }
+    void addResident(Engine &engine, const ModelId &model) const
     {
         engine.state.resident.insert({ model, AdapterId() });
-        engine.state.onDisk.insert(model);
+        addToDisk(engine, model);
         std::erase(engine.inMemory, model);
         engine.inMemory.push_back(model);
-        if (engine.inMemory.size() > CopiesInMemory)
+        if (m_settings.hostMemory > 0)
+            trim(engine.inMemory, m_settings.hostMemory);
+        else if (engine.inMemory.size() > CopiesInMemory)
             engine.inMemory.pop_front();
         engine.state.inMemory = { engine.inMemory.begin(), engine.inMemory.end() };
     }
+    void countUncovered()
+    {
+        std::set<ModelId> covered;
+        for (const auto &[id, engine] : m_engines) {
+            covered.insert(engine.onDisk.begin(), engine.onDisk.end());
+            covered.insert(engine.inMemory.begin(), engine.inMemory.end());
+            for (const auto &key : engine.state.resident)
+                covered.insert(key.model);
+        }
+        m_report.uncovered = m_settings.models - static_cast<int>(covered.size());
+    }
     void recordState(Engine &engine)
     {
         engine.history.emplace_back(m_now, engine.state);
@@ -224,33 +282,43 @@
     void startLoad(Engine &engine, const ModelId &model)
     {
         m_report.overcommitted += fits(engine, model) ? 0 : 1;
-        auto duration = MemoryLoad;
+        const auto &spec = m_spec.models.at(model);
+        auto duration = spec.memoryLoadTime;
         if (!engine.state.inMemory.contains(model))
-            duration = DiskLoad;
+            duration = spec.diskLoadTime;
         if (!engine.state.onDisk.contains(model)) {
             engine.isFromStore = true;
-            duration = startStoreLoad();
+            engine.storeLoadLeft = spec.storeLoadTime;
+            duration = Duration::zero();
+            noteStoreLoad();
         }
         engine.orderEnd = m_now + duration;
     }
-    Duration startStoreLoad()
+    void noteStoreLoad()
     {
-        const auto n = static_cast<std::size_t>(
-                std::count_if(m_engines.begin(), m_engines.end(),
-                              [](const auto &it) { return it.second.isFromStore; }));
         ++m_report.storeLoads;
         m_storeLoads.push_back(m_now);
         while (m_now - m_storeLoads.front() > StoreRateWindow)
             m_storeLoads.pop_front();
         m_report.maxStoreLoads =
                 std::max(m_report.maxStoreLoads, static_cast<int>(m_storeLoads.size()));
-        const auto slowdown = std::max<double>(1, double(n) / double(m_settings.storeFullSpeed));
-        return std::chrono::duration_cast<Duration>(StoreLoad * slowdown);
+    }
+    /// Loads in progress share the weight store's throughput.
+    void advanceStoreLoads()
+    {
+        const auto n = std::count_if(m_engines.begin(), m_engines.end(),
+                                     [](const auto &it) { return it.second.isFromStore; });
+        const auto speed =
+                std::min(1.0, double(m_settings.storeFullSpeed) / double(std::max(n, 1L)));
+        for (auto &[id, engine] : m_engines)
+            if (engine.isFromStore)
+                engine.storeLoadLeft -= std::chrono::duration_cast<Duration>(Step * speed);
     }
     void finishOrders()
     {
         for (auto &[id, engine] : m_engines) {
-            if (!engine.order || m_now < engine.orderEnd)
+            if (!engine.order || m_now < engine.orderEnd
+                || (engine.isFromStore && engine.storeLoadLeft > Duration::zero()))
                 continue;
             const auto &key = engine.order->key;
             const bool isLoad = engine.order->action == IntentAction::Load;
@@ -286,12 +354,16 @@
         const auto shift = static_cast<int>(since / m_settings.shiftInterval);
         if (happens(m_settings.chatPerSecond)) {
             const auto n = static_cast<int>(m_random() % unsigned(m_settings.busyNow));
-            addCaller(modelName((shift + n) % m_settings.busyModels), Chat, m_report.chat);
+            addCaller(modelName((shift + n) % m_settings.busyModels), m_chat, m_report.chat);
+        }
+        if (m_settings.secondPerSecond > 0 && happens(m_settings.secondPerSecond)) {
+            const auto n = static_cast<int>(m_random() % unsigned(m_settings.busyModels));
+            addCaller(modelName(n), m_second, m_report.second);
         }
         if (happens(m_settings.rarePerSecond * (isBurst ? 2 : 1))) {
             const auto rare = unsigned(m_settings.models - m_settings.busyModels);
-            addCaller(modelName(m_settings.busyModels + static_cast<int>(m_random() % rare)), Rare,
-                      m_report.rare);
+            addCaller(modelName(m_settings.busyModels + static_cast<int>(m_random() % rare)),
+                      m_rare, m_report.rare);
         }
     }
     void addCaller(const ModelId &model, const CallerKind &kind, CallerReport &report)
@@ -300,13 +372,13 @@
         const ReplicaKey key { model, AdapterId() };
         m_demand.noteArrival(Engines, key, m_now);
         const auto wait = m_demand.startWait(Engines, key, urgencyOf(kind.priority), m_now);
-        m_waiting.push_back({ model, &kind, m_now, wait });
+        m_waiting.push_back({ model, &kind, &report, m_now, wait });
     }
     template<typename Policy>
     void serve(const Policy &policy)
     {
         std::erase_if(m_waiting, [&](const Caller &caller) {
-            auto &report = caller.kind == &Chat ? m_report.chat : m_report.rare;
+            auto &report = *caller.report;
             if (auto *engine = engineFor(caller.model, policy)) {
                 ++engine->second.running[caller.model];
                 m_runningRequests.push_back({ engine->first, caller.model, m_now + RunTime });
@@ -345,6 +417,9 @@
 
     SwapSimulationSettings m_settings;
     std::mt19937 m_random;
+    CallerKind m_chat;
+    CallerKind m_second;
+    CallerKind m_rare;
     TimePoint m_now = Start;
     EngineSpec m_spec;
     std::map<TargetId, Engine> m_engines;
@@ -470,6 +545,34 @@
 
 } // namespace
 
+SwapSimulationSettings largeSite()
+{
+    SwapSimulationSettings site;
+    site.engines = 90;
+    site.models = 274;
+    site.busyModels = 26;
+    site.busyNow = 4;
+    site.storeOnlyModels = 12;
+    site.memory = 83000;
+    site.smallestModel = 16000;
+    site.largestModel = 34000;
+    site.hostMemory = 56000;
+    site.disk = 300000;
+    site.diskCopies = 2;
+    site.storeLoad = milliseconds(10200);
+    site.storeFullSpeed = 2;
+    site.shortestDiskLoad = milliseconds(350);
+    site.longestDiskLoad = milliseconds(510);
+    site.shortestMemoryLoad = milliseconds(270);
+    site.longestMemoryLoad = milliseconds(390);
+    site.chatPerSecond = 120;
+    site.chatGoal = milliseconds(400);
+    site.secondPerSecond = 47;
+    site.rarePerSecond = 66;
+    site.rareGoal = std::chrono::seconds(4);
+    return site;
+}
+
 SwapSimulationReport simulatePlanner(const SwapSimulationSettings &settings)
 {
     return simulate<PlannerPolicy>(settings);
--- a/tests/swapsimulation.h
+++ b/tests/swapsimulation.h
@@ -33,12 +33,36 @@
     /// Time before the first requests.
     Duration warmUp = std::chrono::seconds(10);
     Duration length = std::chrono::seconds(44);
+    /// Smallest and largest model; with 0 the sizes are those of the Needlepoint site.
+    Megabytes smallestModel = 0;
+    Megabytes largestModel = 0;
+    /// Memory and disk for copies of one engine; with 0 the memory has two copies and the disk has
+    /// room for all models.
+    Megabytes hostMemory = 0;
+    Megabytes disk = 0;
+    /// Engines that have each model on their disk at the start; with 0 as at the Needlepoint site.
+    int diskCopies = 0;
+    Duration storeLoad = std::chrono::seconds(6);
+    /// Shortest and longest load from an engine's disk and from its memory, by model.
+    Duration shortestDiskLoad = std::chrono::milliseconds(550);
+    Duration longestDiskLoad = std::chrono::milliseconds(550);
+    Duration shortestMemoryLoad = std::chrono::milliseconds(440);
+    Duration longestMemoryLoad = std::chrono::milliseconds(440);
+    Duration chatGoal = std::chrono::milliseconds(250);
+    Duration rareGoal = std::chrono::milliseconds(2500);
+    /// Requests of a second kind for the busy models, and their goal.
+    double secondPerSecond = 0;
+    Duration secondGoal = std::chrono::milliseconds(1500);
     /// Load starts that the weight store allows per second.
     double storeLoadsPerSecond = 3.3;
     /// Concurrent loads from the weight store that run at full speed.
     std::size_t storeFullSpeed = 4;
 };
 
+/// \returns the larger deployment: 90 engines with little memory and few weight store loads at full
+/// speed, and half of the value in requests for 248 rare models
+[[nodiscard]] SwapSimulationSettings largeSite();
+
 /// Results of the requests of one kind of caller.
 struct CallerReport
 {
@@ -58,6 +82,7 @@
 struct SwapSimulationReport
 {
     CallerReport chat;
+    CallerReport second;
     CallerReport rare;
     int orders = 0;
     int refusedOrders = 0;
@@ -66,6 +91,8 @@
     int maxStoreLoads = 0;
     /// Accepted loads that exceeded the memory of their engine.
     int overcommitted = 0;
+    /// Models without a copy at any engine at the end.
+    int uncovered = 0;
 };
 
 /// Simulates SwapPlanner.
--- a/tests/tst_adapter_platform.cpp
+++ b/tests/tst_adapter_platform.cpp
@@ -123,7 +123,7 @@
             R"("TimeoutMs":12000,"LatencyGoalMs":250,"GapAimMs":300,"Priority":1,"MaxAttempts":2,)"
             R"("Resumable":true,"Split":[{"Service":"a","Weight":90},{"Service":"b","Weight":10}],)"
             R"("NewField":1}],"Services":[{"Name":"a","MaxConns":370,"Engine":{"Slots":64,)"
-            R"("WeightsMb":200000.0,"AdapterSlots":8,"LoadsPerS":3.3,"Models":[{"Name":"m",)"
+            R"("WeightsMb":200000.0,"AdapterSlots":8,"HostMb":56000.0,"DiskMb":300000.0,"LoadsPerS":3.3,"Models":[{"Name":"m",)"
             R"("WeightsMb":42700.0,"LoadS":6.0,"AdapterMb":66.0,"WarmS":0.44,"DiskS":0.57}]}}],)"
             R"("Tenants":[{"Name":"t","ApiKeys":["k"],"Priority":0,"Unit":"token_count",)"
             R"("PlainTokens":200,"RatePerS":54730,"Burst":100}],"Limits":{"HeaderBytes":99}})");
@@ -136,6 +136,8 @@
     EXPECT_EQ(it.routes[0].eventGapGoal, 300ms);
     const auto &model = it.services.at(ServiceId("a")).engine->models.at(ModelId("m"));
     EXPECT_EQ(model.diskLoadTime, 570ms);
+    EXPECT_EQ(it.services.at(ServiceId("a")).engine->hostMemory, 56000);
+    EXPECT_EQ(it.services.at(ServiceId("a")).engine->disk, 300000);
     EXPECT_EQ(it.organisations[0].keys[0], digestOfKey("k"));
     EXPECT_EQ(it.organisations[0].limit->rate, 54730);
     EXPECT_TRUE(it.organisations[0].countsTokens);
