Learn the weight store's speed, cover each model first, and follow demand

Callers of rare models waited for loads whose length was told too short: four loads from the weight store were taken to run at full speed, while two do on the larger deployments. A second copy of a busy model could come from the store before the first one of a rare model, and a load could evict the last copy of a model.

StorePace learns the number of loads at full speed from measured durations; loads, estimates and the report schedule use it. Models without a copy at hand come before second copies from the store, and no load evicts the last copy of a configured model, as far as DiskMb and HostMb tell. Victims without running requests go first; models with a copy at hand go before those that only the store has; rising rates get their copies at once, in another data centre where possible; what a draining or lost engine served is loaded elsewhere; an adapter with many waiting requests has a second engine. The wait for a copy follows from LoadS. Copies and demand are counted once per plan instead of for each candidate.

--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -27,6 +27,8 @@
 constexpr Duration StoreTimeout = milliseconds(450);
 /// Maximum time between two runs of the planner.
 constexpr Duration MaxPlanInterval = milliseconds(25);
+/// Interval between updates of the planner's metrics.
+constexpr Duration PlanMetricsInterval = std::chrono::seconds(1);
 constexpr Duration OrderTimeout = milliseconds(150);
 constexpr Duration ReportTimeout = milliseconds(300);
 /// Beyond the epochs of the largest era; a record with such a number is not a leader's.
@@ -217,12 +219,34 @@
     }
     const auto orders = planner.plan(now);
     m_state.notePlacement();
+    notePlanMetrics(now);
     for (const auto &it : orders)
         spawnOnce(m_context.get_executor(), "send order", sendOrder(it));
     if (!orders.empty())
         m_state.statusDue.notify();
 }
 
+void PlacementCoordinator::notePlanMetrics(TimePoint now)
+{
+    if (now - m_planMetricsAt < PlanMetricsInterval)
+        return;
+    m_planMetricsAt = now;
+    const auto fullSpeed = m_state.planner.fullSpeedLoads();
+    const auto missing = m_state.planner.missingModels();
+    m_state.metrics.setGauge("bluebell_store_loads_full_speed", static_cast<double>(fullSpeed));
+    m_state.metrics.setGauge("bluebell_models_without_copy", static_cast<double>(missing));
+    if (fullSpeed != m_fullSpeedLoads)
+        log::info("weight store loads at full speed",
+                  { { "loads", std::to_string(fullSpeed) },
+                    { "before", std::to_string(m_fullSpeedLoads) } });
+    if (missing != m_missingModels)
+        log::info("models without a copy at any engine",
+                  { { "models", std::to_string(missing) },
+                    { "before", std::to_string(m_missingModels) } });
+    m_fullSpeedLoads = fullSpeed;
+    m_missingModels = missing;
+}
+
 asio::awaitable<void> PlacementCoordinator::sendOrder(PlacementOrder order)
 {
     const auto *target = m_state.registry.find(order.target);
--- a/programs/gateway/placementcoordinator.h
+++ b/programs/gateway/placementcoordinator.h
@@ -34,12 +34,17 @@
     /// Logs changes of leadership, and resets the planner when this daemon becomes the leader.
     void noteLeadership(bool isLeader);
     void runPlan(TimePoint now);
+    /// Updates the planner's metrics, and logs their changes.
+    void notePlanMetrics(TimePoint now);
     boost::asio::awaitable<void> sendOrder(PlacementOrder order);
     boost::asio::awaitable<void> fetchReport(TargetId target);
 
     boost::asio::io_context &m_context;
     GatewayState &m_state;
     platform::Store m_store;
+    TimePoint m_planMetricsAt;
+    std::size_t m_fullSpeedLoads = 0;
+    std::size_t m_missingModels = 0;
     std::size_t m_reportsInFlight = 0;
     bool m_wasLeader = false;
 };
--- a/src/placement/enginetracker.cpp
+++ b/src/placement/enginetracker.cpp
@@ -74,6 +74,8 @@
     const bool hasOtherOrder = state.sequence > order.expectedSequence + 1;
     m_state.sequence = state.sequence;
     const bool isAdapterPending = isLoad && state.pendingAdapters.contains(order.key);
+    if (isDone && !order.isForAdapter())
+        m_copyUsed[order.key.model] = now;
     if (isDone || hasOtherOrder || (!state.isBusy && !isAdapterPending)) {
         m_pending.reset();
         adoptReport(state, now);
@@ -155,8 +157,16 @@
         m_unloadingModel.clear();
     m_pending->phase = Phase::InProgress;
     m_pending->expectedEnd = now + m_pending->timing.duration;
+    const auto least = m_pending->timing.leastDuration;
+    m_pending->earliestEnd = least > Duration::zero() ? now + least : m_pending->expectedEnd;
     if (!m_pending->timing.hasFixedDuration)
-        m_reportAt = m_pending->expectedEnd;
+        m_reportAt = m_pending->earliestEnd;
+}
+
+void EngineTracker::noteTimeLeft(Duration left, TimePoint now)
+{
+    if (m_pending && m_pending->phase == Phase::InProgress)
+        m_pending->expectedEnd = now + left;
 }
 
 void EngineTracker::completeTimedOrder(TimePoint now)
@@ -178,6 +188,8 @@
 {
     const auto order = m_pending->order;
     m_pending.reset();
+    if (!order.isForAdapter())
+        m_copyUsed[order.key.model] = now;
     if (order.action == IntentAction::Load) {
         m_state.resident.insert(order.key);
         m_state.pendingAdapters.erase(order.key);
@@ -236,13 +248,20 @@
     return m_pending->order;
 }
 
+TimePoint EngineTracker::nextReportOfOrder(TimePoint now) const
+{
+    const bool isEndExpected = now >= m_pending->expectedEnd;
+    const auto interval = isEndExpected ? ReportInterval : WantedReportInterval;
+    return std::max(m_reportedAt + interval, m_pending->earliestEnd);
+}
+
 std::optional<TimePoint> EngineTracker::reportDueSince(Duration idleInterval, TimePoint now) const
 {
     if (isHeldOff())
         return std::nullopt;
     auto dueAt = m_reportAt;
     if (!dueAt && m_pending && m_pending->phase == Phase::InProgress)
-        dueAt = std::max(m_reportedAt + ReportInterval, m_pending->expectedEnd);
+        dueAt = nextReportOfOrder(now);
     if (!dueAt)
         dueAt = m_reportedAt + idleInterval;
     return *dueAt <= now ? dueAt : std::nullopt;
@@ -339,6 +358,53 @@
     return free;
 }
 
+std::set<ModelId> EngineTracker::evictedCopies(const std::set<ModelId> &copies,
+                                               const EngineSpec &engine, Megabytes room,
+                                               const ModelId &model) const
+{
+    std::set<ModelId> evicted;
+    if (room <= 0 || copies.contains(model))
+        return evicted;
+    auto free = room - sizeOf(engine, { model, AdapterId() });
+    std::vector<std::pair<TimePoint, ModelId>> byUse;
+    for (const auto &copy : copies) {
+        const auto used = m_copyUsed.find(copy);
+        byUse.emplace_back(used == m_copyUsed.end() ? TimePoint() : used->second, copy);
+        // The size of a model that is no longer configured is not known.
+        if (engine.models.contains(copy))
+            free -= sizeOf(engine, { copy, AdapterId() });
+    }
+    std::sort(byUse.begin(), byUse.end());
+    TimePoint latest;
+    for (const auto &[usedAt, copy] : byUse) {
+        const bool isTied = !evicted.empty() && usedAt == latest;
+        if (free >= 0 && !isTied)
+            break;
+        evicted.insert(copy);
+        latest = usedAt;
+        if (engine.models.contains(copy))
+            free += sizeOf(engine, { copy, AdapterId() });
+    }
+    return evicted;
+}
+
+std::vector<ModelId> EngineTracker::copiesLostByLoading(const EngineSpec &engine,
+                                                        const ModelId &model) const
+{
+    const auto fromMemory = evictedCopies(m_state.inMemory, engine, engine.hostMemory, model);
+    const auto fromDisk = evictedCopies(m_state.onDisk, engine, engine.disk, model);
+    auto candidates = fromMemory;
+    candidates.insert(fromDisk.begin(), fromDisk.end());
+    std::vector<ModelId> lost;
+    for (const auto &it : candidates) {
+        const bool isInMemory = m_state.inMemory.contains(it) && !fromMemory.contains(it);
+        const bool isOnDisk = m_state.onDisk.contains(it) && !fromDisk.contains(it);
+        if (!isInMemory && !isOnDisk && !m_state.resident.contains({ it, AdapterId() }))
+            lost.push_back(it);
+    }
+    return lost;
+}
+
 std::size_t EngineTracker::adapterSlotsTaken() const
 {
     std::set<ReplicaKey> adapters;
--- a/src/placement/enginetracker.h
+++ b/src/placement/enginetracker.h
@@ -29,6 +29,8 @@
     bool isFromStore = false;
     /// Whether the order counts as completed after `duration`, without waiting for a report.
     bool hasFixedDuration = false;
+    /// Shortest possible duration; reports before it are of no use.
+    Duration leastDuration {};
 };
 
 /// Tracks one engine: its resident replicas, the order in progress and when the next report is due.
@@ -58,6 +60,8 @@
     void noteOutcome(const PlacementOrder &order, OrderOutcome outcome, TimePoint now);
     /// Completes the order in progress if it has a fixed duration and that has elapsed.
     void completeTimedOrder(TimePoint now);
+    /// Corrects the expected remaining time of the order in progress.
+    void noteTimeLeft(Duration left, TimePoint now);
     /// Makes a report due now, unless one is scheduled or arrived within the last 300 ms.
     void requestReport(TimePoint now);
 
@@ -109,6 +113,13 @@
     /// The engine accepts adapter orders while a model is unloading, so the memory of that model
     /// does not count as free yet.
     [[nodiscard]] Megabytes freeForAdapters(const EngineSpec &engine) const;
+    /// \returns the models that would have no copy left on this engine once it has loaded `model`
+    ///
+    /// The engine's memory and disk evict the least recently used copies. Copies whose last use is
+    /// not known are all taken to be the next ones. Where the configuration does not state the room
+    /// for copies, nothing is evicted.
+    [[nodiscard]] std::vector<ModelId> copiesLostByLoading(const EngineSpec &engine,
+                                                           const ModelId &model) const;
     /// \returns the number of adapter slots that are, or may still be, in use
     [[nodiscard]] std::size_t adapterSlotsTaken() const;
     /// \returns the least recently used adapter; nothing while a model or an adapter is unloading
@@ -130,12 +141,19 @@
         OrderTiming timing;
         Phase phase = Phase::Sent;
         TimePoint expectedEnd;
+        /// No report before this time can show the end.
+        TimePoint earliestEnd;
         TimePoint resendAt;
     };
 
+    /// \returns the copies that a place with this room evicts for another model
+    [[nodiscard]] std::set<ModelId> evictedCopies(const std::set<ModelId> &copies,
+                                                  const EngineSpec &engine, Megabytes room,
+                                                  const ModelId &model) const;
     void noteAccepted(TimePoint now);
     /// Replaces the tracked state by a report while no order is in progress.
     void adoptReport(const EngineState &state, TimePoint now);
+    [[nodiscard]] TimePoint nextReportOfOrder(TimePoint now) const;
     void finish(TimePoint now);
     void finishUnload(const ModelId &model);
 
@@ -156,6 +174,8 @@
     /// Time until the end of the engine's hold-off.
     Duration m_holdOffLeft {};
     std::map<ReplicaKey, TimePoint> m_lastUsed;
+    /// When a model was last loaded or unloaded, which uses its copies in memory and on disk.
+    std::map<ModelId, TimePoint> m_copyUsed;
     /// A model with its adapters whose unload counts as completed by its duration, without a
     /// report. Its memory and adapter slots stay unavailable to adapters, because the engine
     /// accepts adapter orders while a model is unloading.
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -20,18 +20,18 @@
 constexpr Duration CompletionMargin = milliseconds(15);
 /// Added to the duration of an unload that must wait for running requests.
 constexpr Duration DrainTime = milliseconds(1000);
-/// How long a model with waiting requests is not loaded from the weight store while an engine with
-/// a copy on its disk is only busy, because the store allows few loads.
-constexpr Duration MaxWaitForCopy = milliseconds(4000);
-/// Concurrent loads from the weight store that run at full speed.
-constexpr std::size_t MaxFullSpeedLoads = 4;
+/// Added for an extra copy in a data centre that has one already: a load from the weight store
+/// takes longer, one from a disk does not.
+constexpr Duration SameDataCentrePenalty = milliseconds(2000);
+/// Waiting requests, as a share of an engine's slots, from which on an adapter has a second engine.
+constexpr double SecondAdapterShare = 0.25;
 /// Window over which the weight store limits the number of started loads.
 constexpr Duration StoreRateWindow = std::chrono::seconds(5);
 /// Fraction of the weight store's rate that is used, so that its limit holds in every window.
 constexpr double StoreRateFraction = 0.9;
-/// Concurrent loads from the weight store up to which models with a high pressure are loaded, at a
-/// lower speed for all loads.
-constexpr std::size_t MaxUrgentLoads = 6;
+/// Loads from the weight store beyond those at full speed that models with a high pressure may add,
+/// at a lower speed for all loads. They also show whether more loads run at full speed.
+constexpr std::size_t MaxUrgentLoads = 2;
 /// Pressure from which on a model counts as urgent; see pressureOf().
 constexpr double UrgentPressure = 30;
 /// Interval between reports of an engine without orders, and their largest number per second and
@@ -184,6 +184,69 @@
               [](const auto &a, const auto &b) { return pressureOf(a) > pressureOf(b); });
 }
 
+void SwapPlanner::countCopiesOf(const EngineTracker &it)
+{
+    const auto &service = it.entry().service;
+    std::set<ModelId> atHand = it.state().onDisk;
+    atHand.insert(it.state().inMemory.begin(), it.state().inMemory.end());
+    for (const auto &key : it.state().resident) {
+        atHand.insert(key.model);
+        if (key.adapter.isEmpty() && it.serves(key))
+            ++m_models[{ service, key.model }].copies;
+    }
+    if (const auto *order = it.order(); order && order->action == IntentAction::Load) {
+        if (const auto *engine = engineOf(service); engine && !order->isForAdapter())
+            for (const auto &lost : it.copiesLostByLoading(*engine, order->key.model))
+                atHand.erase(lost);
+        atHand.insert(order->key.model);
+    }
+    for (const auto &model : atHand)
+        ++m_models[{ service, model }].atHand;
+}
+
+void SwapPlanner::countCopies()
+{
+    m_models.clear();
+    for (const auto &it : m_totalDemand) {
+        auto &status = m_models[{ it.service, it.key.model }];
+        status.perSecond += it.arrivalsPerSecond;
+        status.waiting += it.urgency;
+    }
+    for (const auto &[id, it] : m_engines)
+        if (it.isUsable(it.entry().service))
+            countCopiesOf(it);
+}
+
+const SwapPlanner::ModelStatus &SwapPlanner::statusOf(const ServiceId &service,
+                                                      const ModelId &model) const
+{
+    static const ModelStatus none;
+    const auto it = m_models.find({ service, model });
+    return it == m_models.end() ? none : it->second;
+}
+
+bool SwapPlanner::keepsLastCopies(const EngineTracker &it, const ModelId &model) const
+{
+    const auto &service = it.entry().service;
+    const auto *engine = engineOf(service);
+    if (!engine)
+        return false;
+    const auto lost = it.copiesLostByLoading(*engine, model);
+    return std::none_of(lost.begin(), lost.end(), [&](const ModelId &copy) {
+        return specOf(service, copy) && statusOf(service, copy).atHand < 2;
+    });
+}
+
+std::size_t SwapPlanner::missingModels() const
+{
+    std::size_t missing = 0;
+    for (const auto &[name, service] : m_services)
+        if (service.engine)
+            for (const auto &[model, spec] : service.engine->models)
+                missing += statusOf(name, model).atHand == 0 ? 1 : 0;
+    return missing;
+}
+
 std::size_t SwapPlanner::copyCount(const ReplicaKey &key, const ServiceId &service) const
 {
     return static_cast<std::size_t>(
@@ -224,6 +287,20 @@
                           [](const auto &it) { return it.second.isLoadingFromStore(); }));
 }
 
+void SwapPlanner::trackStoreLoads(TimePoint now)
+{
+    for (const auto &[id, model] : m_pace.inProgress()) {
+        const auto it = m_engines.find(id);
+        const bool isInProgress = it != m_engines.end() && it->second.isLoadingFromStore();
+        const ReplicaKey key { model, AdapterId() };
+        if (!isInProgress)
+            m_pace.noteEnded(id, it != m_engines.end() && it->second.serves(key), now);
+    }
+    m_pace.advance(now);
+    for (const auto &[id, model] : m_pace.inProgress())
+        m_engines.at(id).noteTimeLeft(m_pace.timeLeft(id) + CompletionMargin, now);
+}
+
 bool SwapPlanner::mayLoadFromStore(const EngineSpec &engine, TimePoint now) const
 {
     const auto recent = std::count_if(m_storeLoads.begin(), m_storeLoads.end(),
@@ -235,16 +312,7 @@
 
 double SwapPlanner::evictionLoss(const EngineTracker &it, const ReplicaKey &key) const
 {
-    const auto &service = it.entry().service;
-    double perSecond = 0;
-    double waiting = 0;
-    for (const auto &wanted : m_totalDemand) {
-        if (wanted.service != service || wanted.key.model != key.model)
-            continue;
-        perSecond += wanted.arrivalsPerSecond;
-        waiting += wanted.urgency;
-    }
-    const auto copies = copyCount(key, service);
+    const auto &[perSecond, waiting, copies, atHand] = statusOf(it.entry().service, key.model);
     const auto running = inFlightAt(it.entry().id, key.model);
     // Without its last copy, all requests that arrive during a reload are late.
     const auto missed = copies <= 1 ? 2.0 * perSecond + waiting : perSecond * 0.5;
@@ -261,21 +329,28 @@
     auto free = it.freeMemory(*engine);
     if (free >= needed)
         return victims;
-    std::vector<std::pair<double, ReplicaKey>> byLoss;
+    struct Victim
+    {
+        bool isRunning = false;
+        double loss = 0;
+        TimePoint usedAt;
+        ReplicaKey key;
+    };
+    std::vector<Victim> byLoss;
     for (const auto &key : it.state().resident)
         if (key.adapter.isEmpty())
-            byLoss.emplace_back(evictionLoss(it, key), key);
-    std::sort(byLoss.begin(), byLoss.end(), [&](const auto &a, const auto &b) {
-        if (a.first != b.first)
-            return a.first < b.first;
-        return it.lastUsedAt(a.second) < it.lastUsedAt(b.second);
+            byLoss.push_back({ inFlightAt(it.entry().id, key.model) > 0, evictionLoss(it, key),
+                               it.lastUsedAt(key), key });
+    // An unload waits for running requests, which may take seconds.
+    std::sort(byLoss.begin(), byLoss.end(), [](const Victim &a, const Victim &b) {
+        return std::tie(a.isRunning, a.loss, a.usedAt) < std::tie(b.isRunning, b.loss, b.usedAt);
     });
-    for (const auto &[loss, key] : byLoss) {
-        if (loss >= gain)
-            break;
-        victims.push_back(key);
+    for (const auto &victim : byLoss) {
+        if (victim.loss >= gain)
+            continue;
+        victims.push_back(victim.key);
         for (const auto &held : it.state().resident)
-            if (held.model == key.model)
+            if (held.model == victim.key.model)
                 free += sizeOf(*engine, held);
         if (free >= needed)
             return victims;
@@ -295,10 +370,23 @@
     if (it.state().onDisk.contains(model))
         return spec->diskLoadTime;
     isFromStore = true;
-    const auto n = storeLoadsInProgress() + 1;
-    const auto slowdown =
-            std::max(1.0, static_cast<double>(n) / static_cast<double>(MaxFullSpeedLoads));
-    return std::chrono::duration_cast<Duration>(spec->storeLoadTime * slowdown);
+    return std::chrono::duration_cast<Duration>(spec->storeLoadTime * m_pace.slowdownOfNext());
+}
+
+Duration SwapPlanner::maxWaitForCopy(const ServiceId &service, const ModelId &model) const
+{
+    const auto *spec = specOf(service, model);
+    return spec ? spec->storeLoadTime * 2 / 3 : Duration::zero();
+}
+
+std::set<DataCentreId> SwapPlanner::dataCentresOf(const ReplicaKey &key,
+                                                  const ServiceId &service) const
+{
+    std::set<DataCentreId> all;
+    for (const auto &[id, it] : m_engines)
+        if (it.isUsable(service) && (it.serves(key) || it.isLoading(key)))
+            all.insert(it.entry().dataCentre);
+    return all;
 }
 
 bool SwapPlanner::hasDiskCopy(const ModelId &model, const ServiceId &service) const
@@ -317,8 +405,11 @@
     if (!engine)
         return best;
     const auto bytes = sizeOf(*engine, wanted.key);
-    const bool waitsForCopy = wanted.waiting > 0 && wanted.oldestWait < MaxWaitForCopy
+    const bool waitsForCopy = wanted.waiting > 0
+            && wanted.oldestWait < maxWaitForCopy(wanted.service, wanted.key.model)
             && hasDiskCopy(wanted.key.model, wanted.service);
+    const auto taken = wanted.waiting > 0 ? std::set<DataCentreId>()
+                                          : dataCentresOf(wanted.key, wanted.service);
     for (const auto &[id, it] : m_engines) {
         if (!it.acceptsOrders(wanted.service) || it.state().resident.contains(wanted.key)
             || m_reserved.contains(id))
@@ -328,6 +419,10 @@
         if (candidate.isFromStore && waitsForCopy)
             continue;
         candidate.readyIn += it.timeUntilFree(now);
+        if (taken.contains(it.entry().dataCentre))
+            candidate.readyIn += SameDataCentrePenalty;
+        if (best && best->readyIn < candidate.readyIn)
+            continue;
         auto victims = victimsFor(it, bytes, pressureOf(wanted));
         if (!victims)
             continue;
@@ -338,6 +433,8 @@
         const auto load = targetLoad(id);
         if (best && std::tie(best->readyIn, bestLoad) <= std::tie(candidate.readyIn, load))
             continue;
+        if (!keepsLastCopies(it, wanted.key.model))
+            continue;
         best = std::move(candidate);
         bestLoad = load;
     }
@@ -352,8 +449,16 @@
         timing.duration = loadTime(it, key.model, timing.isFromStore) + CompletionMargin;
         timing.hasFixedDuration = !timing.isFromStore;
     }
-    if (timing.isFromStore)
+    if (const auto *engine = engineOf(it.entry().service); engine && key.adapter.isEmpty())
+        for (const auto &lost : it.copiesLostByLoading(*engine, key.model))
+            --m_models[{ it.entry().service, lost }].atHand;
+    if (key.adapter.isEmpty())
+        ++m_models[{ it.entry().service, key.model }].atHand;
+    if (timing.isFromStore) {
+        timing.leastDuration = specOf(it.entry().service, key.model)->storeLoadTime;
+        m_pace.noteStarted(it.entry().id, key.model, timing.leastDuration, now);
         m_storeLoads.push_back(now);
+    }
     while (!m_storeLoads.empty() && now - m_storeLoads.front() > StoreRateWindow)
         m_storeLoads.pop_front();
     orders.push_back(it.beginOrder(IntentAction::Load, key, timing, now));
@@ -363,6 +468,9 @@
                          std::vector<PlacementOrder> &orders)
 {
     const bool hasRunning = inFlightAt(it.entry().id, key.model) > 0;
+    if (auto &copies = m_models[{ it.entry().service, key.model }].copies;
+        key.adapter.isEmpty() && copies > 0)
+        --copies;
     const auto wait = hasRunning ? DrainTime : Duration::zero();
     const OrderTiming timing { UnloadTime + wait, false, !hasRunning };
     orders.push_back(it.beginOrder(IntentAction::Unload, key, timing, now));
@@ -375,16 +483,26 @@
             it.requestReport(now);
 }
 
+bool SwapPlanner::needsSecondEngine(const TotalDemand &wanted) const
+{
+    const auto *engine = engineOf(wanted.service);
+    return engine && wanted.waiting >= SecondAdapterShare * engine->slots
+            && copyCount(wanted.key, wanted.service) == 1
+            && loadingCount(wanted.key, wanted.service) == 0;
+}
+
 void SwapPlanner::planAdapter(const TotalDemand &wanted, TimePoint now,
                               std::vector<PlacementOrder> &orders)
 {
     const auto *engine = engineOf(wanted.service);
-    if (!engine || isResidentOrLoading(wanted.key, wanted.service))
+    if (!engine || (isResidentOrLoading(wanted.key, wanted.service) && !needsSecondEngine(wanted)))
         return;
     EngineTracker *best = nullptr;
     for (auto &[id, it] : m_engines) {
         if (!it.acceptsOrders(wanted.service) || !it.isFree(now)
-            || !it.state().resident.contains({ wanted.key.model, AdapterId() }))
+            || !it.state().resident.contains({ wanted.key.model, AdapterId() })
+            || it.state().resident.contains(wanted.key)
+            || it.state().pendingAdapters.contains(wanted.key))
             continue;
         if (!best || targetLoad(id) < targetLoad(best->entry().id))
             best = &it;
@@ -411,7 +529,8 @@
     const auto best = bestTarget(modelDemand, now);
     if (!best)
         return;
-    const auto maxLoads = pressureOf(wanted) >= UrgentPressure ? MaxUrgentLoads : MaxFullSpeedLoads;
+    const auto urgentLoads = pressureOf(wanted) >= UrgentPressure ? MaxUrgentLoads : 0;
+    const auto maxLoads = m_pace.fullSpeedLoads() + urgentLoads;
     if (best->isFromStore
         && (storeLoadsInProgress() >= maxLoads || !mayLoadFromStore(*engine, now)))
         return;
@@ -444,14 +563,24 @@
     return all;
 }
 
+void SwapPlanner::orderDemandByValue()
+{
+    std::stable_partition(m_totalDemand.begin(), m_totalDemand.end(), [&](const auto &it) {
+        return statusOf(it.service, it.key.model).atHand > 0;
+    });
+}
+
 std::vector<PlacementOrder> SwapPlanner::plan(TimePoint now)
 {
     std::vector<PlacementOrder> orders;
     aggregateDemand(now);
+    trackStoreLoads(now);
+    countCopies();
     m_reserved.clear();
     for (auto &[id, it] : m_engines)
         if (const auto order = it.takeOrderToResend(now))
             orders.push_back(*order);
+    orderDemandByValue();
     const auto wanted = m_totalDemand;
     for (const auto &it : wanted) {
         if (it.waiting == 0)
@@ -463,6 +592,7 @@
         else
             planModel(it, now, orders);
     }
+    planReplacements(now, orders);
     planExtraCopies(now, orders);
     planPrefetch(now, orders);
     return orders;
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -6,6 +6,7 @@
 #include "placement/modeldemand.h"
 #include "placement/placementorder.h"
 #include "placement/placementupdate.h"
+#include "placement/storepace.h"
 #include "site/siteconfig.h"
 #include "site/targetregistry.h"
 
@@ -70,6 +71,10 @@
     /// \returns for each model being loaded the time until it can serve requests; loads at draining
     /// targets, which get no requests, are left out
     [[nodiscard]] std::vector<LoadEstimate> estimates(TimePoint now) const;
+    /// \returns the number of configured models without a copy at hand, as of the last plan
+    [[nodiscard]] std::size_t missingModels() const;
+    /// \returns the learned number of loads from the weight store that run at full speed
+    [[nodiscard]] std::size_t fullSpeedLoads() const noexcept { return m_pace.fullSpeedLoads(); }
 
 private:
     struct VmDemand
@@ -82,6 +87,19 @@
     /// Sum of the demand of all daemons for one model or adapter.
     using TotalDemand = ModelDemand;
 
+    /// What the demand and the usable engines say about one model.
+    struct ModelStatus
+    {
+        /// Arrival rate and urgency of the waiting requests, with those for its adapters.
+        double perSecond = 0;
+        double waiting = 0;
+        /// Engines that serve it.
+        std::size_t copies = 0;
+        /// Engines that have it resident, in memory, on disk or being loaded, without those that
+        /// lose it by their load in progress.
+        std::size_t atHand = 0;
+    };
+
     /// A target on which a model can be loaded.
     struct Candidate
     {
@@ -94,6 +112,12 @@
         std::vector<ReplicaKey> victims;
     };
 
+    /// Counts the copies of each model, once per plan.
+    void countCopies();
+    void countCopiesOf(const EngineTracker &it);
+    [[nodiscard]] const ModelStatus &statusOf(const ServiceId &service, const ModelId &model) const;
+    /// \returns whether the load evicts no last copy of a configured model
+    [[nodiscard]] bool keepsLastCopies(const EngineTracker &it, const ModelId &model) const;
     /// Drops expired demand and sums up the rest over all daemons.
     void aggregateDemand(TimePoint now);
     [[nodiscard]] const EngineSpec *engineOf(const ServiceId &service) const;
@@ -104,6 +128,11 @@
     [[nodiscard]] std::uint32_t inFlightAt(const TargetId &target, const ModelId &model) const;
     [[nodiscard]] std::uint32_t targetLoad(const TargetId &target) const;
     [[nodiscard]] std::size_t storeLoadsInProgress() const;
+    /// \returns the concurrent loads from the weight store up to which models without waiting
+    /// requests are loaded
+    [[nodiscard]] std::size_t maxPrefetchLoads() const;
+    /// Learns the weight store's speed, and updates the remaining times of its loads.
+    void trackStoreLoads(TimePoint now);
     /// \returns whether the weight store's limit of loads per second allows another load now
     [[nodiscard]] bool mayLoadFromStore(const EngineSpec &engine, TimePoint now) const;
     /// \returns the cost of evicting the model from the engine, in the unit of pressureOf()
@@ -122,13 +151,38 @@
     void refreshResidentEngines(const TotalDemand &wanted, TimePoint now);
     void planAdapter(const TotalDemand &wanted, TimePoint now, std::vector<PlacementOrder> &orders);
     void planModel(const TotalDemand &wanted, TimePoint now, std::vector<PlacementOrder> &orders);
-    /// Loads a second or third copy of models with a high arrival rate.
+    /// Loads a second or third copy of models with a high or quickly rising arrival rate.
     void planExtraCopies(TimePoint now, std::vector<PlacementOrder> &orders);
+    /// \returns the arrival rates of all models; those that rise quickly are extrapolated
+    [[nodiscard]] std::map<std::pair<ServiceId, ModelId>, double> expectedRates(TimePoint now);
+    /// Loads models that only draining or unavailable engines serve, before requests wait for them.
+    void planReplacements(TimePoint now, std::vector<PlacementOrder> &orders);
+    void replaceCopiesOf(const EngineTracker &leaving, TimePoint now,
+                         std::vector<PlacementOrder> &orders);
+    /// \returns whether a load of a model for which no request waits may be started at the target
+    [[nodiscard]] bool mayPrefetch(const Candidate &candidate, const EngineSpec &engine,
+                                   TimePoint now) const;
+    /// \returns the data centres of the usable engines that serve or load the replica
+    [[nodiscard]] std::set<DataCentreId> dataCentresOf(const ReplicaKey &key,
+                                                       const ServiceId &service) const;
+    /// \returns how long a model with waiting requests is not loaded from the weight store while an
+    /// engine with a copy on its disk is only busy: two thirds of the load from the store, as the
+    /// engine may be free at any moment
+    [[nodiscard]] Duration maxWaitForCopy(const ServiceId &service, const ModelId &model) const;
+    /// Puts models with a copy at hand first: they are ready in time, while a load from the store
+    /// takes longer than most callers wait and keeps an engine from other orders.
+    void orderDemandByValue();
+    /// \returns whether a second engine should load the adapter for its waiting requests
+    [[nodiscard]] bool needsSecondEngine(const TotalDemand &wanted) const;
     /// Loads models without a local copy at any engine before requests wait for them, so that an
     /// engine has them on its disk.
     void planPrefetch(TimePoint now, std::vector<PlacementOrder> &orders);
-    /// \returns models that are resident, being loaded, in memory or on disk at an engine
-    [[nodiscard]] std::set<ModelId> locallyAvailableModels(const ServiceId &service) const;
+    /// \returns the configured model without a copy at hand that is requested most often; null if
+    /// every model has a copy
+    [[nodiscard]] const std::pair<const ModelId, ModelSpec> *
+    mostWantedMissing(const ServiceId &service, const EngineSpec &engine) const;
+    [[nodiscard]] std::optional<Candidate>
+    prefetchTarget(const ServiceId &service, const ModelId &model, TimePoint now) const;
     /// Unloads the first victim or, if there is none, loads the model.
     void evictOrLoad(const Candidate &candidate, const ReplicaKey &key, TimePoint now,
                      std::vector<PlacementOrder> &orders);
@@ -148,6 +202,10 @@
     std::map<VmId, VmDemand> m_demand;
     Duration m_demandLifetime = std::chrono::milliseconds(1400);
     std::vector<TotalDemand> m_totalDemand;
+    std::map<std::pair<ServiceId, ModelId>, ModelStatus> m_models;
+    /// Slow averages of the arrival rates, and when they were updated; empty before the first plan.
+    std::map<std::pair<ServiceId, ModelId>, double> m_averageRates;
+    std::optional<TimePoint> m_averagedAt;
     /// Requests of all daemons in flight, by target and model.
     std::map<std::pair<TargetId, ModelId>, std::uint32_t> m_inFlight;
     /// Requests of all daemons in flight at each target.
@@ -156,6 +214,8 @@
     std::set<TargetId> m_reserved;
     /// Start times of the latest loads from the weight store.
     std::deque<TimePoint> m_storeLoads;
+    /// Loads from the weight store in progress, and what they teach about its speed.
+    StorePace m_pace;
 };
 
 } // namespace bluebell
--- a/src/placement/swapplannerprefetch.cpp
+++ b/src/placement/swapplannerprefetch.cpp
@@ -8,24 +8,34 @@
 namespace bluebell {
 namespace {
 
-/// Concurrent loads from the weight store up to which models without waiting requests are loaded.
-constexpr std::size_t MaxPrefetchLoads = 3;
+/// Concurrent loads from the weight store up to which models without waiting requests are loaded,
+/// at least. Above it, one of those that run at full speed is left for waiting requests.
+constexpr std::size_t MinPrefetchLoads = 2;
 /// Requests per second from which on a model has a second copy, and a third one.
 constexpr double SecondCopyRate = 2;
 constexpr double ThirdCopyRate = 10;
+/// A rate is rising quickly when it exceeds its average over AveragingTime by RisingFactor; it is
+/// then expected to grow once more by that factor. Below MinRisingRate this would be chance.
+constexpr Duration AveragingTime = std::chrono::seconds(10);
+constexpr double RisingFactor = 2;
+constexpr double MinRisingRate = 1;
 /// Gain of an extra copy per request per second, in the unit of pressureOf().
 constexpr double ExtraCopyGain = 0.4;
-/// Loss below which a model may be evicted for one without any demand yet.
+/// Loss below which a model may be evicted for one without a copy at hand, and its increase per
+/// request per second for that model: the evicted one is back in less than a second.
 constexpr double PrefetchGain = 1.0;
+constexpr double CoverageGain = 8.0;
 
 } // namespace
 
+std::size_t SwapPlanner::maxPrefetchLoads() const
+{
+    return std::max(m_pace.fullSpeedLoads() - 1, MinPrefetchLoads);
+}
+
 void SwapPlanner::planExtraCopies(TimePoint now, std::vector<PlacementOrder> &orders)
 {
-    std::map<std::pair<ServiceId, ModelId>, double> rates;
-    for (const auto &it : m_totalDemand)
-        rates[{ it.service, it.key.model }] += it.arrivalsPerSecond;
-    for (const auto &[name, perSecond] : rates) {
+    for (const auto &[name, perSecond] : expectedRates(now)) {
         const auto &[service, model] = name;
         const auto *engine = engineOf(service);
         if (!engine || perSecond < SecondCopyRate)
@@ -35,60 +45,134 @@
         extraCopy.key = { model, AdapterId() };
         extraCopy.urgency = ExtraCopyGain * perSecond;
         const std::size_t copies = perSecond < ThirdCopyRate ? 2 : 3;
-        if (copyCount(extraCopy.key, service) + loadingCount(extraCopy.key, service) >= copies)
+        auto existing = copyCount(extraCopy.key, service) + loadingCount(extraCopy.key, service);
+        for (; existing < copies; ++existing) {
+            const auto best = bestTarget(extraCopy, now);
+            if (!best || !mayPrefetch(*best, *engine, now))
+                break;
+            evictOrLoad(*best, extraCopy.key, now, orders);
+        }
+    }
+}
+
+bool SwapPlanner::mayPrefetch(const Candidate &candidate, const EngineSpec &engine,
+                              TimePoint now) const
+{
+    if (!candidate.isFromStore)
+        return true;
+    const auto &service = m_engines.at(candidate.target).entry().service;
+    return !mostWantedMissing(service, engine) && storeLoadsInProgress() < maxPrefetchLoads()
+            && mayLoadFromStore(engine, now);
+}
+
+std::map<std::pair<ServiceId, ModelId>, double> SwapPlanner::expectedRates(TimePoint now)
+{
+    const bool hasAverages = m_averagedAt.has_value();
+    const auto elapsed = hasAverages ? now - *m_averagedAt : Duration::zero();
+    const auto share = std::min(1.0, toSeconds(elapsed) / toSeconds(AveragingTime));
+    m_averagedAt = now;
+    std::map<std::pair<ServiceId, ModelId>, double> rates;
+    for (const auto &[name, status] : m_models)
+        if (status.perSecond > 0)
+            rates.emplace(name, status.perSecond);
+    std::erase_if(m_averageRates, [&](const auto &it) { return !rates.contains(it.first); });
+    for (auto &[name, perSecond] : rates) {
+        // Without averages, at the start, nothing is known to rise.
+        auto &average = m_averageRates.try_emplace(name, hasAverages ? 0 : perSecond).first->second;
+        average += (perSecond - average) * share;
+        if (perSecond >= MinRisingRate && perSecond > RisingFactor * average)
+            perSecond *= RisingFactor;
+    }
+    return rates;
+}
+
+void SwapPlanner::planReplacements(TimePoint now, std::vector<PlacementOrder> &orders)
+{
+    for (const auto &[id, it] : m_engines)
+        if (!it.isUsable(it.entry().service))
+            replaceCopiesOf(it, now, orders);
+}
+
+void SwapPlanner::replaceCopiesOf(const EngineTracker &leaving, TimePoint now,
+                                  std::vector<PlacementOrder> &orders)
+{
+    const auto &service = leaving.entry().service;
+    const auto *engine = engineOf(service);
+    if (!engine)
+        return;
+    for (const auto &key : leaving.state().resident) {
+        const auto &status = statusOf(service, key.model);
+        const bool isNeeded = key.adapter.isEmpty() && specOf(service, key.model)
+                && status.perSecond > 0 && !isResidentOrLoading(key, service);
+        if (!isNeeded)
             continue;
-        const auto best = bestTarget(extraCopy, now);
-        if (!best
-            || (best->isFromStore
-                && (storeLoadsInProgress() >= MaxPrefetchLoads || !mayLoadFromStore(*engine, now))))
+        TotalDemand replacement;
+        replacement.service = service;
+        replacement.key = key;
+        replacement.urgency = PrefetchGain + CoverageGain * status.perSecond;
+        const auto best = bestTarget(replacement, now);
+        const bool isAllowed = best
+                && (!best->isFromStore
+                    || (storeLoadsInProgress() < m_pace.fullSpeedLoads()
+                        && mayLoadFromStore(*engine, now)));
+        if (isAllowed)
+            evictOrLoad(*best, key, now, orders);
+    }
+}
+
+const std::pair<const ModelId, ModelSpec> *
+SwapPlanner::mostWantedMissing(const ServiceId &service, const EngineSpec &engine) const
+{
+    const std::pair<const ModelId, ModelSpec> *best = nullptr;
+    double mostPerSecond = -1;
+    for (const auto &it : engine.models) {
+        const auto &status = statusOf(service, it.first);
+        if (status.atHand > 0 || status.perSecond <= mostPerSecond)
             continue;
-        evictOrLoad(*best, extraCopy.key, now, orders);
+        best = &it;
+        mostPerSecond = status.perSecond;
     }
+    return best;
 }
 
-std::set<ModelId> SwapPlanner::locallyAvailableModels(const ServiceId &service) const
+std::optional<SwapPlanner::Candidate>
+SwapPlanner::prefetchTarget(const ServiceId &service, const ModelId &model, TimePoint now) const
 {
-    std::set<ModelId> models;
+    const auto size = specOf(service, model)->weights;
+    const auto gain = PrefetchGain + CoverageGain * statusOf(service, model).perSecond;
+    std::optional<Candidate> best;
+    std::size_t bestEvictions = 0;
+    std::size_t bestDisk = 0;
     for (const auto &[id, it] : m_engines) {
-        if (!it.isUsable(service))
+        if (!it.acceptsOrders(service) || !it.isFree(now) || m_reserved.contains(id))
+            continue;
+        auto victims = victimsFor(it, size, gain);
+        if (!victims)
+            continue;
+        const auto evictions = victims->size();
+        const auto disk = it.state().onDisk.size();
+        if (best && std::tie(bestEvictions, bestDisk) <= std::tie(evictions, disk))
             continue;
-        models.insert(it.state().inMemory.begin(), it.state().inMemory.end());
-        models.insert(it.state().onDisk.begin(), it.state().onDisk.end());
-        for (const auto &key : it.state().resident)
-            models.insert(key.model);
-        if (const auto *order = it.order())
-            models.insert(order->key.model);
+        if (!keepsLastCopies(it, model))
+            continue;
+        best = Candidate { id, Duration::zero(), true, std::move(*victims) };
+        bestEvictions = evictions;
+        bestDisk = disk;
     }
-    return models;
+    return best;
 }
 
 void SwapPlanner::planPrefetch(TimePoint now, std::vector<PlacementOrder> &orders)
 {
     for (const auto &[service, spec] : m_services) {
-        if (!spec.engine || storeLoadsInProgress() >= MaxPrefetchLoads
+        if (!spec.engine || storeLoadsInProgress() >= maxPrefetchLoads()
             || !mayLoadFromStore(*spec.engine, now))
             continue;
-        const auto available = locallyAvailableModels(service);
-        const auto missing =
-                std::find_if(spec.engine->models.begin(), spec.engine->models.end(),
-                             [&](const auto &model) { return !available.contains(model.first); });
-        if (missing == spec.engine->models.end())
-            continue;
-        EngineTracker *best = nullptr;
-        for (auto &[id, it] : m_engines) {
-            if (!it.acceptsOrders(service) || !it.isFree(now) || m_reserved.contains(id)
-                || !victimsFor(it, missing->second.weights, PrefetchGain))
-                continue;
-            if (!best || it.state().onDisk.size() < best->state().onDisk.size())
-                best = &it;
-        }
-        if (!best)
+        const auto *missing = mostWantedMissing(service, *spec.engine);
+        if (!missing)
             continue;
-        const auto victims = *victimsFor(*best, missing->second.weights, PrefetchGain);
-        if (victims.empty())
-            load(*best, { missing->first, AdapterId() }, now, orders);
-        else
-            unload(*best, victims.front(), now, orders);
+        if (const auto best = prefetchTarget(service, missing->first, now))
+            evictOrLoad(*best, { missing->first, AdapterId() }, now, orders);
     }
 }
 
