Swap for a replacement only when it is worth more than what it evicts

A model that only a draining engine served was loaded over another one of equal demand, although a copy at hand elsewhere is ready in less than a second. Its gain is now that of the only resident copy; a model without any copy keeps the higher one.

--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -451,7 +451,8 @@
     }
     if (const auto *engine = engineOf(it.entry().service); engine && key.adapter.isEmpty())
         for (const auto &lost : it.copiesLostByLoading(*engine, key.model))
-            --m_models[{ it.entry().service, lost }].atHand;
+            if (auto &atHand = m_models[{ it.entry().service, lost }].atHand; atHand > 0)
+                --atHand;
     if (key.adapter.isEmpty())
         ++m_models[{ it.entry().service, key.model }].atHand;
     if (timing.isFromStore) {
--- a/src/placement/swapplannerprefetch.cpp
+++ b/src/placement/swapplannerprefetch.cpp
@@ -25,6 +25,8 @@
 /// request per second for that model: the evicted one is back in less than a second.
 constexpr double PrefetchGain = 1.0;
 constexpr double CoverageGain = 8.0;
+/// Gain of the only resident copy per request per second; the loss of evicting it is the same.
+constexpr double LastCopyGain = 4.0;
 
 } // namespace
 
@@ -109,7 +111,9 @@
         TotalDemand replacement;
         replacement.service = service;
         replacement.key = key;
-        replacement.urgency = PrefetchGain + CoverageGain * status.perSecond;
+        // With a copy at hand elsewhere, a model of equal demand is not worth the swap.
+        replacement.urgency = status.atHand > 0 ? LastCopyGain * status.perSecond
+                                                : PrefetchGain + CoverageGain * status.perSecond;
         const auto best = bestTarget(replacement, now);
         const bool isAllowed = best
                 && (!best->isFromStore
