--- a/programs/gateway/placementcoordinator.h
+++ b/programs/gateway/placementcoordinator.h
@@ -36,12 +36,17 @@
     void runPlan(TimePoint now);
     /// \returns whether the engine may get an order or a report request
     [[nodiscard]] bool mayCall(const TargetEntry &target, TimePoint now) const;
+    /// Updates the planner's metrics, and logs their changes.
+    void notePlanMetrics(TimePoint now);
     boost::asio::awaitable<void> sendOrder(PlacementOrder order);
     boost::asio::awaitable<void> fetchReport(TargetId target);
 
     boost::asio::io_context &m_context;
     GatewayState &m_state;
     platform::Store m_store;
+    TimePoint m_planMetricsAt;
+    std::size_t m_fullSpeedLoads = 0;
+    std::size_t m_missingModels = 0;
     std::size_t m_reportsInFlight = 0;
     bool m_wasLeader = false;
 };
