Follow the load on a model with the number of its copies, and spread sends

The most wanted model had three copies on 90 engines; each of them had 29 to 34 requests in flight at 16 slots, while some 350 of 1,440 slots were in use.

Cause: a model had at most three copies, from 10 requests a second on, however long its requests run. In addition all daemons chose the engine with the lowest count, which relays tell half a second late.

Change: the number of copies follows the requests in flight, so that the batches of a model's engines stay about half full. Engines with taken slots come later for loads. The choice of an engine adds a random cost for what others may have sent since, and a full one costs more. The search for extra copies is bounded to two models a plan.

--- a/programs/gateway/requestlimits.cpp
+++ b/programs/gateway/requestlimits.cpp
@@ -1,5 +1,6 @@
 #include "gateway/requestlimits.h"
 
+#include "core/digest.h"
 #include "queue/waitdecision.h"
 
 namespace bluebell::gateway {
@@ -38,6 +39,7 @@
     if (it.service->engine)
         requirements.key = it.caller.replica;
     requirements.excluded = it.triedTargets;
+    requirements.spread = stableHash(it.caller.attempt.value());
     return requirements;
 }
 
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -16,6 +16,9 @@
 /// Added, for each model to evict, to the time until a target is ready: a target without evictions
 /// is preferred if it is ready at most this much later.
 constexpr Duration EvictionTimePenalty = milliseconds(200);
+/// Added to the time until a target is ready if all its slots are taken, and in proportion if some
+/// are: a request that waits for the model needs a slot as well.
+constexpr Duration TakenSlotsPenalty = milliseconds(400);
 /// Added to the duration of a load, so that it has completed with certainty.
 constexpr Duration CompletionMargin = milliseconds(15);
 /// Added to the duration of an unload that must wait for running requests.
@@ -428,6 +431,8 @@
         candidate.readyIn += it.timeUntilFree(now);
         if (taken.contains(it.entry().dataCentre))
             candidate.readyIn += SameDataCentrePenalty;
+        const auto load = targetLoad(id);
+        candidate.readyIn += TakenSlotsPenalty * load / std::max<std::uint32_t>(engine->slots, 1);
         if (best && best->readyIn < candidate.readyIn)
             continue;
         auto victims = victimsFor(it, bytes, pressureOf(wanted));
@@ -437,7 +442,6 @@
             candidate.readyIn += EvictionTimePenalty + UnloadTime
                     + (inFlightAt(id, victim.model) > 0 ? DrainTime : Duration::zero());
         candidate.victims = std::move(*victims);
-        const auto load = targetLoad(id);
         const bool isCold = it.entry().isCold(now);
         if (best
             && std::tie(best->readyIn, isBestCold, bestLoad)
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -154,6 +154,18 @@
     void refreshResidentEngines(const TotalDemand &wanted, TimePoint now);
     void planAdapter(const TotalDemand &wanted, TimePoint now, std::vector<PlacementOrder> &orders);
     void planModel(const TotalDemand &wanted, TimePoint now, std::vector<PlacementOrder> &orders);
+    /// A model that should have more copies.
+    struct MissingCopies
+    {
+        ServiceId service;
+        ModelId model;
+        double arrivalsPerSecond = 0;
+        /// Wanted copies relative to those that are resident or being loaded.
+        double overload = 1;
+    };
+    /// \returns the models that should have more than one copy and have too few, those with the
+    /// highest overload first
+    [[nodiscard]] std::vector<MissingCopies> missingCopies(TimePoint now);
     /// Loads a second or third copy of models with a high or quickly rising arrival rate.
     void planExtraCopies(TimePoint now, std::vector<PlacementOrder> &orders);
     /// \returns the arrival rates of all models; those that rise quickly are extrapolated
@@ -215,6 +227,8 @@
     std::map<TargetId, std::uint32_t> m_targetLoad;
     /// Targets reserved for a more urgent model in the current plan.
     std::set<TargetId> m_reserved;
+    /// No engine is searched for extra copies before this time.
+    TimePoint m_nextExtraCopySearch;
     /// Start times of the latest loads from the weight store.
     std::deque<TimePoint> m_storeLoads;
     /// Loads from the weight store in progress, and what they teach about its speed.
--- a/src/placement/swapplannerprefetch.cpp
+++ b/src/placement/swapplannerprefetch.cpp
@@ -1,3 +1,4 @@
+#include "placement/copycount.h"
 #include "placement/swapplanner.h"
 
 #include <algorithm>
@@ -11,9 +12,11 @@
 /// Concurrent loads from the weight store up to which models without waiting requests are loaded,
 /// at least. Above it, one of those that run at full speed is left for waiting requests.
 constexpr std::size_t MinPrefetchLoads = 2;
-/// Requests per second from which on a model has a second copy, and a third one.
-constexpr double SecondCopyRate = 2;
-constexpr double ThirdCopyRate = 10;
+/// Models for which engines are searched for extra copies in one plan, and the time until the next
+/// search when there was no engine for one. A search looks at all engines, so that the leader's
+/// work for them is bounded.
+constexpr std::size_t MaxExtraCopySearches = 2;
+constexpr Duration FailedSearchInterval = std::chrono::milliseconds(200);
 /// A rate is rising quickly when it exceeds its average over AveragingTime by RisingFactor; it is
 /// then expected to grow once more by that factor. Below MinRisingRate this would be chance.
 constexpr Duration AveragingTime = std::chrono::seconds(10);
@@ -35,25 +38,53 @@
     return std::max(m_pace.fullSpeedLoads() - 1, MinPrefetchLoads);
 }
 
-void SwapPlanner::planExtraCopies(TimePoint now, std::vector<PlacementOrder> &orders)
+std::vector<SwapPlanner::MissingCopies> SwapPlanner::missingCopies(TimePoint now)
 {
-    for (const auto &[name, perSecond] : expectedRates(now)) {
+    std::map<std::pair<ServiceId, ModelId>, ModelLoad> loads;
+    for (const auto &[name, perSecond] : expectedRates(now))
+        loads[name].arrivalsPerSecond = perSecond;
+    for (const auto &[key, count] : m_inFlight)
+        if (const auto engine = m_engines.find(key.first); engine != m_engines.end())
+            loads[{ engine->second.entry().service, key.second }].inFlight += count;
+    std::vector<MissingCopies> missing;
+    for (auto &[name, load] : loads) {
         const auto &[service, model] = name;
         const auto *engine = engineOf(service);
-        if (!engine || perSecond < SecondCopyRate)
+        if (!engine)
+            continue;
+        load.slots = engine->slots;
+        const auto wanted = wantedCopies(load);
+        if (wanted < 2)
             continue;
+        const ReplicaKey key { model, AdapterId() };
+        const auto copies = copyCount(key, service) + loadingCount(key, service);
+        if (copies < wanted)
+            missing.push_back({ service, model, load.arrivalsPerSecond,
+                                static_cast<double>(wanted)
+                                        / static_cast<double>(std::max<std::size_t>(copies, 1)) });
+    }
+    std::sort(missing.begin(), missing.end(),
+              [](const auto &a, const auto &b) { return a.overload > b.overload; });
+    return missing;
+}
+
+void SwapPlanner::planExtraCopies(TimePoint now, std::vector<PlacementOrder> &orders)
+{
+    if (now < m_nextExtraCopySearch)
+        return;
+    std::size_t searches = 0;
+    for (const auto &it : missingCopies(now)) {
+        if (++searches > MaxExtraCopySearches)
+            break;
         TotalDemand extraCopy;
-        extraCopy.service = service;
-        extraCopy.key = { model, AdapterId() };
-        extraCopy.urgency = ExtraCopyGain * perSecond;
-        const std::size_t copies = perSecond < ThirdCopyRate ? 2 : 3;
-        auto existing = copyCount(extraCopy.key, service) + loadingCount(extraCopy.key, service);
-        for (; existing < copies; ++existing) {
-            const auto best = bestTarget(extraCopy, now);
-            if (!best || !mayPrefetch(*best, *engine, now))
-                break;
+        extraCopy.service = it.service;
+        extraCopy.key = { it.model, AdapterId() };
+        extraCopy.urgency = ExtraCopyGain * std::max(it.arrivalsPerSecond, it.overload);
+        const auto best = bestTarget(extraCopy, now);
+        if (best && mayPrefetch(*best, *engineOf(it.service), now))
             evictOrLoad(*best, extraCopy.key, now, orders);
-        }
+        else
+            m_nextExtraCopySearch = now + FailedSearchInterval;
     }
 }
 
--- a/src/routing/targetselector.cpp
+++ b/src/routing/targetselector.cpp
@@ -28,6 +28,11 @@
 /// Cost of a cold target, as a fraction of its slots. It stands few requests, which are kept for
 /// those that no other target can serve.
 constexpr double ColdCost = 2.0;
+/// Cost of an engine whose slots are all taken, as a fraction of its slots: a request waits there
+/// until another one has ended.
+constexpr double FullCost = 0.5;
+/// Requests that other daemons may have sent to one engine since their last counts arrived.
+constexpr double MaxUncountedRequests = 3;
 /// Largest cost added to order targets that are otherwise equal; the order differs by daemon.
 constexpr double MaxTieBreak = 0.01;
 
@@ -177,7 +182,10 @@
 double TargetSelector::costOf(const TargetEntry &target, TimePoint now) const
 {
     const auto slots = static_cast<double>(std::max<std::uint32_t>(target.slots, 1));
-    double cost = load(target.id) / slots;
+    const auto inFlight = load(target.id);
+    double cost = inFlight / slots;
+    if (target.engine && inFlight >= target.slots)
+        cost += FullCost;
     if (target.dataCentre != m_dataCentre)
         cost += RemoteCost;
     if (target.isCold(now))
@@ -192,6 +200,17 @@
     return cost;
 }
 
+double TargetSelector::uncertaintyOf(const TargetRequirements &requirements,
+                                     const TargetEntry &target) const
+{
+    if (requirements.spread == 0 || !requirements.key || m_peerTotals.empty())
+        return 0;
+    constexpr std::uint64_t Steps = 1000;
+    const auto slots = static_cast<double>(std::max<std::uint32_t>(target.slots, 1));
+    const auto random = rendezvousScore(std::to_string(requirements.spread), target.id.value());
+    return MaxUncountedRequests / slots * static_cast<double>(random % Steps) / Steps;
+}
+
 std::optional<TargetId> TargetSelector::choose(const TargetRequirements &requirements,
                                                const std::map<TargetId, TargetEntry> &targets,
                                                const ResidentReplicas &residents, TimePoint now)
@@ -211,7 +230,7 @@
             if (notResident != m_notResidentUntil.end() && now < notResident->second)
                 continue;
         }
-        const auto cost = costOf(target, now);
+        const auto cost = costOf(target, now) + uncertaintyOf(requirements, target);
         if (best && cost >= bestCost)
             continue;
         best = id;
--- a/src/routing/targetselector.h
+++ b/src/routing/targetselector.h
@@ -26,6 +26,8 @@
     std::optional<ReplicaKey> key;
     /// Targets that have been tried for this request already.
     std::set<TargetId> excluded;
+    /// Differs between requests; 0 if requests need not be spread.
+    std::uint64_t spread = 0;
 };
 
 /// Why and until when a target gets no request of this daemon.
@@ -167,6 +169,10 @@
                                                            TimePoint now) const;
     /// \returns the cost of sending a request to `target`, in multiples of its slots
     [[nodiscard]] double costOf(const TargetEntry &target, TimePoint now) const;
+    /// \returns a random cost that covers what other daemons may have sent to an engine since their
+    /// last counts, so that they do not all choose the same one
+    [[nodiscard]] double uncertaintyOf(const TargetRequirements &requirements,
+                                       const TargetEntry &target) const;
 
     DataCentreId m_dataCentre;
     std::string m_salt;
--- a/tests/tst_targetselector.cpp
+++ b/tests/tst_targetselector.cpp
@@ -148,3 +148,53 @@
     EXPECT_EQ(soonest->holdOff.until, Start + ColdLimits::Window);
     EXPECT_TRUE(selector.choose(requirements(), all, {}, Start + 3s));
 }
+
+// Load: many daemons send requests for one model, and their counts of each other are half a second
+// old. Guards against all of them choosing the engine that was the least loaded then.
+TEST(TargetSelector, DaemonsWithTheSameOldCountsSpreadOverEngines)
+{
+    const ReplicaKey key { ModelId("m"), AdapterId() };
+    auto all = targets({ "a1", "a2", "a3", "a4" });
+    ResidentReplicas residents;
+    for (auto &[id, it] : all) {
+        it.slots = 16;
+        it.engine.emplace();
+        residents[id] = { key };
+    }
+    std::map<TargetId, int> chosen;
+    constexpr int Daemons = 40;
+    for (int n = 1; n <= Daemons; ++n) {
+        TargetSelector selector(DataCentreId("a"), "vm-" + std::to_string(n));
+        const std::map<TargetId, std::uint32_t> counts { { TargetId("a1"), 5 },
+                                                         { TargetId("a2"), 6 },
+                                                         { TargetId("a3"), 6 },
+                                                         { TargetId("a4"), 15 } };
+        selector.notePeerCounts(VmId("*"), counts, Start);
+        auto it = requirements();
+        it.key = key;
+        it.spread = static_cast<std::uint64_t>(n);
+        ++chosen[*selector.choose(it, all, residents, Start)];
+    }
+    EXPECT_LT(chosen[TargetId("a1")], Daemons * 3 / 4);
+    EXPECT_GT(chosen[TargetId("a2")], 0);
+    EXPECT_GT(chosen[TargetId("a3")], 0);
+    EXPECT_EQ(chosen[TargetId("a4")], 0);
+}
+
+// Guards against a local engine that is full while one in another data centre has free slots.
+TEST(TargetSelector, AFullEngineIsLeftForAnotherDataCentre)
+{
+    const ReplicaKey key { ModelId("m"), AdapterId() };
+    auto all = targets({ "a1", "b1" });
+    ResidentReplicas residents;
+    for (auto &[id, it] : all) {
+        it.slots = 16;
+        it.engine.emplace();
+        residents[id] = { key };
+    }
+    TargetSelector selector(DataCentreId("a"), "vm-1");
+    selector.notePeerCounts(VmId("*"), { { TargetId("a1"), 16 }, { TargetId("b1"), 15 } }, Start);
+    auto it = requirements();
+    it.key = key;
+    EXPECT_EQ(selector.choose(it, all, residents, Start), TargetId("b1"));
+}
