--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -220,9 +220,9 @@
 const SwapPlanner::ModelStatus &SwapPlanner::statusOf(const ServiceId &service,
                                                       const ModelId &model) const
 {
-    static const ModelStatus none;
+    static const ModelStatus None;
     const auto it = m_models.find({ service, model });
-    return it == m_models.end() ? none : it->second;
+    return it == m_models.end() ? None : it->second;
 }
 
 bool SwapPlanner::keepsLastCopies(const EngineTracker &it, const ModelId &model) const
