Do not unload a model that is nowhere else

With small disks, the copy of a resident model may have been evicted; an unload then lost the model, and no engine could load it again without the loss of another one. Such a model is no victim where DiskMb is stated.

--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -237,6 +237,16 @@
     });
 }
 
+bool SwapPlanner::isOnlyCopy(const EngineTracker &it, const ModelId &model) const
+{
+    const auto *engine = engineOf(it.entry().service);
+    // An engine whose disk has unlimited room keeps a copy of an unloaded model.
+    if (!engine || engine->disk <= 0 || !specOf(it.entry().service, model))
+        return false;
+    return !it.state().onDisk.contains(model) && !it.state().inMemory.contains(model)
+            && statusOf(it.entry().service, model).atHand < 2;
+}
+
 std::size_t SwapPlanner::missingModels() const
 {
     std::size_t missing = 0;
@@ -338,7 +348,7 @@
     };
     std::vector<Victim> byLoss;
     for (const auto &key : it.state().resident)
-        if (key.adapter.isEmpty())
+        if (key.adapter.isEmpty() && !isOnlyCopy(it, key.model))
             byLoss.push_back({ inFlightAt(it.entry().id, key.model) > 0, evictionLoss(it, key),
                                it.lastUsedAt(key), key });
     // An unload waits for running requests, which may take seconds.
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -118,6 +118,8 @@
     [[nodiscard]] const ModelStatus &statusOf(const ServiceId &service, const ModelId &model) const;
     /// \returns whether the load evicts no last copy of a configured model
     [[nodiscard]] bool keepsLastCopies(const EngineTracker &it, const ModelId &model) const;
+    /// \returns whether the model is at hand only by being resident on this engine
+    [[nodiscard]] bool isOnlyCopy(const EngineTracker &it, const ModelId &model) const;
     /// Drops expired demand and sums up the rest over all daemons.
     void aggregateDemand(TimePoint now);
     [[nodiscard]] const EngineSpec *engineOf(const ServiceId &service) const;
--- a/tests/tst_placementcoverage.cpp
+++ b/tests/tst_placementcoverage.cpp
@@ -101,3 +101,14 @@
     (void)plan({});
     EXPECT_EQ(m_planner.missingModels(), 1U); // m2 is being loaded, m3 is not.
 }
+
+/// A small disk has evicted the copy of a resident model; an unload would lose the model.
+TEST_F(PlacementCoverage, DoesNotUnloadAModelThatIsNowhereElse)
+{
+    addEngine("t1", { "m0", "m1", "m2" }, { "m1", "m2", "m3" });
+    start(spec(4));
+    const auto orders = plan({ demand(model("m3"), 3) });
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders.front().action, IntentAction::Unload);
+    EXPECT_NE(orders.front().key, model("m0"));
+}
