Bound the memory and descriptors that callers' requests take

What callers saw: clients that ignore the limits ended a gateway process by its memory, and with it the requests of all others.

Cause: Beast's parser does not bound trailers and chunk extensions, the read buffer grew with them; allowed bodies were bounded one by one, not together; a forwarded body was copied for each attempt; a connection in the middle of a request was never closed for another one.

Change: HttpSession reads with a bounded buffer and counts trailers and chunk framing against HeaderBytes. One MemoryBudget per process (a quarter of MemoryMb, up to a half for one body of the maximum size) is taken as bytes arrive. When it is exhausted, the request that has stalled for longest is given up, else a much larger one, else the one being read: 503, not run. Stalled requests are closed for new connections too. Attempts send the body from where it is held. Logs and metrics tell refusals by reason and the bytes held.

--- a/programs/gateway/attempts.cpp
+++ b/programs/gateway/attempts.cpp
@@ -35,6 +35,7 @@
     HttpCall call;
     call.endpoint = target.address;
     call.request = platform::encodeForward(*it.http, details);
+    call.sharedBody = it.body;
     call.bodyLimit = it.route->kind == RequestKind::Streaming ? MaxStreamBytes : MaxResponseBytes;
     call.timeout = std::max<Duration>(it.deadline - now, milliseconds(1));
     call.connectTimeout = ConnectTimeout;
--- a/programs/gateway/connectionlimits.cpp
+++ b/programs/gateway/connectionlimits.cpp
@@ -23,11 +23,11 @@
         return Unknown;
     constexpr auto Reserved = FileDescriptors + OwnSockets;
     const auto sockets = std::max<std::size_t>(descriptors, Reserved) - Reserved;
-    const auto system = std::min(sockets / SystemDivisor, Unknown.system);
+    const auto system = std::clamp(sockets / SystemDivisor, MinConnections, Unknown.system);
     // One for the caller and one for the target.
-    const auto callers = std::min((sockets - SystemServers * system) / 2, Unknown.callers);
-    return { .callers = std::max(callers, MinConnections),
-             .system = std::max(system, MinConnections) };
+    const auto left = sockets - std::min(sockets, SystemServers * system);
+    const auto callers = std::clamp(left / 2, MinConnections, Unknown.callers);
+    return { .callers = callers, .system = system };
 }
 
 } // namespace bluebell::gateway
--- a/programs/gateway/daemon.cpp
+++ b/programs/gateway/daemon.cpp
@@ -35,18 +35,20 @@
 constexpr Duration BodyTimeout = std::chrono::seconds(10);
 
 /// \returns the limits until a configuration is known
-HttpLimits initialLimits(const GatewaySettings &settings)
+HttpLimits initialLimits(const GatewayState &state)
 {
     HttpLimits it;
-    it.connections = connectionLimits(settings.maxDescriptors).callers;
+    it.connections = connectionLimits(state.settings.maxDescriptors).callers;
+    it.memory = state.requestMemory;
     return it;
 }
 
-HttpLimits systemLimits(const GatewaySettings &settings)
+HttpLimits systemLimits(const GatewayState &state)
 {
     HttpLimits it;
     it.bodyBytes = 64U << 10U;
-    it.connections = connectionLimits(settings.maxDescriptors).system;
+    it.connections = connectionLimits(state.settings.maxDescriptors).system;
+    it.memory = state.requestMemory;
     return it;
 }
 
@@ -63,9 +65,9 @@
     return "the time of day jumped";
 }
 
-HttpLimits callerLimits(const CallerLimits &limits, const GatewaySettings &settings)
+HttpLimits callerLimits(const CallerLimits &limits, const GatewayState &state)
 {
-    auto it = initialLimits(settings);
+    auto it = initialLimits(state);
     it.headerBytes = limits.headerBytes;
     it.bodyBytes = limits.bodyBytes;
     it.transferTimeout = limits.headerTimeout + BodyTimeout;
@@ -83,23 +85,29 @@
       m_coordinator(context, m_state), m_proxy(context.get_executor(), m_state),
       m_link(context.get_executor(),
              [this](const DaemonStatus &status) { m_state.noteStatus(status, BootClock::now()); }),
-      m_callerServer(context, initialLimits(m_state.settings),
+      m_callerServer(context, initialLimits(m_state),
                      [this](const HttpRequest &request, HttpResponder &responder) {
                          return m_proxy.handle(request, responder);
                      }),
-      m_readinessServer(context, systemLimits(m_state.settings),
+      m_readinessServer(context, systemLimits(m_state),
                         [this](const HttpRequest &request, HttpResponder &responder) {
                             return handleSystemRequest(request, responder);
                         }),
-      m_directoryServer(context, systemLimits(m_state.settings),
+      m_directoryServer(context, systemLimits(m_state),
                         [this](const HttpRequest &request, HttpResponder &responder) {
                             return handleSystemRequest(request, responder);
                         }),
-      m_controlServer(context, systemLimits(m_state.settings),
+      m_controlServer(context, systemLimits(m_state),
                       [this](const HttpRequest &request, HttpResponder &responder) {
                           return handleControlRequest(request, responder);
                       })
 {
+    for (auto *server :
+         { &m_callerServer, &m_readinessServer, &m_directoryServer, &m_controlServer })
+        server->setRefusalObserver([this](std::string_view reason) {
+            m_state.metrics.count("bluebell_requests_not_read_total",
+                                  { {}, {}, std::string(reason) });
+        });
 }
 
 Result<Endpoint> Daemon::start()
@@ -143,7 +151,9 @@
 void Daemon::applyConfig()
 {
     const auto &config = m_state.index->config();
-    m_callerServer.setLimits(callerLimits(config.limits, m_state.settings));
+    m_state.requestMemory->setLimit(
+            requestMemoryLimit(m_state.settings.memoryLimit, config.limits));
+    m_callerServer.setLimits(callerLimits(config.limits, m_state));
     const auto now = BootClock::now();
     std::erase_if(m_state.rates, [&](const auto &it) {
         const auto *organisation = m_state.index->findOrganisation(it.first);
@@ -197,6 +207,12 @@
         m_state.metrics.setGauge("bluebell_task_failures", static_cast<double>(taskFailures()));
         m_state.metrics.setGauge("bluebell_response_bytes_peak",
                                  static_cast<double>(m_state.responseMemory->peak()));
+        m_state.metrics.setGauge("bluebell_request_bytes_held",
+                                 static_cast<double>(m_state.requestMemory->held()));
+        m_state.metrics.setGauge("bluebell_request_bytes_peak",
+                                 static_cast<double>(m_state.requestMemory->peak()));
+        m_state.metrics.setGauge("bluebell_request_bytes_limit",
+                                 static_cast<double>(m_state.requestMemory->limit()));
         response.body = m_state.metrics.exposition();
     } else
         response = errorResponse(makeError(ErrorCode::NotFound, "no such call"), {});
--- a/programs/gateway/gatewaystate.cpp
+++ b/programs/gateway/gatewaystate.cpp
@@ -2,6 +2,7 @@
 
 #include "core/digest.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bluebell::gateway {
@@ -43,12 +44,27 @@
 
 } // namespace
 
+std::size_t requestMemoryLimit(std::uint64_t memoryLimit, const CallerLimits &limits) noexcept
+{
+    constexpr std::uint64_t Unknown = 256U << 20U;
+    constexpr std::uint64_t Divisor = 4;
+    constexpr std::uint64_t MaxDivisor = 2;
+    constexpr std::uint64_t ReadBufferBytes = 64U << 10U;
+    // A budget admits a holder of at most half its size.
+    const auto forOne = 2 * (limits.bodyBytes + 2 * limits.headerBytes + ReadBufferBytes);
+    if (memoryLimit == 0)
+        return std::max<std::uint64_t>(Unknown, forOne);
+    return std::max(memoryLimit / Divisor,
+                    std::min<std::uint64_t>(memoryLimit / MaxDivisor, forOne));
+}
+
 GatewayState::GatewayState(const boost::asio::any_io_executor &executor, GatewaySettings given)
     : settings(std::move(given)), incarnation(randomHex(8)), startedAt(BootClock::now()),
       fleet(selfMember(settings, incarnation)), relayNode(settings.vm, startedAt),
       selector(settings.dataCentre, settings.vm.value()),
       leadership(settings.vm, incarnation, leadershipSettings(settings)),
       responseMemory(std::make_shared<MemoryBudget>(responseMemoryLimit(settings))),
+      requestMemory(std::make_shared<MemoryBudget>(requestMemoryLimit(settings.memoryLimit, {}))),
       stateChanged(executor), statusDue(executor), demandDue(executor), reportDue(executor),
       peerDataDue(executor), digestDue(executor), quarantineDue(executor)
 {
--- a/programs/gateway/gatewaystate.h
+++ b/programs/gateway/gatewaystate.h
@@ -35,6 +35,12 @@
     Others,
 };
 
+/// \param memoryLimit maximum memory of the process in bytes; 0 if unknown
+/// \returns the bytes that the requests of all callers may hold together: a quarter of the memory,
+/// and up to a half if one request of the maximum size needs more
+[[nodiscard]] std::size_t requestMemoryLimit(std::uint64_t memoryLimit,
+                                             const CallerLimits &limits) noexcept;
+
 /// State shared by the components of a gateway. All of them run on one thread.
 struct GatewayState
 {
@@ -73,6 +79,8 @@
     Metrics metrics;
     /// For the bodies of targets' responses that are kept until they are complete.
     std::shared_ptr<MemoryBudget> responseMemory;
+    /// Bytes of callers' requests, from their arrival until the response has ended.
+    std::shared_ptr<MemoryBudget> requestMemory;
     /// When the store last replied to a read of the targets.
     TimePoint targetsReadAt;
     /// When a graceful stop was requested.
--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -92,6 +92,8 @@
 struct RequestContext : std::enable_shared_from_this<RequestContext>
 {
     const HttpRequest *http = nullptr;
+    /// Body of `http`, which attempts at targets send without a copy.
+    std::shared_ptr<const std::string> body;
     CallerRequest caller;
     /// Configuration that applies to the request; newer versions do not affect it.
     std::shared_ptr<const SiteIndex> index;
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -253,6 +253,7 @@
     const auto context = std::make_shared<RequestContext>();
     auto &it = *context;
     it.http = &request;
+    it.body = responder.sharedBody();
     it.receivedAt = BootClock::now();
     it.cancel = std::make_shared<CancelSource>();
     auto result = Result<void>(BOOST_OUTCOME_V2_NAMESPACE::success());
--- a/programs/standin/platformserver.cpp
+++ b/programs/standin/platformserver.cpp
@@ -20,7 +20,7 @@
 using platform::StoreSnapshot;
 using platform::Transact;
 
-constexpr HttpLimits Limits { .bodyBytes = 16U << 20U };
+const HttpLimits Limits { .bodyBytes = 16U << 20U };
 
 HttpResponse okResponse(std::string body)
 {
--- a/src/core/memorybudget.cpp
+++ b/src/core/memorybudget.cpp
@@ -21,7 +21,8 @@
     if (!m_budget)
         return true;
     auto &it = *m_budget;
-    if (size > m_size && size > it.m_limit - it.m_held)
+    const auto free = it.m_limit - std::min(it.m_limit, it.m_held);
+    if (size > m_size && size > free)
         return false;
     it.m_held += size - m_size;
     m_size = size;
--- a/src/core/memorybudget.h
+++ b/src/core/memorybudget.h
@@ -18,6 +18,10 @@
 public:
     explicit MemoryBudget(std::size_t limit) noexcept : m_limit(limit) { }
 
+    /// Changes the limit; holders keep what they have.
+    void setLimit(std::size_t limit) noexcept { m_limit = limit; }
+    [[nodiscard]] std::size_t limit() const noexcept { return m_limit; }
+
     /// \returns the bytes that are held now
     [[nodiscard]] std::size_t held() const noexcept { return m_held; }
     /// \returns the largest number of bytes that were held at the same time
@@ -49,6 +53,7 @@
     ///
     /// \returns false, without a change, if the budget does not allow it
     [[nodiscard]] bool resize(std::size_t size) noexcept;
+    [[nodiscard]] std::size_t size() const noexcept { return m_size; }
 
 private:
     std::shared_ptr<MemoryBudget> m_budget;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -194,7 +194,8 @@
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
 
     m_parser.skip(request.method == "HEAD");
-    http::request<http::string_body> message;
+    const std::string_view body = call.sharedBody ? *call.sharedBody : request.body;
+    http::request<http::span_body<const char>> message;
     message.method_string(request.method);
     message.target(request.path);
     message.set(http::field::host, toString(m_endpoint));
@@ -203,7 +204,7 @@
     for (const auto &it : request.headers)
         message.insert(it.name, it.value);
     message.keep_alive(false);
-    message.body() = std::move(request.body);
+    message.body() = { body.data(), body.size() };
     message.prepare_payload();
     startWatch(std::move(call.silence));
     const auto [writeError, written] = co_await http::async_write(m_stream, message, Await);
--- a/src/http/httplistener.cpp
+++ b/src/http/httplistener.cpp
@@ -27,6 +27,9 @@
 /// Maximum time between two checks for a free connection.
 constexpr Duration CapacityCheckInterval = milliseconds(50);
 
+/// Minimum time between two log lines on refused requests.
+constexpr Duration RefusalLogInterval = milliseconds(1000);
+
 /// \returns whether an accept failed because the process or the system lacks a resource
 bool isExhausted(const boost::system::error_code &ec)
 {
@@ -81,7 +84,7 @@
         if (!std::exchange(isFailing, true))
             log::warning("failed to accept a connection", { { "cause", ec.message() } });
         if (isExhausted(ec))
-            self->closeLongestIdle();
+            self->closeForAnother();
         co_await sleepFor(AcceptRetryDelay);
     }
 }
@@ -89,7 +92,7 @@
 asio::awaitable<void> HttpListener::awaitCapacity()
 {
     while (!m_isStopping && m_sessions.size() >= m_limits.connections) {
-        closeLongestIdle();
+        closeForAnother();
         co_await m_sessionEnded.wait(CapacityCheckInterval);
     }
 }
@@ -115,15 +118,71 @@
     self->m_sessionEnded.notify();
 }
 
-void HttpListener::closeLongestIdle()
+void HttpListener::noteRefusal(std::string_view reason)
+{
+    if (m_refusalObserver)
+        m_refusalObserver(reason);
+    ++m_unloggedRefusals;
+    const auto now = BootClock::now();
+    if (now - m_refusalsLoggedAt < RefusalLogInterval)
+        return;
+    m_refusalsLoggedAt = now;
+    const auto &memory = m_limits.memory;
+    log::warning("requests refused before they were read",
+                 { { "reason", std::string(reason) },
+                   { "count", std::to_string(std::exchange(m_unloggedRefusals, 0)) },
+                   { "connections", std::to_string(m_sessions.size()) },
+                   { "held_bytes", std::to_string(memory ? memory->held() : 0) },
+                   { "peak_bytes", std::to_string(memory ? memory->peak() : 0) } });
+}
+
+std::vector<std::shared_ptr<HttpSession>>
+HttpListener::readingSessions(const HttpSession *excluded) const
+{
+    std::vector<std::shared_ptr<HttpSession>> sessions;
+    for (const auto &it : m_sessions)
+        if (it.get() != excluded && it->readProgress())
+            sessions.push_back(it);
+    return sessions;
+}
+
+std::vector<ReadProgress>
+HttpListener::progressOf(const std::vector<std::shared_ptr<HttpSession>> &sessions)
+{
+    std::vector<ReadProgress> progress;
+    progress.reserve(sessions.size());
+    for (const auto &it : sessions)
+        progress.push_back(*it->readProgress());
+    return progress;
+}
+
+bool HttpListener::giveUpForMemory(const HttpSession &session)
+{
+    const auto sessions = readingSessions(&session);
+    const auto held = session.readProgress()->heldBytes;
+    const auto n = chooseForMemory(progressOf(sessions), held, BootClock::now());
+    if (n)
+        sessions[*n]->giveUp("given up for memory");
+    return n.has_value();
+}
+
+void HttpListener::closeForAnother()
+{
+    if (closeLongestIdle())
+        return;
+    const auto sessions = readingSessions(nullptr);
+    if (const auto n = chooseStalled(progressOf(sessions), BootClock::now()))
+        sessions[*n]->giveUp("given up for another connection");
+}
+
+bool HttpListener::closeLongestIdle()
 {
     std::shared_ptr<HttpSession> longest;
     for (const auto &it : m_sessions)
         if (const auto since = it->idleSince();
             since && (!longest || *since < *longest->idleSince()))
             longest = it;
-    if (longest)
-        longest->closeIfIdle();
+    return longest && longest->closeIfIdle();
 }
 
 void HttpListener::acceptPending()
--- a/src/http/httplistener.h
+++ b/src/http/httplistener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/readprogress.h"
 #include "http/server.h"
 #include "io/notifier.h"
 
@@ -7,6 +8,8 @@
 
 #include <memory>
 #include <set>
+#include <string_view>
+#include <vector>
 
 /// \file
 /// The listening socket of an HTTP server.
@@ -38,6 +41,13 @@
     }
     [[nodiscard]] const HttpLimits &limits() const noexcept { return m_limits; }
     [[nodiscard]] const HttpHandler &handler() const noexcept { return m_handler; }
+    void setRefusalObserver(RefusalObserver observer) { m_refusalObserver = std::move(observer); }
+    /// Counts and logs a request that is refused before it was read to its end.
+    void noteRefusal(std::string_view reason);
+    /// Gives up another request to free memory for the one that `session` reads.
+    ///
+    /// \returns whether there was one
+    bool giveUpForMemory(const HttpSession &session);
     [[nodiscard]] std::size_t connectionCount() const noexcept { return m_sessions.size(); }
 
 private:
@@ -50,14 +60,28 @@
     void startSession(boost::asio::ip::tcp::socket socket);
     /// Starts sessions for the connections in the queue of the operating system.
     void acceptPending();
-    /// Closes the connection that has been idle for longest, if there is one.
-    void closeLongestIdle();
+    /// Closes the connection that has been idle for longest, or else the one whose request has
+    /// been without progress for longest, if there is one.
+    void closeForAnother();
+    /// Closes the connection that has been idle for longest.
+    ///
+    /// \returns whether there was one
+    bool closeLongestIdle();
+    /// \returns the connections that read a request, except `excluded`
+    [[nodiscard]] std::vector<std::shared_ptr<HttpSession>>
+    readingSessions(const HttpSession *excluded) const;
+    [[nodiscard]] static std::vector<ReadProgress>
+    progressOf(const std::vector<std::shared_ptr<HttpSession>> &sessions);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     HttpLimits m_limits;
     HttpHandler m_handler;
     Notifier m_sessionEnded;
     std::set<std::shared_ptr<HttpSession>> m_sessions;
+    RefusalObserver m_refusalObserver;
+    /// Refusals since the latest log line on them.
+    std::size_t m_unloggedRefusals = 0;
+    TimePoint m_refusalsLoggedAt {};
     bool m_isStopping = false;
     bool m_isKeepAliveDisabled = false;
 };
--- a/src/http/httpsession.cpp
+++ b/src/http/httpsession.cpp
@@ -25,6 +25,12 @@
 
 constexpr auto Await = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t ReadBufferBytes = 4096;
+/// Framing that is always read, such as the size of a chunk after headers of the maximum size.
+constexpr std::size_t MinFramingBytes = 64;
+/// Header fields are held by the parser and by the request.
+constexpr std::size_t HeldHeadFactor = 2;
+/// When a caller whose request was refused for lack of memory may try again.
+constexpr Duration RefusalRetryTime = milliseconds(1000);
 /// Time in which a caller that has just connected is expected to send its first request, when the
 /// server stops or has too many connections.
 constexpr Duration NewConnectionGracePeriod = milliseconds(1000);
@@ -36,7 +42,7 @@
 /// Unlike 504, says that the request was not run.
 constexpr unsigned RequestTimeoutStatus = 408;
 
-HttpRequest toRequest(http::request<http::string_body> &&message)
+HttpRequest toRequest(http::request<RequestBody> &&message)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
@@ -47,6 +53,34 @@
     return request;
 }
 
+/// \returns the reason for a refusal as in logs and metrics
+std::string_view reasonOf(beast::error_code ec)
+{
+    if (ec == http::error::body_limit)
+        return "body limit";
+    if (ec == http::error::header_limit)
+        return "header limit";
+    if (ec == beast::error::timeout)
+        return "timeout";
+    if (ec == asio::error::no_memory)
+        return "no memory";
+    return "malformed";
+}
+
+Error refusalOf(beast::error_code ec)
+{
+    if (ec == http::error::body_limit || ec == http::error::header_limit)
+        return makeError(ErrorCode::PayloadTooLarge, "malformed HTTP: " + ec.message());
+    if (ec == beast::error::timeout)
+        return makeError(ErrorCode::DeadlineExceeded, "the request did not arrive in time");
+    if (ec == asio::error::no_memory) {
+        auto error = makeError(ErrorCode::Unavailable, "no memory is left for the request");
+        error.retryAfter = RefusalRetryTime;
+        return error;
+    }
+    return makeError(ErrorCode::InvalidArgument, "malformed HTTP: " + ec.message());
+}
+
 } // namespace
 
 HttpSession::HttpSession(tcp::socket socket, HttpListener &listener)
@@ -78,6 +112,7 @@
         if (!hasRequest)
             break;
         co_await handleRequest();
+        m_held.reset();
         if (!m_keepAlive || !m_hasEnded || m_listener.expired())
             break;
     }
@@ -181,6 +216,26 @@
     return m_phaseStartedAt;
 }
 
+std::optional<ReadProgress> HttpSession::readProgress() const
+{
+    if (m_phase != Phase::Reading || !m_refusal.empty() || !m_held)
+        return std::nullopt;
+    return ReadProgress { m_lastBytesAt, m_held->memory.size() };
+}
+
+void HttpSession::giveUp(std::string_view reason)
+{
+    m_refusal = reason;
+    m_parser.reset();
+    m_held.reset();
+    m_stream.cancel();
+}
+
+std::shared_ptr<const std::string> HttpSession::sharedBody() const
+{
+    return { m_held, &m_held->request.body };
+}
+
 asio::awaitable<bool> HttpSession::awaitRequest()
 {
     // The stream's own timeout would close the socket without a look at what has arrived.
@@ -211,26 +266,116 @@
     startPhase(Phase::Reading);
     m_hasBegun = false;
     m_hasEnded = false;
-    m_request.reset();
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
-            m_limits.headerBytes, std::numeric_limits<std::uint32_t>::max())));
-    parser.body_limit(m_limits.bodyBytes);
-    auto [ec, n] = co_await http::async_read(m_stream, m_buffer, parser, Await);
+    startParsing();
+    auto ec = co_await readMessage();
     if (ec && m_hasExpired)
         ec = beast::error::timeout;
+    if (!m_refusal.empty())
+        ec = asio::error::no_memory;
     if (ec) {
+        m_parser.reset();
+        m_held.reset();
+        // Not counted any more, while what the caller still sends is discarded.
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
         startPhase(Phase::Ending);
         m_endCause = "the request could not be read";
         co_await reject(ec);
         co_return false;
     }
-    m_version = parser.get().version();
-    m_keepAlive = parser.get().keep_alive();
-    m_request = toRequest(parser.release());
+    m_version = m_parser->get().version();
+    m_keepAlive = m_parser->get().keep_alive();
+    m_held->request = toRequest(m_parser->release());
+    m_parser.reset();
+    if (m_buffer.size() == 0)
+        m_buffer.shrink_to_fit();
     co_return true;
 }
 
+void HttpSession::startParsing()
+{
+    m_held = std::make_shared<HeldRequest>(m_limits.memory);
+    m_headBytes = 0;
+    m_lastBytesAt = m_phaseStartedAt;
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
+            m_limits.headerBytes, std::numeric_limits<std::uint32_t>::max())));
+    m_parser->body_limit(m_limits.bodyBytes);
+}
+
+asio::awaitable<beast::error_code> HttpSession::readMessage()
+{
+    for (;;) {
+        const auto parseError = parseArrived();
+        if (parseError || m_parser->is_done())
+            co_return parseError;
+        const auto [ec, n] =
+                co_await m_stream.async_read_some(m_buffer.prepare(ReadBufferBytes), Await);
+        if (!m_refusal.empty())
+            co_return asio::error::no_memory;
+        if (ec == asio::error::eof)
+            co_return m_parser->got_some() ? http::error::partial_message
+                                           : http::error::end_of_stream;
+        if (ec)
+            co_return ec;
+        m_buffer.commit(n);
+        m_lastBytesAt = BootClock::now();
+    }
+}
+
+beast::error_code HttpSession::parseArrived()
+{
+    beast::error_code ec;
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+        if (!holdArrived())
+            return asio::error::no_memory;
+        const bool isHead = !m_parser->is_header_done();
+        const auto n = m_parser->put(m_buffer.data(), ec);
+        m_buffer.consume(n);
+        if (isHead)
+            m_headBytes += n;
+        // Later parts are parsed as far as they have arrived; the head alone is counted.
+        m_parser->eager(m_parser->is_header_done());
+        if (ec)
+            break;
+    }
+    if (ec != http::error::need_more)
+        return ec;
+    if (m_parser->is_header_done() && isFramingTooLong())
+        return http::error::header_limit;
+    return {};
+}
+
+bool HttpSession::isFramingTooLong() const
+{
+    const auto left = m_limits.headerBytes - std::min(m_limits.headerBytes, m_headBytes);
+    return m_buffer.size() > left + MinFramingBytes;
+}
+
+std::size_t HttpSession::maxBodySize() const
+{
+    if (const auto length = m_parser->content_length())
+        return static_cast<std::size_t>(*length);
+    return m_limits.bodyBytes;
+}
+
+bool HttpSession::holdArrived()
+{
+    auto &body = m_parser->get().body();
+    const auto arrived = m_parser->is_header_done() ? body.size() + m_buffer.size() : 0;
+    auto capacity = body.capacity();
+    if (arrived > capacity)
+        capacity = std::max(arrived, std::min(2 * capacity, maxBodySize()));
+    const auto bytes = capacity + m_buffer.capacity() + HeldHeadFactor * m_headBytes;
+    while (!m_held->memory.resize(bytes)) {
+        const auto listener = m_listener.lock();
+        if (!listener || !listener->giveUpForMemory(*this))
+            return false;
+    }
+    body.reserve(capacity);
+    return true;
+}
+
 asio::awaitable<void> HttpSession::reject(beast::error_code ec)
 {
     m_isCallerGone = ec == http::error::end_of_stream || ec == asio::error::connection_reset
@@ -238,13 +383,11 @@
     if (m_isCallerGone)
         co_return;
     m_keepAlive = false;
-    m_hasRejected = true;
-    auto error = makeError(ErrorCode::InvalidArgument, "malformed HTTP: " + ec.message());
-    if (ec == http::error::body_limit || ec == http::error::header_limit)
-        error.code = ErrorCode::PayloadTooLarge;
-    if (ec == beast::error::timeout)
-        error = makeError(ErrorCode::DeadlineExceeded, "the request did not arrive in time");
-    auto response = errorResponse(error, std::string_view());
+    // A caller that was silent has nothing to discard, and its descriptor is needed.
+    m_hasRejected = m_refusal.empty();
+    if (const auto listener = m_listener.lock())
+        listener->noteRefusal(m_refusal.empty() ? reasonOf(ec) : m_refusal);
+    auto response = errorResponse(refusalOf(ec), std::string_view());
     if (ec == beast::error::timeout)
         response.status = RequestTimeoutStatus;
     (void)co_await send(std::move(response));
@@ -257,7 +400,7 @@
     bool hasFailed = false;
     try {
         HttpResponder responder(*this);
-        auto handled = m_handler(*m_request, responder);
+        auto handled = m_handler(m_held->request, responder);
         co_await std::move(handled);
     } catch (const std::exception &e) {
         log::error("request handler failed", { { "cause", e.what() } });
@@ -351,7 +494,7 @@
 
 bool HttpSession::isHeadRequest() const
 {
-    return m_request && m_request->method == "HEAD";
+    return m_held && m_held->request.method == "HEAD";
 }
 
 template<typename Message>
--- a/src/http/httpsession.h
+++ b/src/http/httpsession.h
@@ -1,12 +1,15 @@
 #pragma once
 
+#include "core/readprogress.h"
 #include "core/time.h"
+#include "http/requestbody.h"
 #include "http/server.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
 
 #include <memory>
 #include <optional>
@@ -20,6 +23,17 @@
 
 class HttpListener;
 
+/// A request with the memory that it holds.
+struct HeldRequest
+{
+    explicit HeldRequest(std::shared_ptr<MemoryBudget> budget) noexcept : memory(std::move(budget))
+    {
+    }
+
+    HttpRequest request;
+    MemoryShare memory;
+};
+
 /// A server connection; reads and handles its requests one after another.
 ///
 /// A connection ends by itself only when no byte of a further request has arrived, or after a
@@ -47,6 +61,13 @@
     /// caller has just connected
     [[nodiscard]] std::optional<TimePoint> idleSince() const;
 
+    /// \returns the progress of the request that is being read, if there is one
+    [[nodiscard]] std::optional<ReadProgress> readProgress() const;
+    /// Refuses the request that is being read and releases its memory.
+    void giveUp(std::string_view reason);
+    /// \returns the body of the request that is handled
+    [[nodiscard]] std::shared_ptr<const std::string> sharedBody() const;
+
     boost::asio::awaitable<bool> send(HttpResponse response);
     boost::asio::awaitable<bool> begin(HttpResponse head);
     boost::asio::awaitable<bool> write(std::string chunk);
@@ -79,6 +100,19 @@
     /// \returns false if the connection ends before the first byte of a request
     boost::asio::awaitable<bool> awaitRequest();
     boost::asio::awaitable<bool> readRequest();
+    void startParsing();
+    /// Reads until the request is complete.
+    boost::asio::awaitable<boost::beast::error_code> readMessage();
+    /// Parses what has arrived. Without an error, the request is complete or more is needed.
+    boost::beast::error_code parseArrived();
+    /// Takes memory for what has arrived.
+    ///
+    /// \returns false if there is none
+    bool holdArrived();
+    /// \returns whether a part of the framing is longer than what the header leaves of its limit
+    [[nodiscard]] bool isFramingTooLong() const;
+    /// \returns the size that the body may reach
+    [[nodiscard]] std::size_t maxBodySize() const;
     /// Responds to a request that could not be read.
     boost::asio::awaitable<void> reject(boost::beast::error_code ec);
     /// Runs the handler. If it fails before it has begun a response, sends an error response.
@@ -121,7 +155,14 @@
     /// Triggered when the caller disconnects; null while no handler watches for it.
     std::shared_ptr<CancelSource> m_disconnectSource;
     boost::beast::flat_buffer m_buffer;
-    std::optional<HttpRequest> m_request;
+    /// Set while a request is read.
+    std::optional<boost::beast::http::request_parser<RequestBody>> m_parser;
+    std::shared_ptr<HeldRequest> m_held;
+    /// Size of the request line and headers.
+    std::size_t m_headBytes = 0;
+    TimePoint m_lastBytesAt;
+    /// Why the request that is being read was given up; empty if it was not.
+    std::string_view m_refusal;
     unsigned m_version = 11;
     bool m_keepAlive = true;
     bool m_hasBegun = false;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -102,6 +102,9 @@
     std::shared_ptr<MemoryBudget> memory = nullptr;
     /// Closes the connection when triggered; may be null.
     std::shared_ptr<CancelSource> cancel = nullptr;
+    /// Sent instead of the body of `request`, so that a body that was received is not held twice;
+    /// null for none.
+    std::shared_ptr<const std::string> sharedBody = nullptr;
 };
 
 } // namespace bluebell
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -38,6 +38,11 @@
     return m_session.hasBegun();
 }
 
+std::shared_ptr<const std::string> HttpResponder::sharedBody() const
+{
+    return m_session.sharedBody();
+}
+
 void HttpResponder::cancelOnDisconnect(const std::shared_ptr<CancelSource> &source)
 {
     m_session.cancelOnDisconnect(source);
@@ -63,6 +68,11 @@
     m_listener->setLimits(limits);
 }
 
+void HttpServer::setRefusalObserver(RefusalObserver observer)
+{
+    m_listener->setRefusalObserver(std::move(observer));
+}
+
 void HttpServer::disableKeepAlive()
 {
     m_listener->disableKeepAlive();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -40,6 +40,9 @@
     /// \returns whether any part of the response may have been sent
     [[nodiscard]] bool hasBegun() const noexcept;
 
+    /// \returns the body of the request, which stays valid after the request
+    [[nodiscard]] std::shared_ptr<const std::string> sharedBody() const;
+
     /// Triggers `source` when the caller disconnects before the response is complete.
     void cancelOnDisconnect(const std::shared_ptr<CancelSource> &source);
 
@@ -55,14 +58,20 @@
     /// Maximum size of a request body.
     std::size_t bodyBytes = 1U << 20U;
     /// Maximum number of open connections. For a further one the connection that has been idle for
-    /// longest is closed; without an idle one it waits to be accepted.
+    /// longest is closed, or else one whose request makes no progress; without one it waits to be
+    /// accepted.
     std::size_t connections = 4096;
     /// Maximum time to receive a request after its first bytes, and to write a response or a chunk.
     Duration transferTimeout = std::chrono::seconds(10);
     /// Time after which an idle connection is closed.
     Duration idleTimeout = std::chrono::seconds(60);
+    /// Bounds the bytes of all requests that are held; null for no bound.
+    std::shared_ptr<MemoryBudget> memory = nullptr;
 };
 
+/// Called with the reason when a request that was not read to its end is refused.
+using RefusalObserver = std::function<void(std::string_view reason)>;
+
 /// Handles one request; called once per request on each connection.
 using HttpHandler =
         std::function<boost::asio::awaitable<void>(const HttpRequest &, HttpResponder &)>;
@@ -85,6 +94,8 @@
     /// one of the time that it had and the new one.
     void setLimits(const HttpLimits &limits);
 
+    void setRefusalObserver(RefusalObserver observer);
+
     /// Keeps accepting, but closes each connection after its next response.
     void disableKeepAlive();
 
--- a/tests/tst_adapter_connectionlimits.cpp
+++ b/tests/tst_adapter_connectionlimits.cpp
@@ -8,14 +8,17 @@
 
 constexpr std::size_t SystemServers = 3;
 constexpr std::size_t FileDescriptors = 200;
+/// Listening sockets, and connections to the store and to peers.
+constexpr std::size_t OwnSockets = 120;
 
 } // namespace
 
 TEST(ConnectionLimits, ConnectionsOfCallersAndTargetsFitTheDescriptors)
 {
-    for (const std::uint32_t descriptors : { 512U, 1024U, 4100U, 16384U }) {
+    for (const std::uint32_t descriptors : { 512U, 600U, 1024U, 4100U, 16384U }) {
         const auto it = connectionLimits(descriptors);
-        EXPECT_LE(2 * it.callers + SystemServers * it.system + FileDescriptors, descriptors);
+        EXPECT_LE(2 * it.callers + SystemServers * it.system + FileDescriptors + OwnSockets,
+                  descriptors);
     }
 }
 
--- a/tests/tst_adapter_platform.cpp
+++ b/tests/tst_adapter_platform.cpp
@@ -176,16 +176,17 @@
 
 TEST(PlatformRequests, ForwardsAllButHopByHopAndSystemHeaders)
 {
-    const auto in = request({ { "Host", "h" },
-                              { "X-Attempt-Id", "a" },
-                              { "Connection", "close, X-Hop" },
-                              { "X-Hop", "1" },
-                              { "x-hold", "1" },
-                              { "KV-FROM", "1" },
-                              { "X-Pin-Ms", "1" },
-                              { "X-Kv-Backup", "1" },
-                              { "X-Prompt-Prefix", "5c:8" },
-                              { "Authorization", "Bearer k" } });
+    auto in = request({ { "Host", "h" },
+                        { "X-Attempt-Id", "a" },
+                        { "Connection", "close, X-Hop" },
+                        { "X-Hop", "1" },
+                        { "x-hold", "1" },
+                        { "KV-FROM", "1" },
+                        { "X-Pin-Ms", "1" },
+                        { "X-Kv-Backup", "1" },
+                        { "X-Prompt-Prefix", "5c:8" },
+                        { "Authorization", "Bearer k" } });
+    in.body = "body";
     gateway::ForwardDetails details;
     details.target = TargetId("i-1");
     details.timeLeft = 700ms;
@@ -193,6 +194,8 @@
     for (const auto *name : { "Connection", "X-Hop", "X-Hold", "Kv-From", "X-Pin-Ms", "X-Kv-Backup",
                               "Authorization", "X-Tenant" })
         EXPECT_EQ(out.header(name), "") << name;
+    // It is sent from where it is held; a copy would hold it twice.
+    EXPECT_TRUE(out.body.empty());
     EXPECT_EQ(out.header("X-Prompt-Prefix"), "5c:8");
     EXPECT_EQ(out.header("X-Deadline-Ms"), "700");
     EXPECT_EQ(out.header("X-Expect-Instance"), "i-1");
--- a/tests/tst_memorybudget.cpp
+++ b/tests/tst_memorybudget.cpp
@@ -56,3 +56,16 @@
     MemoryShare share(nullptr);
     EXPECT_TRUE(share.grow(Limit * Limit));
 }
+
+/// Guards against an underflow of the free bytes.
+TEST(MemoryBudget, ALowerLimitAdmitsNothingUntilBytesAreReturned)
+{
+    const auto budget = std::make_shared<MemoryBudget>(Limit);
+    MemoryShare share(budget);
+    EXPECT_TRUE(share.grow(400));
+    budget->setLimit(100);
+    EXPECT_FALSE(share.grow(1));
+    EXPECT_TRUE(share.resize(20));
+    EXPECT_TRUE(share.resize(40));
+    EXPECT_EQ(share.size(), 40U);
+}
