Take exactly the memory that was counted for a body

Change: std::string::reserve() of libstdc++ doubles the capacity, so a body of the maximum size was counted, and held, at up to twice its size and refused on an idle process of 8 MB. The body grows into a string of the exact size instead.

--- a/src/http/httpsession.cpp
+++ b/src/http/httpsession.cpp
@@ -53,6 +53,17 @@
     return request;
 }
 
+/// Unlike std::string::reserve(), which may double the capacity, takes no more than was asked for.
+void reserveExactly(std::string &text, std::size_t capacity)
+{
+    if (capacity <= text.capacity())
+        return;
+    std::string larger;
+    larger.reserve(capacity);
+    larger.append(text);
+    text.swap(larger);
+}
+
 /// \returns the reason for a refusal as in logs and metrics
 std::string_view reasonOf(beast::error_code ec)
 {
@@ -372,7 +383,7 @@
         if (!listener || !listener->giveUpForMemory(*this))
             return false;
     }
-    body.reserve(capacity);
+    reserveExactly(body, capacity);
     return true;
 }
 
