Fail an exchange whose response has an invalid status

What callers saw: a target that responded with status 000, 999 or an interim status had it passed on to the caller.

Cause: the parser accepts any three digits, and takes an interim head for a whole response.

Change: each HTTP client fails an exchange whose head has a status outside 200 to 599, with an unknown outcome, so a request that may not run twice is not sent again.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -29,6 +29,13 @@
 /// Time to read bytes that have arrived already.
 constexpr Duration ArrivedReadTime = std::chrono::milliseconds(1);
 
+/// \returns whether a response may end an exchange: interim responses and numbers that are no
+/// status do not
+bool isFinalStatus(unsigned status)
+{
+    return status >= 200 && status <= 599;
+}
+
 /// \returns whether the other side has closed or reset the connection
 bool isClosedByPeer(beast::error_code ec)
 {
@@ -214,6 +221,10 @@
             co_await http::async_read_header(m_stream, m_buffer, m_parser, Await);
     if (auto error = stopWatch("receive", readError))
         co_return std::move(*error);
+    if (const auto status = m_parser.get().result_int(); !isFinalStatus(status))
+        co_return Error { ErrorCode::Unavailable,
+                          toString(m_endpoint) + ": invalid status " + std::to_string(status),
+                          Execution::OutcomeUnknown, std::nullopt };
     co_return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
