Satisfy the lint on the limits of a server

Change: HttpLimits is moved, as it holds a pointer now; the reader of the body has the name that Beast requires.

Not run again: tests, and clang-tidy on server.cpp, daemon.cpp, gatewaystate.cpp, attempts.cpp, requestproxy.cpp and requests.cpp.

--- a/src/http/httplistener.cpp
+++ b/src/http/httplistener.cpp
@@ -42,7 +42,7 @@
 } // namespace
 
 HttpListener::HttpListener(asio::io_context &context, HttpLimits limits, HttpHandler handler)
-    : m_acceptor(context), m_limits(limits), m_handler(std::move(handler)),
+    : m_acceptor(context), m_limits(std::move(limits)), m_handler(std::move(handler)),
       m_sessionEnded(context.get_executor())
 {
 }
--- a/src/http/requestbody.h
+++ b/src/http/requestbody.h
@@ -21,7 +21,8 @@
 
     static std::uint64_t size(const value_type &body) { return body.size(); }
 
-    class reader
+    /// Has the name that Beast requires.
+    class reader // NOLINT(readability-identifier-naming)
     {
     public:
         template<bool isRequest, typename Fields>
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -49,7 +49,8 @@
 }
 
 HttpServer::HttpServer(asio::io_context &context, HttpLimits limits, HttpHandler handler)
-    : m_listener(std::make_shared<detail::HttpListener>(context, limits, std::move(handler)))
+    : m_listener(
+            std::make_shared<detail::HttpListener>(context, std::move(limits), std::move(handler)))
 {
 }
 
