--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -29,6 +29,13 @@
 /// Time to read bytes that have arrived already.
 constexpr Duration ArrivedReadTime = std::chrono::milliseconds(1);
 
+/// \returns whether a response may end an exchange: interim responses and numbers that are no
+/// status do not
+bool isFinalStatus(unsigned status)
+{
+    return status >= 200 && status <= 599;
+}
+
 /// \returns whether the other side has closed or reset the connection
 bool isClosedByPeer(beast::error_code ec)
 {
@@ -194,7 +201,8 @@
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
 
     m_parser.skip(request.method == "HEAD");
-    http::request<http::string_body> message;
+    const std::string_view body = call.sharedBody ? *call.sharedBody : request.body;
+    http::request<http::span_body<const char>> message;
     message.method_string(request.method);
     message.target(request.path);
     message.set(http::field::host, toString(m_endpoint));
@@ -203,7 +211,7 @@
     for (const auto &it : request.headers)
         message.insert(it.name, it.value);
     message.keep_alive(false);
-    message.body() = std::move(request.body);
+    message.body() = { body.data(), body.size() };
     message.prepare_payload();
     startWatch(std::move(call.silence));
     const auto [writeError, written] = co_await http::async_write(m_stream, message, Await);
@@ -213,6 +221,10 @@
             co_await http::async_read_header(m_stream, m_buffer, m_parser, Await);
     if (auto error = stopWatch("receive", readError))
         co_return std::move(*error);
+    if (const auto status = m_parser.get().result_int(); !isFinalStatus(status))
+        co_return Error { ErrorCode::Unavailable,
+                          toString(m_endpoint) + ": invalid status " + std::to_string(status),
+                          Execution::OutcomeUnknown, std::nullopt };
     co_return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
