Evict by loss alone, and follow demand by the requests in flight

The loss of a victim weighs its running requests already, and the number of copies follows the requests in flight, so both go.

--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -350,7 +350,6 @@
         return victims;
     struct Victim
     {
-        bool isRunning = false;
         double loss = 0;
         TimePoint usedAt;
         ReplicaKey key;
@@ -358,15 +357,13 @@
     std::vector<Victim> byLoss;
     for (const auto &key : it.state().resident)
         if (key.adapter.isEmpty() && !isOnlyCopy(it, key.model))
-            byLoss.push_back({ inFlightAt(it.entry().id, key.model) > 0, evictionLoss(it, key),
-                               it.lastUsedAt(key), key });
-    // An unload waits for running requests, which may take seconds.
+            byLoss.push_back({ evictionLoss(it, key), it.lastUsedAt(key), key });
     std::sort(byLoss.begin(), byLoss.end(), [](const Victim &a, const Victim &b) {
-        return std::tie(a.isRunning, a.loss, a.usedAt) < std::tie(b.isRunning, b.loss, b.usedAt);
+        return std::tie(a.loss, a.usedAt) < std::tie(b.loss, b.usedAt);
     });
     for (const auto &victim : byLoss) {
         if (victim.loss >= gain)
-            continue;
+            break;
         victims.push_back(victim.key);
         for (const auto &held : it.state().resident)
             if (held.model == victim.key.model)
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -167,11 +167,9 @@
     };
     /// \returns the models that should have more than one copy and have too few, those with the
     /// highest overload first
-    [[nodiscard]] std::vector<MissingCopies> missingCopies(TimePoint now);
-    /// Loads a second or third copy of models with a high or quickly rising arrival rate.
+    [[nodiscard]] std::vector<MissingCopies> missingCopies() const;
+    /// Loads further copies of models that are asked for often.
     void planExtraCopies(TimePoint now, std::vector<PlacementOrder> &orders);
-    /// \returns the arrival rates of all models; those that rise quickly are extrapolated
-    [[nodiscard]] std::map<std::pair<ServiceId, ModelId>, double> expectedRates(TimePoint now);
     /// Loads models that only draining or unavailable engines serve, before requests wait for them.
     void planReplacements(TimePoint now, std::vector<PlacementOrder> &orders);
     void replaceCopiesOf(const EngineTracker &leaving, TimePoint now,
@@ -220,9 +218,6 @@
     Duration m_demandLifetime = std::chrono::milliseconds(1400);
     std::vector<TotalDemand> m_totalDemand;
     std::map<std::pair<ServiceId, ModelId>, ModelStatus> m_models;
-    /// Slow averages of the arrival rates, and when they were updated; empty before the first plan.
-    std::map<std::pair<ServiceId, ModelId>, double> m_averageRates;
-    std::optional<TimePoint> m_averagedAt;
     /// Requests of all daemons in flight, by target and model.
     std::map<std::pair<TargetId, ModelId>, std::uint32_t> m_inFlight;
     /// Requests of all daemons in flight at each target.
--- a/src/placement/swapplannerprefetch.cpp
+++ b/src/placement/swapplannerprefetch.cpp
@@ -17,11 +17,6 @@
 /// work for them is bounded.
 constexpr std::size_t MaxExtraCopySearches = 2;
 constexpr Duration FailedSearchInterval = std::chrono::milliseconds(200);
-/// A rate is rising quickly when it exceeds its average over AveragingTime by RisingFactor; it is
-/// then expected to grow once more by that factor. Below MinRisingRate this would be chance.
-constexpr Duration AveragingTime = std::chrono::seconds(10);
-constexpr double RisingFactor = 2;
-constexpr double MinRisingRate = 1;
 /// Gain of an extra copy per request per second, in the unit of pressureOf().
 constexpr double ExtraCopyGain = 0.4;
 /// Loss below which a model may be evicted for one without a copy at hand, and its increase per
@@ -38,11 +33,12 @@
     return std::max(m_pace.fullSpeedLoads() - 1, MinPrefetchLoads);
 }
 
-std::vector<SwapPlanner::MissingCopies> SwapPlanner::missingCopies(TimePoint now)
+std::vector<SwapPlanner::MissingCopies> SwapPlanner::missingCopies() const
 {
     std::map<std::pair<ServiceId, ModelId>, ModelLoad> loads;
-    for (const auto &[name, perSecond] : expectedRates(now))
-        loads[name].arrivalsPerSecond = perSecond;
+    for (const auto &[name, status] : m_models)
+        if (status.perSecond > 0)
+            loads[name].arrivalsPerSecond = status.perSecond;
     for (const auto &[key, count] : m_inFlight)
         if (const auto engine = m_engines.find(key.first); engine != m_engines.end())
             loads[{ engine->second.entry().service, key.second }].inFlight += count;
@@ -73,7 +69,7 @@
     if (now < m_nextExtraCopySearch)
         return;
     std::size_t searches = 0;
-    for (const auto &it : missingCopies(now)) {
+    for (const auto &it : missingCopies()) {
         if (++searches > MaxExtraCopySearches)
             break;
         TotalDemand extraCopy;
@@ -98,27 +94,6 @@
             && mayLoadFromStore(engine, now);
 }
 
-std::map<std::pair<ServiceId, ModelId>, double> SwapPlanner::expectedRates(TimePoint now)
-{
-    const bool hasAverages = m_averagedAt.has_value();
-    const auto elapsed = hasAverages ? now - *m_averagedAt : Duration::zero();
-    const auto share = std::min(1.0, toSeconds(elapsed) / toSeconds(AveragingTime));
-    m_averagedAt = now;
-    std::map<std::pair<ServiceId, ModelId>, double> rates;
-    for (const auto &[name, status] : m_models)
-        if (status.perSecond > 0)
-            rates.emplace(name, status.perSecond);
-    std::erase_if(m_averageRates, [&](const auto &it) { return !rates.contains(it.first); });
-    for (auto &[name, perSecond] : rates) {
-        // Without averages, at the start, nothing is known to rise.
-        auto &average = m_averageRates.try_emplace(name, hasAverages ? 0 : perSecond).first->second;
-        average += (perSecond - average) * share;
-        if (perSecond >= MinRisingRate && perSecond > RisingFactor * average)
-            perSecond *= RisingFactor;
-    }
-    return rates;
-}
-
 void SwapPlanner::planReplacements(TimePoint now, std::vector<PlacementOrder> &orders)
 {
     for (const auto &[id, it] : m_engines)
