Play a restore of the store in the soak

The disruptions of the store have one more kind, a restore of a copy of 0.3 to 3 s; a third seed, 67, plays it 2.6 s after the start.

--- a/tests/gatewaysoak.cpp
+++ b/tests/gatewaysoak.cpp
@@ -489,9 +489,10 @@
         co_await sleepFor(rng.time(1500ms, 4000ms));
         auto &faults = m_store.faults();
         const auto length = rng.time(300ms, 2000ms);
-        const auto kind = rng.number(0, 3);
-        constexpr std::array<const char *, 4> Texts { "store is slow", "store refuses",
-                                                      "store loses replies", "store is compacted" };
+        const auto kind = rng.number(0, 4);
+        constexpr std::array<const char *, 5> Texts { "store is slow", "store refuses",
+                                                      "store loses replies", "store is compacted",
+                                                      "store is restored from an older copy" };
         note(length, SoakGateways, true, Texts.at(static_cast<std::size_t>(kind)));
         if (kind == 0)
             faults.delay = rng.time(50ms, 400ms);
@@ -499,8 +500,10 @@
             faults.outage = true;
         else if (kind == 2)
             faults.lostReplies = 3;
-        else
+        else if (kind == 3)
             m_store.compact();
+        else
+            m_store.rollback(rng.time(300ms, 3000ms), length / 2);
         co_await sleepFor(length);
         faults = {};
     }
--- a/tests/tst_process_gatewaysoak.cpp
+++ b/tests/tst_process_gatewaysoak.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::uint64_t FirstSeed = 71;
 constexpr std::uint64_t SecondSeed = 72;
+/// With it the store comes back from an older copy, 2.6 s after the start.
+constexpr std::uint64_t RestoreSeed = 67;
 constexpr std::chrono::seconds Length { 9 };
 
 std::uint64_t environmentNumber(const char *name, std::uint64_t fallback)
@@ -48,6 +50,11 @@
     soak(SecondSeed, Length);
 }
 
+TEST(GatewaySoak, RestoreSeedAnswersEveryWholeRequest)
+{
+    soak(RestoreSeed, Length);
+}
+
 /// For long runs by hand, see docs/DEVELOPERS.md.
 TEST(GatewaySoak, SeedsOfTheEnvironment)
 {
