--- a/tests/tst_adapter_invalidstatus.cpp
+++ b/tests/tst_adapter_invalidstatus.cpp
@@ -60,6 +60,9 @@
     {
         std::string request(4096, '\0');
         const auto [readError, n] = co_await socket.async_read_some(asio::buffer(request), Await);
+        if (readError)
+            co_return;
+        request.resize(n);
         const std::string name = "X-Attempt-Id: ";
         const auto position = request.find(name);
         std::string attempt;
