--- a/programs/gateway/attempts.cpp
+++ b/programs/gateway/attempts.cpp
@@ -35,6 +35,7 @@
     HttpCall call;
     call.endpoint = target.address;
     call.request = platform::encodeForward(*it.http, details);
+    call.sharedBody = it.body;
     call.bodyLimit = it.route->kind == RequestKind::Streaming ? MaxStreamBytes : MaxResponseBytes;
     call.timeout = std::max<Duration>(it.deadline - now, milliseconds(1));
     call.connectTimeout = ConnectTimeout;
@@ -44,6 +45,7 @@
     attempt.progress.sentAt = now;
     attempt.isCounted = true;
     m_state.selector.noteStarted(attempt.target, attempt.key);
+    m_state.selector.noteSent(target, now);
     ++it.sends;
     return call;
 }
--- a/programs/gateway/gatewaystate.cpp
+++ b/programs/gateway/gatewaystate.cpp
@@ -1,7 +1,9 @@
 #include "gateway/gatewaystate.h"
 
 #include "core/digest.h"
+#include "core/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bluebell::gateway {
@@ -29,6 +31,7 @@
 {
     Leadership::Settings it;
     it.takeoverDelay = settings.minTakeoverDelay + ClockDriftAllowance;
+    it.isFirstStart = settings.isFirstStart;
     return it;
 }
 
@@ -42,12 +45,27 @@
 
 } // namespace
 
+std::size_t requestMemoryLimit(std::uint64_t memoryLimit, const CallerLimits &limits) noexcept
+{
+    constexpr std::uint64_t Unknown = 256U << 20U;
+    constexpr std::uint64_t Divisor = 4;
+    constexpr std::uint64_t MaxDivisor = 2;
+    constexpr std::uint64_t ReadBufferBytes = 64U << 10U;
+    // A budget admits a holder of at most half its size.
+    const auto forOne = 2 * (limits.bodyBytes + 2 * limits.headerBytes + ReadBufferBytes);
+    if (memoryLimit == 0)
+        return std::max<std::uint64_t>(Unknown, forOne);
+    return std::max(memoryLimit / Divisor,
+                    std::min<std::uint64_t>(memoryLimit / MaxDivisor, forOne));
+}
+
 GatewayState::GatewayState(const boost::asio::any_io_executor &executor, GatewaySettings given)
     : settings(std::move(given)), incarnation(randomHex(8)), startedAt(BootClock::now()),
       fleet(selfMember(settings, incarnation)), relayNode(settings.vm, startedAt),
       selector(settings.dataCentre, settings.vm.value()),
       leadership(settings.vm, incarnation, leadershipSettings(settings)),
       responseMemory(std::make_shared<MemoryBudget>(responseMemoryLimit(settings))),
+      requestMemory(std::make_shared<MemoryBudget>(requestMemoryLimit(settings.memoryLimit, {}))),
       stateChanged(executor), statusDue(executor), demandDue(executor), reportDue(executor),
       peerDataDue(executor), digestDue(executor), quarantineDue(executor)
 {
@@ -127,6 +145,7 @@
     for (auto &[organisation, rate] : rates)
         it.rates.push_back({ organisation, rate.admitted(), rate.level(now) });
     it.quarantine = quarantine.message(now);
+    it.evacuations = evacuations.message(now);
     if (leadership.isLeader(now)) {
         it.leaderEpoch = leadership.epoch();
         it.estimates = planner.estimates(now);
@@ -169,9 +188,23 @@
     return retryBudgets.try_emplace(service, RetryBudgetPerDaemon).first->second;
 }
 
+bool GatewayState::noteStoreEra(StoreEra era)
+{
+    if (m_storeEra && era <= *m_storeEra)
+        return false;
+    const bool isRestored = m_storeEra.has_value();
+    if (isRestored)
+        log::warning("the store has come back from an older copy",
+                     { { "era", std::to_string(era) }, { "before", std::to_string(*m_storeEra) } });
+    m_storeEra = era;
+    metrics.setGauge("bluebell_store_era", static_cast<double>(era));
+    return isRestored;
+}
+
 void GatewayState::noteStatus(const DaemonStatus &received, TimePoint now)
 {
     noteQuarantine(received.quarantine, now);
+    noteEvacuations(received.evacuations, received.vm, now);
     if (!fleet.noteStatus(received, now))
         return;
     // The counts of daemons that report to relays are in the relays' sums.
@@ -294,6 +327,43 @@
     digestDue.notify();
 }
 
+void GatewayState::noteEvacuationRows(std::set<DataCentreId> listed, RowVersion version,
+                                      TimePoint now)
+{
+    if (evacuations.noteListed(std::move(listed), version, now))
+        applyEvacuations("store");
+}
+
+void GatewayState::noteEvacuations(const EvacuationUpdate &update, const VmId &sender,
+                                   TimePoint now)
+{
+    if (evacuations.note(update, now))
+        applyEvacuations(sender.value());
+}
+
+void GatewayState::expireEvacuations(TimePoint now)
+{
+    if (evacuations.expire(now))
+        applyEvacuations("end of the time after a restore of the store");
+}
+
+void GatewayState::applyEvacuations(std::string source)
+{
+    const auto &dataCentres = evacuations.dataCentres();
+    std::string names;
+    for (const auto &it : dataCentres)
+        names += (names.empty() ? "" : ", ") + it.value();
+    log::info("evacuated data centres",
+              { { "data_centres", names },
+                { "version", std::to_string(storeVersionOf(evacuations.version())) },
+                { "era", std::to_string(eraOf(evacuations.version())) },
+                { "source", std::move(source) } });
+    selector.setEvacuated(dataCentres);
+    metrics.setGauge("bluebell_evacuated_data_centres", static_cast<double>(dataCentres.size()));
+    notifyChange();
+    notifyRelays();
+}
+
 void GatewayState::notifyQuarantine()
 {
     quarantineDue.notify();
--- a/programs/gateway/gatewaystate.h
+++ b/programs/gateway/gatewaystate.h
@@ -12,6 +12,7 @@
 #include "rate/sharedrate.h"
 #include "relay/relaynode.h"
 #include "routing/targetselector.h"
+#include "site/evacuations.h"
 #include "site/siteindex.h"
 #include "site/targetregistry.h"
 #include "streams/streamassembler.h"
@@ -35,6 +36,12 @@
     Others,
 };
 
+/// \param memoryLimit maximum memory of the process in bytes; 0 if unknown
+/// \returns the bytes that the requests of all callers may hold together: a quarter of the memory,
+/// and up to a half if one request of the maximum size needs more
+[[nodiscard]] std::size_t requestMemoryLimit(std::uint64_t memoryLimit,
+                                             const CallerLimits &limits) noexcept;
+
 /// State shared by the components of a gateway. All of them run on one thread.
 struct GatewayState
 {
@@ -64,6 +71,7 @@
     TargetSelector selector;
     DemandTracker demand;
     Quarantine quarantine;
+    Evacuations evacuations;
     std::map<OrganisationId, SharedRate> rates;
     std::map<ServiceId, RetryBudget> retryBudgets;
     Leadership leadership;
@@ -73,6 +81,8 @@
     Metrics metrics;
     /// For the bodies of targets' responses that are kept until they are complete.
     std::shared_ptr<MemoryBudget> responseMemory;
+    /// Bytes of callers' requests, from their arrival until the response has ended.
+    std::shared_ptr<MemoryBudget> requestMemory;
     /// When the store last replied to a read of the targets.
     TimePoint targetsReadAt;
     /// When a graceful stop was requested.
@@ -138,6 +148,10 @@
                          const std::vector<RateUsage> &levels, TimePoint now);
     /// Applies the status timing for the current fleet size.
     void applyStatusTiming();
+    /// Notes the store's era at a read, here or at a relay.
+    ///
+    /// \returns whether the store has come back from an older copy since the last read
+    bool noteStoreEra(StoreEra era);
     /// Processes a status of another daemon.
     void noteStatus(const DaemonStatus &received, TimePoint now);
     /// Wakes the tasks that wait for targets, and schedules a status message to all daemons.
@@ -146,18 +160,30 @@
     void notifyRelays();
     /// Applies what another daemon tells of quarantines.
     void noteQuarantine(const QuarantineUpdate &update, TimePoint now);
+    /// Applies the list of evacuated data centres in the store at `version`.
+    void noteEvacuationRows(std::set<DataCentreId> listed, RowVersion version, TimePoint now);
+    /// Applies what another daemon tells of evacuations.
+    ///
+    /// \param sender names the daemon in the log
+    void noteEvacuations(const EvacuationUpdate &update, const VmId &sender, TimePoint now);
+    /// Ends evacuations that were only kept after a restore of the store.
+    void expireEvacuations(TimePoint now);
     /// Schedules a decision on quarantines, and messages with what has changed.
     void notifyQuarantine();
     /// Wakes the planner, here or at the leader.
     void notifyDemand();
 
 private:
+    /// Sends no more requests to evacuated data centres, and tells the other daemons.
+    void applyEvacuations(std::string source);
     /// Applies the counts of a daemon that sends its status to all others.
     void noteCounts(const DaemonStatus &received, TimePoint now);
     /// \returns the token bucket of an organisation, or null if it is unknown or has no limit
     [[nodiscard]] SharedRate *knownRate(const OrganisationId &organisation, TimePoint now);
     [[nodiscard]] DaemonStatus statusWithoutPlacement(StatusRecipient recipient, TimePoint now);
 
+    /// The latest known era of the store.
+    std::optional<StoreEra> m_storeEra;
     /// Relay process whose counts were applied last.
     IncarnationId m_countingRelay;
     /// Resident replicas as listed in the target entries, for use while no leader is known.
--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -27,9 +27,11 @@
 constexpr Duration StoreTimeout = milliseconds(450);
 /// Maximum time between two runs of the planner.
 constexpr Duration MaxPlanInterval = milliseconds(25);
+/// Interval between updates of the planner's metrics.
+constexpr Duration PlanMetricsInterval = std::chrono::seconds(1);
 constexpr Duration OrderTimeout = milliseconds(150);
 constexpr Duration ReportTimeout = milliseconds(300);
-/// Leaders count their epochs one by one; a record beyond this is not theirs.
+/// Beyond the epochs of the largest era; a record with such a number is not a leader's.
 constexpr Epoch MaxEpoch = Epoch(1) << 62U;
 /// A record with a longer wait for the first order is cut to this.
 constexpr Duration MaxTakeoverDelay = std::chrono::minutes(1);
@@ -144,7 +146,7 @@
         record = decodeRecord(it.value);
         version = it.version;
     }
-    leadership.readSucceeded(record, version, BootClock::now());
+    leadership.readSucceeded(record, version, eraOf(rows.value().version), BootClock::now());
 }
 
 asio::awaitable<void> PlacementCoordinator::writeRole()
@@ -207,6 +209,7 @@
     auto &planner = m_state.planner;
     planner.noteTargets(m_state.registry.targets(), now);
     planner.noteHoldOffs(m_state.selector.holdOffs().inForce(m_state.registry.targets(), now), now);
+    planner.noteEvacuated(m_state.evacuations.dataCentres(), now);
     planner.noteDemand(m_state.settings.vm, m_state.demand.demand(now), m_state.inFlight(), now);
     const auto limit = MaxReportsInFlight - std::min(m_reportsInFlight, MaxReportsInFlight);
     for (const auto &it : planner.reportsDue(limit, now))
@@ -217,19 +220,46 @@
     }
     const auto orders = planner.plan(now);
     m_state.notePlacement();
+    notePlanMetrics(now);
     for (const auto &it : orders)
         spawnOnce(m_context.get_executor(), "send order", sendOrder(it));
     if (!orders.empty())
         m_state.statusDue.notify();
 }
 
+bool PlacementCoordinator::mayCall(const TargetEntry &target, TimePoint now) const
+{
+    const auto &selector = m_state.selector;
+    return !selector.holdOffs().find(target, now) && !selector.isEvacuated(target);
+}
+
+void PlacementCoordinator::notePlanMetrics(TimePoint now)
+{
+    if (now - m_planMetricsAt < PlanMetricsInterval)
+        return;
+    m_planMetricsAt = now;
+    const auto fullSpeed = m_state.planner.fullSpeedLoads();
+    const auto missing = m_state.planner.missingModels();
+    m_state.metrics.setGauge("bluebell_store_loads_full_speed", static_cast<double>(fullSpeed));
+    m_state.metrics.setGauge("bluebell_models_without_copy", static_cast<double>(missing));
+    if (fullSpeed != m_fullSpeedLoads)
+        log::info("weight store loads at full speed",
+                  { { "loads", std::to_string(fullSpeed) },
+                    { "before", std::to_string(m_fullSpeedLoads) } });
+    if (missing != m_missingModels)
+        log::info("models without a copy at any engine",
+                  { { "models", std::to_string(missing) },
+                    { "before", std::to_string(m_missingModels) } });
+    m_fullSpeedLoads = fullSpeed;
+    m_missingModels = missing;
+}
+
 asio::awaitable<void> PlacementCoordinator::sendOrder(PlacementOrder order)
 {
     const auto *target = m_state.registry.find(order.target);
     const auto now = BootClock::now();
     platform::OrderResponse response { OrderOutcome::NotSent };
-    const bool isHeldOff = target && m_state.selector.holdOffs().find(*target, now);
-    if (target && !isHeldOff && m_state.leadership.maySendOrders(now)) {
+    if (target && mayCall(*target, now) && m_state.leadership.maySendOrders(now)) {
         const auto startTimeMs = target->startTimeMs;
         m_state.leadership.noteOrder(now);
         response = co_await platform::sendOrder(*target, order, m_state.settings.vm,
@@ -249,7 +279,8 @@
 asio::awaitable<void> PlacementCoordinator::fetchReport(TargetId id)
 {
     const auto *target = m_state.registry.find(id);
-    if (!target || m_state.selector.holdOffs().find(*target, BootClock::now()))
+    const bool isCalled = target && mayCall(*target, BootClock::now());
+    if (!isCalled)
         co_return;
     const auto startTimeMs = target->startTimeMs;
     ++m_reportsInFlight;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -38,13 +38,19 @@
     return m_session.hasBegun();
 }
 
+std::shared_ptr<const std::string> HttpResponder::sharedBody() const
+{
+    return m_session.sharedBody();
+}
+
 void HttpResponder::cancelOnDisconnect(const std::shared_ptr<CancelSource> &source)
 {
     m_session.cancelOnDisconnect(source);
 }
 
 HttpServer::HttpServer(asio::io_context &context, HttpLimits limits, HttpHandler handler)
-    : m_listener(std::make_shared<detail::HttpListener>(context, limits, std::move(handler)))
+    : m_listener(
+            std::make_shared<detail::HttpListener>(context, std::move(limits), std::move(handler)))
 {
 }
 
@@ -63,6 +69,11 @@
     m_listener->setLimits(limits);
 }
 
+void HttpServer::setRefusalObserver(RefusalObserver observer)
+{
+    m_listener->setRefusalObserver(std::move(observer));
+}
+
 void HttpServer::disableKeepAlive()
 {
     m_listener->disableKeepAlive();
--- a/src/placement/enginetracker.cpp
+++ b/src/placement/enginetracker.cpp
@@ -50,6 +50,16 @@
     m_entry = entry;
 }
 
+void EngineTracker::noteEvacuated(bool isEvacuated, TimePoint now)
+{
+    if (isEvacuated == m_isEvacuated)
+        return;
+    m_isEvacuated = isEvacuated;
+    m_hasReport = false;
+    m_missedReports = 0;
+    m_reportAt = now;
+}
+
 void EngineTracker::noteReport(const EngineState &state, TimePoint now)
 {
     m_reportAt.reset();
@@ -74,6 +84,8 @@
     const bool hasOtherOrder = state.sequence > order.expectedSequence + 1;
     m_state.sequence = state.sequence;
     const bool isAdapterPending = isLoad && state.pendingAdapters.contains(order.key);
+    if (isDone && !order.isForAdapter())
+        m_copyUsed[order.key.model] = now;
     if (isDone || hasOtherOrder || (!state.isBusy && !isAdapterPending)) {
         m_pending.reset();
         adoptReport(state, now);
@@ -155,8 +167,16 @@
         m_unloadingModel.clear();
     m_pending->phase = Phase::InProgress;
     m_pending->expectedEnd = now + m_pending->timing.duration;
+    const auto least = m_pending->timing.leastDuration;
+    m_pending->earliestEnd = least > Duration::zero() ? now + least : m_pending->expectedEnd;
     if (!m_pending->timing.hasFixedDuration)
-        m_reportAt = m_pending->expectedEnd;
+        m_reportAt = m_pending->earliestEnd;
+}
+
+void EngineTracker::noteTimeLeft(Duration left, TimePoint now)
+{
+    if (m_pending && m_pending->phase == Phase::InProgress)
+        m_pending->expectedEnd = now + left;
 }
 
 void EngineTracker::completeTimedOrder(TimePoint now)
@@ -178,6 +198,8 @@
 {
     const auto order = m_pending->order;
     m_pending.reset();
+    if (!order.isForAdapter())
+        m_copyUsed[order.key.model] = now;
     if (order.action == IntentAction::Load) {
         m_state.resident.insert(order.key);
         m_state.pendingAdapters.erase(order.key);
@@ -229,20 +251,27 @@
 
 std::optional<PlacementOrder> EngineTracker::takeOrderToResend(TimePoint now)
 {
-    if (!m_pending || m_pending->phase != Phase::Unknown || now < m_pending->resendAt
-        || isHeldOff())
+    if (!m_pending || m_pending->phase != Phase::Unknown || now < m_pending->resendAt || isHeldOff()
+        || m_isEvacuated)
         return std::nullopt;
     m_pending->phase = Phase::Sent;
     return m_pending->order;
 }
 
+TimePoint EngineTracker::nextReportOfOrder(TimePoint now) const
+{
+    const bool isEndExpected = now >= m_pending->expectedEnd;
+    const auto interval = isEndExpected ? ReportInterval : WantedReportInterval;
+    return std::max(m_reportedAt + interval, m_pending->earliestEnd);
+}
+
 std::optional<TimePoint> EngineTracker::reportDueSince(Duration idleInterval, TimePoint now) const
 {
-    if (isHeldOff())
+    if (isHeldOff() || m_isEvacuated)
         return std::nullopt;
     auto dueAt = m_reportAt;
     if (!dueAt && m_pending && m_pending->phase == Phase::InProgress)
-        dueAt = std::max(m_reportedAt + ReportInterval, m_pending->expectedEnd);
+        dueAt = nextReportOfOrder(now);
     if (!dueAt)
         dueAt = m_reportedAt + idleInterval;
     return *dueAt <= now ? dueAt : std::nullopt;
@@ -266,7 +295,8 @@
 
 bool EngineTracker::isLoadingFromStore() const noexcept
 {
-    return m_pending && m_pending->timing.isFromStore;
+    // No report shows the end of a load at an evacuated engine.
+    return m_pending && m_pending->timing.isFromStore && !m_isEvacuated;
 }
 
 Duration EngineTracker::timeLeft(TimePoint now) const
@@ -306,7 +336,7 @@
 
 bool EngineTracker::isUsable(const ServiceId &service) const
 {
-    return m_entry.service == service && !m_entry.isDraining
+    return m_entry.service == service && !m_entry.isDraining && !m_isEvacuated
             && m_missedReports < UnavailableAfterMissedReports && m_holdOffLeft < LongHoldOff;
 }
 
@@ -339,6 +369,53 @@
     return free;
 }
 
+std::set<ModelId> EngineTracker::evictedCopies(const std::set<ModelId> &copies,
+                                               const EngineSpec &engine, Megabytes room,
+                                               const ModelId &model) const
+{
+    std::set<ModelId> evicted;
+    if (room <= 0 || copies.contains(model))
+        return evicted;
+    auto free = room - sizeOf(engine, { model, AdapterId() });
+    std::vector<std::pair<TimePoint, ModelId>> byUse;
+    for (const auto &copy : copies) {
+        const auto used = m_copyUsed.find(copy);
+        byUse.emplace_back(used == m_copyUsed.end() ? TimePoint() : used->second, copy);
+        // The size of a model that is no longer configured is not known.
+        if (engine.models.contains(copy))
+            free -= sizeOf(engine, { copy, AdapterId() });
+    }
+    std::sort(byUse.begin(), byUse.end());
+    TimePoint latest;
+    for (const auto &[usedAt, copy] : byUse) {
+        const bool isTied = !evicted.empty() && usedAt == latest;
+        if (free >= 0 && !isTied)
+            break;
+        evicted.insert(copy);
+        latest = usedAt;
+        if (engine.models.contains(copy))
+            free += sizeOf(engine, { copy, AdapterId() });
+    }
+    return evicted;
+}
+
+std::vector<ModelId> EngineTracker::copiesLostByLoading(const EngineSpec &engine,
+                                                        const ModelId &model) const
+{
+    const auto fromMemory = evictedCopies(m_state.inMemory, engine, engine.hostMemory, model);
+    const auto fromDisk = evictedCopies(m_state.onDisk, engine, engine.disk, model);
+    auto candidates = fromMemory;
+    candidates.insert(fromDisk.begin(), fromDisk.end());
+    std::vector<ModelId> lost;
+    for (const auto &it : candidates) {
+        const bool isInMemory = m_state.inMemory.contains(it) && !fromMemory.contains(it);
+        const bool isOnDisk = m_state.onDisk.contains(it) && !fromDisk.contains(it);
+        if (!isInMemory && !isOnDisk && !m_state.resident.contains({ it, AdapterId() }))
+            lost.push_back(it);
+    }
+    return lost;
+}
+
 std::size_t EngineTracker::adapterSlotsTaken() const
 {
     std::set<ReplicaKey> adapters;
--- a/src/placement/swapplannerprefetch.cpp
+++ b/src/placement/swapplannerprefetch.cpp
@@ -1,3 +1,4 @@
+#include "placement/copycount.h"
 #include "placement/swapplanner.h"
 
 #include <algorithm>
@@ -8,87 +9,180 @@
 namespace bluebell {
 namespace {
 
-/// Concurrent loads from the weight store up to which models without waiting requests are loaded.
-constexpr std::size_t MaxPrefetchLoads = 3;
-/// Requests per second from which on a model has a second copy, and a third one.
-constexpr double SecondCopyRate = 2;
-constexpr double ThirdCopyRate = 10;
+/// Concurrent loads from the weight store up to which models without waiting requests are loaded,
+/// at least. Above it, one of those that run at full speed is left for waiting requests.
+constexpr std::size_t MinPrefetchLoads = 2;
+/// Models for which engines are searched for extra copies in one plan, and the time until the next
+/// search when there was no engine for one. A search looks at all engines, so that the leader's
+/// work for them is bounded.
+constexpr std::size_t MaxExtraCopySearches = 2;
+constexpr Duration FailedSearchInterval = std::chrono::milliseconds(200);
 /// Gain of an extra copy per request per second, in the unit of pressureOf().
 constexpr double ExtraCopyGain = 0.4;
-/// Loss below which a model may be evicted for one without any demand yet.
+/// Loss below which a model may be evicted for one without a copy at hand, and its increase per
+/// request per second for that model: the evicted one is back in less than a second.
 constexpr double PrefetchGain = 1.0;
+constexpr double CoverageGain = 8.0;
+/// Gain of the only resident copy per request per second; the loss of evicting it is the same.
+constexpr double LastCopyGain = 4.0;
 
 } // namespace
 
-void SwapPlanner::planExtraCopies(TimePoint now, std::vector<PlacementOrder> &orders)
+std::size_t SwapPlanner::maxPrefetchLoads() const
+{
+    return std::max(m_pace.fullSpeedLoads() - 1, MinPrefetchLoads);
+}
+
+std::vector<SwapPlanner::MissingCopies> SwapPlanner::missingCopies() const
 {
-    std::map<std::pair<ServiceId, ModelId>, double> rates;
-    for (const auto &it : m_totalDemand)
-        rates[{ it.service, it.key.model }] += it.arrivalsPerSecond;
-    for (const auto &[name, perSecond] : rates) {
+    std::map<std::pair<ServiceId, ModelId>, ModelLoad> loads;
+    for (const auto &[name, status] : m_models)
+        if (status.perSecond > 0)
+            loads[name].arrivalsPerSecond = status.perSecond;
+    for (const auto &[key, count] : m_inFlight)
+        if (const auto engine = m_engines.find(key.first); engine != m_engines.end())
+            loads[{ engine->second.entry().service, key.second }].inFlight += count;
+    std::vector<MissingCopies> missing;
+    for (auto &[name, load] : loads) {
         const auto &[service, model] = name;
         const auto *engine = engineOf(service);
-        if (!engine || perSecond < SecondCopyRate)
+        if (!engine)
             continue;
-        TotalDemand extraCopy;
-        extraCopy.service = service;
-        extraCopy.key = { model, AdapterId() };
-        extraCopy.urgency = ExtraCopyGain * perSecond;
-        const std::size_t copies = perSecond < ThirdCopyRate ? 2 : 3;
-        if (copyCount(extraCopy.key, service) + loadingCount(extraCopy.key, service) >= copies)
+        load.slots = engine->slots;
+        const auto wanted = wantedCopies(load);
+        if (wanted < 2)
             continue;
+        const ReplicaKey key { model, AdapterId() };
+        const auto copies = copyCount(key, service) + loadingCount(key, service);
+        if (copies < wanted)
+            missing.push_back({ service, model, load.arrivalsPerSecond,
+                                static_cast<double>(wanted)
+                                        / static_cast<double>(std::max<std::size_t>(copies, 1)) });
+    }
+    std::sort(missing.begin(), missing.end(),
+              [](const auto &a, const auto &b) { return a.overload > b.overload; });
+    return missing;
+}
+
+void SwapPlanner::planExtraCopies(TimePoint now, std::vector<PlacementOrder> &orders)
+{
+    if (now < m_nextExtraCopySearch)
+        return;
+    std::size_t searches = 0;
+    for (const auto &it : missingCopies()) {
+        if (++searches > MaxExtraCopySearches)
+            break;
+        TotalDemand extraCopy;
+        extraCopy.service = it.service;
+        extraCopy.key = { it.model, AdapterId() };
+        extraCopy.urgency = ExtraCopyGain * std::max(it.arrivalsPerSecond, it.overload);
         const auto best = bestTarget(extraCopy, now);
-        if (!best
-            || (best->isFromStore
-                && (storeLoadsInProgress() >= MaxPrefetchLoads || !mayLoadFromStore(*engine, now))))
+        if (best && mayPrefetch(*best, *engineOf(it.service), now))
+            evictOrLoad(*best, extraCopy.key, now, orders);
+        else
+            m_nextExtraCopySearch = now + FailedSearchInterval;
+    }
+}
+
+bool SwapPlanner::mayPrefetch(const Candidate &candidate, const EngineSpec &engine,
+                              TimePoint now) const
+{
+    if (!candidate.isFromStore)
+        return true;
+    const auto &service = m_engines.at(candidate.target).entry().service;
+    return !mostWantedMissing(service, engine) && storeLoadsInProgress() < maxPrefetchLoads()
+            && mayLoadFromStore(engine, now);
+}
+
+void SwapPlanner::planReplacements(TimePoint now, std::vector<PlacementOrder> &orders)
+{
+    for (const auto &[id, it] : m_engines)
+        if (!it.isUsable(it.entry().service))
+            replaceCopiesOf(it, now, orders);
+}
+
+void SwapPlanner::replaceCopiesOf(const EngineTracker &leaving, TimePoint now,
+                                  std::vector<PlacementOrder> &orders)
+{
+    const auto &service = leaving.entry().service;
+    const auto *engine = engineOf(service);
+    if (!engine)
+        return;
+    for (const auto &key : leaving.state().resident) {
+        const auto &status = statusOf(service, key.model);
+        const bool isNeeded = key.adapter.isEmpty() && specOf(service, key.model)
+                && status.perSecond > 0 && !isResidentOrLoading(key, service);
+        if (!isNeeded)
+            continue;
+        TotalDemand replacement;
+        replacement.service = service;
+        replacement.key = key;
+        // With a copy at hand elsewhere, a model of equal demand is not worth the swap.
+        replacement.urgency = status.atHand > 0 ? LastCopyGain * status.perSecond
+                                                : PrefetchGain + CoverageGain * status.perSecond;
+        const auto best = bestTarget(replacement, now);
+        const bool isAllowed = best
+                && (!best->isFromStore
+                    || (storeLoadsInProgress() < m_pace.fullSpeedLoads()
+                        && mayLoadFromStore(*engine, now)));
+        if (isAllowed)
+            evictOrLoad(*best, key, now, orders);
+    }
+}
+
+const std::pair<const ModelId, ModelSpec> *
+SwapPlanner::mostWantedMissing(const ServiceId &service, const EngineSpec &engine) const
+{
+    const std::pair<const ModelId, ModelSpec> *best = nullptr;
+    double mostPerSecond = -1;
+    for (const auto &it : engine.models) {
+        const auto &status = statusOf(service, it.first);
+        if (status.atHand > 0 || status.perSecond <= mostPerSecond)
             continue;
-        evictOrLoad(*best, extraCopy.key, now, orders);
+        best = &it;
+        mostPerSecond = status.perSecond;
     }
+    return best;
 }
 
-std::set<ModelId> SwapPlanner::locallyAvailableModels(const ServiceId &service) const
+std::optional<SwapPlanner::Candidate>
+SwapPlanner::prefetchTarget(const ServiceId &service, const ModelId &model, TimePoint now) const
 {
-    std::set<ModelId> models;
+    const auto size = specOf(service, model)->weights;
+    const auto gain = PrefetchGain + CoverageGain * statusOf(service, model).perSecond;
+    std::optional<Candidate> best;
+    std::size_t bestEvictions = 0;
+    std::size_t bestDisk = 0;
     for (const auto &[id, it] : m_engines) {
-        if (!it.isUsable(service))
+        if (!it.acceptsOrders(service) || !it.isFree(now) || m_reserved.contains(id))
+            continue;
+        auto victims = victimsFor(it, size, gain);
+        if (!victims)
             continue;
-        models.insert(it.state().inMemory.begin(), it.state().inMemory.end());
-        models.insert(it.state().onDisk.begin(), it.state().onDisk.end());
-        for (const auto &key : it.state().resident)
-            models.insert(key.model);
-        if (const auto *order = it.order())
-            models.insert(order->key.model);
+        const auto evictions = victims->size();
+        const auto disk = it.state().onDisk.size();
+        if (best && std::tie(bestEvictions, bestDisk) <= std::tie(evictions, disk))
+            continue;
+        if (!keepsLastCopies(it, model))
+            continue;
+        best = Candidate { id, Duration::zero(), true, std::move(*victims) };
+        bestEvictions = evictions;
+        bestDisk = disk;
     }
-    return models;
+    return best;
 }
 
 void SwapPlanner::planPrefetch(TimePoint now, std::vector<PlacementOrder> &orders)
 {
     for (const auto &[service, spec] : m_services) {
-        if (!spec.engine || storeLoadsInProgress() >= MaxPrefetchLoads
+        if (!spec.engine || storeLoadsInProgress() >= maxPrefetchLoads()
             || !mayLoadFromStore(*spec.engine, now))
             continue;
-        const auto available = locallyAvailableModels(service);
-        const auto missing =
-                std::find_if(spec.engine->models.begin(), spec.engine->models.end(),
-                             [&](const auto &model) { return !available.contains(model.first); });
-        if (missing == spec.engine->models.end())
+        const auto *missing = mostWantedMissing(service, *spec.engine);
+        if (!missing)
             continue;
-        EngineTracker *best = nullptr;
-        for (auto &[id, it] : m_engines) {
-            if (!it.acceptsOrders(service) || !it.isFree(now) || m_reserved.contains(id)
-                || !victimsFor(it, missing->second.weights, PrefetchGain))
-                continue;
-            if (!best || it.state().onDisk.size() < best->state().onDisk.size())
-                best = &it;
-        }
-        if (!best)
-            continue;
-        const auto victims = *victimsFor(*best, missing->second.weights, PrefetchGain);
-        if (victims.empty())
-            load(*best, { missing->first, AdapterId() }, now, orders);
-        else
-            unload(*best, victims.front(), now, orders);
+        if (const auto best = prefetchTarget(service, missing->first, now))
+            evictOrLoad(*best, { missing->first, AdapterId() }, now, orders);
     }
 }
 
--- a/src/routing/targetselector.cpp
+++ b/src/routing/targetselector.cpp
@@ -25,14 +25,23 @@
 constexpr double RemoteCost = 0.12;
 /// Cost of a target that fails every request, as a fraction of its slots.
 constexpr double FailureCost = 2.0;
+/// Cost of a cold target, as a fraction of its slots. It stands few requests, which are kept for
+/// those that no other target can serve.
+constexpr double ColdCost = 2.0;
+/// Cost of an engine whose slots are all taken, as a fraction of its slots: a request waits there
+/// until another one has ended.
+constexpr double FullCost = 0.5;
+/// Requests that other daemons may have sent to one engine since their last counts arrived.
+constexpr double MaxUncountedRequests = 3;
 /// Largest cost added to order targets that are otherwise equal; the order differs by daemon.
 constexpr double MaxTieBreak = 0.01;
 
-/// \returns whether the target can serve the request, apart from its health and earlier attempts
-bool meets(const TargetRequirements &requirements, const TargetEntry &target,
-           const ResidentReplicas &residents)
+} // namespace
+
+bool TargetSelector::meets(const TargetRequirements &requirements, const TargetEntry &target,
+                           const ResidentReplicas &residents) const
 {
-    if (target.service != requirements.service || target.isDraining)
+    if (target.service != requirements.service || target.isDraining || isEvacuated(target))
         return false;
     if (!requirements.key)
         return true;
@@ -40,7 +49,32 @@
     return held != residents.end() && held->second.contains(*requirements.key);
 }
 
-} // namespace
+std::optional<TargetHoldOff> TargetSelector::findHoldOff(const TargetEntry &target,
+                                                         TimePoint now) const
+{
+    const auto *holdOff = m_holdOffs.find(target, now);
+    const auto coldUntil = m_coldLimits.blockedUntil(target, now);
+    const bool isCold = coldUntil && (!holdOff || holdOff->until < *coldUntil);
+    if (isCold)
+        return TargetHoldOff { target.id, { target.startTimeMs, now, *coldUntil }, true };
+    if (!holdOff)
+        return std::nullopt;
+    return TargetHoldOff { target.id, *holdOff };
+}
+
+bool TargetSelector::isEvacuated(const ServiceId &service,
+                                 const std::map<TargetId, TargetEntry> &targets) const
+{
+    bool hasEvacuated = false;
+    for (const auto &[id, target] : targets) {
+        if (target.service != service || target.isDraining)
+            continue;
+        if (!isEvacuated(target))
+            return false;
+        hasEvacuated = true;
+    }
+    return hasEvacuated;
+}
 
 void TargetSelector::noteStarted(const TargetId &target, const std::optional<ReplicaKey> &key)
 {
@@ -148,9 +182,14 @@
 double TargetSelector::costOf(const TargetEntry &target, TimePoint now) const
 {
     const auto slots = static_cast<double>(std::max<std::uint32_t>(target.slots, 1));
-    double cost = load(target.id) / slots;
+    const auto inFlight = load(target.id);
+    double cost = inFlight / slots;
+    if (target.engine && inFlight >= target.slots)
+        cost += FullCost;
     if (target.dataCentre != m_dataCentre)
         cost += RemoteCost;
+    if (target.isCold(now))
+        cost += ColdCost;
     const auto tieBreak = static_cast<double>(rendezvousScore(m_salt, target.id.value()) % 1000);
     cost += MaxTieBreak * tieBreak / 1000;
     if (const auto it = m_health.find(target.id); it != m_health.end()) {
@@ -161,6 +200,17 @@
     return cost;
 }
 
+double TargetSelector::uncertaintyOf(const TargetRequirements &requirements,
+                                     const TargetEntry &target) const
+{
+    if (requirements.spread == 0 || !requirements.key || m_peerTotals.empty())
+        return 0;
+    constexpr std::uint64_t Steps = 1000;
+    const auto slots = static_cast<double>(std::max<std::uint32_t>(target.slots, 1));
+    const auto random = rendezvousScore(std::to_string(requirements.spread), target.id.value());
+    return MaxUncountedRequests / slots * static_cast<double>(random % Steps) / Steps;
+}
+
 std::optional<TargetId> TargetSelector::choose(const TargetRequirements &requirements,
                                                const std::map<TargetId, TargetEntry> &targets,
                                                const ResidentReplicas &residents, TimePoint now)
@@ -170,7 +220,7 @@
     double bestCost = 0;
     for (const auto &[id, target] : targets) {
         if (!meets(requirements, target, residents) || requirements.excluded.contains(id)
-            || m_holdOffs.find(target, now))
+            || findHoldOff(target, now))
             continue;
         const auto health = m_health.find(id);
         if (health != m_health.end() && now < health->second.unreachableUntil)
@@ -180,7 +230,7 @@
             if (notResident != m_notResidentUntil.end() && now < notResident->second)
                 continue;
         }
-        const auto cost = costOf(target, now);
+        const auto cost = costOf(target, now) + uncertaintyOf(requirements, target);
         if (best && cost >= bestCost)
             continue;
         best = id;
@@ -198,11 +248,11 @@
     for (const auto &[id, target] : targets) {
         if (!meets(requirements, target, residents))
             continue;
-        const auto *holdOff = m_holdOffs.find(target, now);
+        auto holdOff = findHoldOff(target, now);
         if (!holdOff)
             return std::nullopt;
-        if (!soonest || holdOff->until < soonest->holdOff.until)
-            soonest = TargetHoldOff { id, *holdOff };
+        if (!soonest || holdOff->holdOff.until < soonest->holdOff.until)
+            soonest = std::move(holdOff);
     }
     return soonest;
 }
--- a/tests/platformstandin.cpp
+++ b/tests/platformstandin.cpp
@@ -49,13 +49,9 @@
 {
     ++crashes;
     auto restart = [](TargetStandIn &self) -> asio::awaitable<void> {
-        self.m_server.reset();
+        self.stop();
         co_await sleepFor(self.behaviour.restartTime);
-        self.startTimeMs += 1000;
-        self.m_sequence = 0;
-        self.createServer();
-        self.listen();
-        self.publishEntry();
+        self.restart();
     };
     asio::co_spawn(m_context, restart(*this), asio::detached);
 }
@@ -71,6 +67,15 @@
     m_server.reset();
 }
 
+void TargetStandIn::restart()
+{
+    startTimeMs += 1000;
+    m_sequence = 0;
+    createServer();
+    listen();
+    publishEntry();
+}
+
 json TargetStandIn::state() const
 {
     json it = { { "born", startTimeMs }, { "Sequence", m_sequence } };
@@ -91,11 +96,11 @@
     it["Sequence"] = ++m_heartbeat;
     it["Service"] = m_service;
     it["Address"] = toString(m_address);
-    it["Zone"] = "leicester";
+    it["Zone"] = zone;
     it["Version"] = "v1";
     it["Slots"] = 8;
     it["State"] = stateName;
-    it["ColdLeftMs"] = 0;
+    it["ColdLeftMs"] = coldLeftMs;
     m_store.put("servers", m_id, it.dump());
 }
 
--- a/tests/platformstandin.h
+++ b/tests/platformstandin.h
@@ -91,11 +91,17 @@
     void publishEntry(const std::string &state = "ready");
     /// Stops accepting connections.
     void stop();
+    /// Starts the process anew, after stop(), with another start time and address.
+    void restart();
 
     /// Whether the target is an engine.
     bool isEngine = false;
     std::set<std::string> models;
     std::set<std::string> onDisk;
+    /// Data centre in the target's entry.
+    std::string zone = "leicester";
+    /// Time for which the target is cold, in its entry.
+    int coldLeftMs = 0;
     Duration loadTime = std::chrono::milliseconds(100);
     int events = 5;
     TargetBehaviour behaviour;
