--- a/src/core/rowversion.h
+++ b/src/core/rowversion.h
@@ -12,8 +12,9 @@
 
 /// Version of a row or of a whole table of the store; 0 stands for an absent row.
 ///
-/// It consists of the store's era and the version that the store has given. The store gives versions
-/// out again after it has come back from a copy, but with a new era, so versions only rise.
+/// It consists of the store's era and the version that the store has given. The store gives
+/// versions out again after it has come back from a copy, but with a new era, so versions only
+/// rise.
 using RowVersion = std::uint64_t;
 
 /// Bits of a RowVersion that hold the store's own version.
--- a/src/peer/statuscodec.cpp
+++ b/src/peer/statuscodec.cpp
@@ -220,8 +220,8 @@
 void writeEvacuations(const EvacuationUpdate &update, wire::Evacuations::Builder out)
 {
     out.setVersion(update.version);
-    auto all = out.initDataCentres(static_cast<unsigned>(update.listed.size()
-                                                         + update.kept.size()));
+    auto all =
+            out.initDataCentres(static_cast<unsigned>(update.listed.size() + update.kept.size()));
     unsigned n = 0;
     for (const auto &it : update.listed)
         all[n++].setName(it.value());
