Give soaks that start together ports that do not overlap

Cause: each soak took three steps of ten ports from the step of its process id on, and two soaks with neighbouring ids chose overlapping steps before either had opened them. Ranges are now eight steps apart.

--- a/tests/gatewaysoak.cpp
+++ b/tests/gatewaysoak.cpp
@@ -157,7 +157,10 @@
     constexpr int First = 12000;
     constexpr int Last = 19000;
     constexpr int Step = 10;
-    static int next = First + ::getpid() % ((Last - First) / Step) * Step;
+    // Soaks that start at the same moment have neighbouring process ids. Their ranges must not
+    // overlap: a port that one has chosen and not yet opened looks free to the other.
+    constexpr int StepsPerSoak = 8;
+    static int next = First + ::getpid() * StepsPerSoak % ((Last - First) / Step) * Step;
     for (;;) {
         const int first = next;
         next = next + Step < Last ? next + Step : First;
