Log what a request met at its engines

The request log told how long a request had waited for an engine, not what followed. Whether a late stream lost its time before the first event or between events, and whether an engine had refused it because it was full or because it did not hold the model, could not be told.

New fields: first_event_ms, longest_gap_ms, refused_full, refused_not_resident.

--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -124,8 +124,14 @@
     bool hasStartedResponse = false;
     /// Media type of a stream that has begun.
     std::string mediaType;
-    /// When the latest chunk of a stream was sent to the caller.
+    /// When the first and the latest chunk of a stream were sent to the caller.
+    std::optional<TimePoint> firstChunkAt;
     std::optional<TimePoint> lastChunkAt;
+    /// Longest time between two chunks of a stream.
+    Duration longestGap {};
+    /// Attempts that a target refused because it was full, or because it did not hold the model.
+    std::uint32_t refusalsFull = 0;
+    std::uint32_t refusalsNotResident = 0;
     /// Splits the stream, so that the caller gets complete events only.
     EventSplitter events;
     /// The attempt whose response is passed on, or the last one.
--- a/programs/gateway/requestlog.cpp
+++ b/programs/gateway/requestlog.cpp
@@ -77,10 +77,13 @@
 {
     const auto now = BootClock::now();
     const MetricLabels labels { it.organisation, ClassId(it.route->name), {} };
-    if (it.lastChunkAt)
+    if (it.lastChunkAt) {
+        it.longestGap = std::max(it.longestGap, now - *it.lastChunkAt);
         metrics.observe("bluebell_event_gap_seconds", labels, now - *it.lastChunkAt);
-    else
+    } else {
+        it.firstChunkAt = now;
         metrics.observe("bluebell_first_event_seconds", labels, now - it.receivedAt);
+    }
     it.lastChunkAt = now;
 }
 
@@ -107,7 +110,11 @@
                 { "target", it.latest.target.value() },
                 { "sends", std::to_string(it.sends) },
                 { "runs", std::to_string(it.runs) },
+                { "refused_full", std::to_string(it.refusalsFull) },
+                { "refused_not_resident", std::to_string(it.refusalsNotResident) },
                 { "waited_ms", std::to_string(toMilliseconds(it.waited).count()) },
+                { "first_event_ms", millisecondsBetween(it.receivedAt, it.firstChunkAt) },
+                { "longest_gap_ms", std::to_string(toMilliseconds(it.longestGap).count()) },
                 { "config", std::to_string(it.index ? it.index->version() : 0) },
                 { "outcome", outcome },
                 { "cause", result ? std::string() : result.error().message },
--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -53,10 +53,13 @@
     applyNotices(m_state, it, attempt, head.notices, now);
     // Targets may omit the id when they refuse; the connection has carried no other request.
     if (head.isNotRun && !head.namesOtherAttempt) {
-        if (head.isMisdirected && it.caller.replica)
+        if (head.isMisdirected && it.caller.replica) {
+            ++it.refusalsNotResident;
             m_state.selector.noteNotResident(attempt.target, *it.caller.replica, now);
-        else
+        } else {
+            ++it.refusalsFull;
             m_state.selector.noteOutcome(attempt.target, TargetOutcome::Full, now);
+        }
         return AttemptResult { AttemptOutcome::NotRun,
                                notRun(ErrorCode::Overloaded, "the target refused the request",
                                       milliseconds(200)) };
