Spread requests by the arrivals that are not counted yet

Cause: all daemons chose the engine with the lowest load by counts that are up to a second old. An engine that had just loaded a busy model got 20 requests within 0.3 s, while the others idled; the prompts that it read held up all of its streams for 0.5 s, and the next engine followed.

Change: the requests that the other daemons are expected to send until their counts arrive are distributed over the engines so that their costs even out; each engine is chosen with the probability of its part. The number expected follows from the requests in flight, their mean time at an engine and the delay of the counts. It replaces the random cost of up to three requests.

--- a/programs/gateway/attempts.cpp
+++ b/programs/gateway/attempts.cpp
@@ -53,7 +53,8 @@
 void Attempts::stopCounting(Attempt &attempt)
 {
     if (std::exchange(attempt.isCounted, false))
-        m_state.selector.noteEnded(attempt.target, attempt.key);
+        m_state.selector.noteEnded(attempt.target, attempt.key,
+                                   BootClock::now() - attempt.progress.sentAt);
 }
 
 AttemptResult Attempts::noteNoResponse(RequestContext &it, Attempt &attempt, Error error)
--- a/programs/gateway/gatewaystate.cpp
+++ b/programs/gateway/gatewaystate.cpp
@@ -15,6 +15,9 @@
 constexpr Duration MinSettledUptime = std::chrono::seconds(3);
 /// How long the relays' sums of requests in flight are used when they are not renewed.
 constexpr Duration FleetCountsLifetime = std::chrono::milliseconds(2500);
+/// Mean time until the requests in flight of a daemon are known to the others through relays: half
+/// of the intervals of reports, summaries and digests.
+constexpr Duration FleetCountsDelay = std::chrono::milliseconds(750);
 /// Time after the start in which this daemon adopts the bucket levels of other daemons.
 constexpr Duration StartupTime = std::chrono::milliseconds(1500);
 
@@ -175,6 +178,7 @@
     planner.setDemandLifetime(timing.statusLifetime);
     selector.setPeerCountsLifetime(fleet.usesRelays() ? FleetCountsLifetime
                                                       : timing.statusLifetime);
+    selector.setPeerCountsDelay(fleet.usesRelays() ? FleetCountsDelay : timing.interval / 2);
 }
 
 SharedRate &GatewayState::rateOf(const SiteOrganisation &organisation, TimePoint now)
--- a/src/routing/targetselector.cpp
+++ b/src/routing/targetselector.cpp
@@ -1,6 +1,7 @@
 #include "routing/targetselector.h"
 
 #include "core/digest.h"
+#include "routing/loadspreading.h"
 
 #include <algorithm>
 #include <utility>
@@ -31,8 +32,11 @@
 /// Cost of an engine whose slots are all taken, as a fraction of its slots: a request waits there
 /// until another one has ended.
 constexpr double FullCost = 0.5;
-/// Requests that other daemons may have sent to one engine since their last counts arrived.
-constexpr double MaxUncountedRequests = 3;
+/// Fewest requests that other daemons are assumed to send to the engines of a model until their
+/// counts arrive.
+constexpr double MinUncountedArrivals = 3;
+/// Lower bound of the time that a request is taken to be in flight at an engine.
+constexpr Duration MinEngineTime = milliseconds(100);
 /// Largest cost added to order targets that are otherwise equal; the order differs by daemon.
 constexpr double MaxTieBreak = 0.01;
 
@@ -83,12 +87,14 @@
         ++m_inFlight[{ target, *key }];
 }
 
-void TargetSelector::noteEnded(const TargetId &target, const std::optional<ReplicaKey> &key)
+void TargetSelector::noteEnded(const TargetId &target, const std::optional<ReplicaKey> &key,
+                               Duration lasted)
 {
     if (const auto it = m_health.find(target); it != m_health.end() && it->second.ownInFlight > 0)
         --it->second.ownInFlight;
     if (!key)
         return;
+    m_engineTime += std::chrono::duration_cast<Duration>((lasted - m_engineTime) * SmoothingFactor);
     const auto it = m_inFlight.find({ target, *key });
     if (it != m_inFlight.end() && --it->second == 0)
         m_inFlight.erase(it);
@@ -200,15 +206,31 @@
     return cost;
 }
 
-double TargetSelector::uncertaintyOf(const TargetRequirements &requirements,
-                                     const TargetEntry &target) const
+bool TargetSelector::isEligible(const TargetRequirements &requirements, const TargetEntry &target,
+                                const ResidentReplicas &residents, TimePoint now) const
 {
-    if (requirements.spread == 0 || !requirements.key || m_peerTotals.empty())
-        return 0;
-    constexpr std::uint64_t Steps = 1000;
-    const auto slots = static_cast<double>(std::max<std::uint32_t>(target.slots, 1));
-    const auto random = rendezvousScore(std::to_string(requirements.spread), target.id.value());
-    return MaxUncountedRequests / slots * static_cast<double>(random % Steps) / Steps;
+    if (!meets(requirements, target, residents) || requirements.excluded.contains(target.id)
+        || findHoldOff(target, now))
+        return false;
+    const auto health = m_health.find(target.id);
+    if (health != m_health.end() && now < health->second.unreachableUntil)
+        return false;
+    if (!requirements.key)
+        return true;
+    const auto notResident = m_notResidentUntil.find({ target.id, *requirements.key });
+    return notResident == m_notResidentUntil.end() || now >= notResident->second;
+}
+
+double TargetSelector::uncountedArrivals(const std::vector<const TargetEntry *> &targets) const
+{
+    double inFlight = 0;
+    for (const auto *it : targets)
+        if (const auto peers = m_peerTotals.find(it->id); peers != m_peerTotals.end())
+            inFlight += peers->second;
+    // Requests in flight are arrivals per second times the time that each of them takes.
+    const auto parts = toSeconds(m_peerCountsDelay)
+            / std::max(toSeconds(m_engineTime), toSeconds(MinEngineTime));
+    return std::max(inFlight * parts, MinUncountedArrivals);
 }
 
 std::optional<TargetId> TargetSelector::choose(const TargetRequirements &requirements,
@@ -216,27 +238,28 @@
                                                const ResidentReplicas &residents, TimePoint now)
 {
     expirePeerCounts(now);
-    std::optional<TargetId> best;
-    double bestCost = 0;
+    std::vector<const TargetEntry *> eligible;
+    std::vector<SpreadCandidate> candidates;
     for (const auto &[id, target] : targets) {
-        if (!meets(requirements, target, residents) || requirements.excluded.contains(id)
-            || findHoldOff(target, now))
-            continue;
-        const auto health = m_health.find(id);
-        if (health != m_health.end() && now < health->second.unreachableUntil)
-            continue;
-        if (requirements.key) {
-            const auto notResident = m_notResidentUntil.find({ id, *requirements.key });
-            if (notResident != m_notResidentUntil.end() && now < notResident->second)
-                continue;
-        }
-        const auto cost = costOf(target, now) + uncertaintyOf(requirements, target);
-        if (best && cost >= bestCost)
+        if (!isEligible(requirements, target, residents, now))
             continue;
-        best = id;
-        bestCost = cost;
+        eligible.push_back(&target);
+        candidates.push_back({ costOf(target, now),
+                               static_cast<double>(std::max<std::uint32_t>(target.slots, 1)) });
     }
-    return best;
+    if (eligible.empty())
+        return std::nullopt;
+    if (requirements.spread == 0 || !requirements.key || m_peerTotals.empty()) {
+        const auto best =
+                std::min_element(candidates.begin(), candidates.end(),
+                                 [](const auto &a, const auto &b) { return a.cost < b.cost; });
+        return eligible[static_cast<std::size_t>(best - candidates.begin())]->id;
+    }
+    constexpr std::uint64_t Steps = 1000;
+    const auto random = rendezvousScore(std::to_string(requirements.spread), m_salt) % Steps;
+    return eligible[chooseSpread(candidates, uncountedArrivals(eligible),
+                                 static_cast<double>(random) / Steps)]
+            ->id;
 }
 
 std::optional<TargetHoldOff>
--- a/src/routing/targetselector.h
+++ b/src/routing/targetselector.h
@@ -79,7 +79,9 @@
     /// Notes that a request is sent to `target`, also one that is not counted by noteStarted() yet.
     void noteSent(const TargetEntry &target, TimePoint now) { m_coldLimits.noteSent(target, now); }
     /// Notes the end of a request that was noted by noteStarted() with the same arguments.
-    void noteEnded(const TargetId &target, const std::optional<ReplicaKey> &key);
+    ///
+    /// \param lasted time since its start
+    void noteEnded(const TargetId &target, const std::optional<ReplicaKey> &key, Duration lasted);
     /// Notes how an exchange with the target ended.
     void noteOutcome(const TargetId &target, TargetOutcome outcome, TimePoint now);
     /// Notes that the target does not hold `key`, although it is listed as resident there.
@@ -94,6 +96,9 @@
     void notePeerCounts(const VmId &vm, std::map<TargetId, std::uint32_t> counts, TimePoint now);
     /// Sets how long another daemon's counts are used when they are not renewed.
     void setPeerCountsLifetime(Duration lifetime) { m_peerCountsLifetime = lifetime; }
+    /// Sets the mean time from a change of another daemon's requests in flight until it is known
+    /// here.
+    void setPeerCountsDelay(Duration delay) { m_peerCountsDelay = delay; }
     /// Sets the data centres whose targets get no request.
     void setEvacuated(std::set<DataCentreId> dataCentres) { m_evacuated = std::move(dataCentres); }
     [[nodiscard]] ColdLimits &coldLimits() noexcept { return m_coldLimits; }
@@ -169,10 +174,11 @@
                                                            TimePoint now) const;
     /// \returns the cost of sending a request to `target`, in multiples of its slots
     [[nodiscard]] double costOf(const TargetEntry &target, TimePoint now) const;
-    /// \returns a random cost that covers what other daemons may have sent to an engine since their
-    /// last counts, so that they do not all choose the same one
-    [[nodiscard]] double uncertaintyOf(const TargetRequirements &requirements,
-                                       const TargetEntry &target) const;
+    /// \returns whether the target may be chosen now
+    [[nodiscard]] bool isEligible(const TargetRequirements &requirements, const TargetEntry &target,
+                                  const ResidentReplicas &residents, TimePoint now) const;
+    /// \returns how many requests other daemons send to `targets` until their counts arrive here
+    [[nodiscard]] double uncountedArrivals(const std::vector<const TargetEntry *> &targets) const;
 
     DataCentreId m_dataCentre;
     std::string m_salt;
@@ -185,6 +191,9 @@
     /// Sum of the counts of all other daemons, by target.
     std::map<TargetId, std::uint32_t> m_peerTotals;
     Duration m_peerCountsLifetime = std::chrono::milliseconds(1400);
+    Duration m_peerCountsDelay = std::chrono::milliseconds(100);
+    /// Moving average of the time that a request is in flight at an engine.
+    Duration m_engineTime = std::chrono::seconds(1);
     std::map<std::pair<TargetId, ReplicaKey>, std::uint32_t> m_inFlight;
     std::map<std::pair<TargetId, ReplicaKey>, TimePoint> m_notResidentUntil;
     HoldOffs m_holdOffs;
