Publish no models of engines that have ended, and relieve full engines first

Cause: an engine that crashes stays listed until its entry lapses, and the leader went on publishing its models. A model whose engines were full, with 130 requests in flight at three engines of 16 slots, got no further copy for four seconds: extra copies came after the models that single requests waited for, which reserved every engine.

Change: an engine whose machine refuses two report requests in a row, or whose address has another run, is published without models, unless most engines seem to have ended. Models with at least twice as many requests as their engines should run get a copy first.

--- a/programs/gateway/placementcoordinator.cpp
+++ b/programs/gateway/placementcoordinator.cpp
@@ -298,7 +298,10 @@
                                    BootClock::now());
         m_state.notifyChange();
     } else if (!notices.holdOff) {
-        m_state.planner.noteReportFailed(id);
+        const auto &error = report.error();
+        const bool isRefused =
+                error.execution == Execution::NotRun && error.code == ErrorCode::Unavailable;
+        m_state.planner.noteReportFailed(id, isRefused);
         log::warning("report missing",
                      { { "target", id.value() }, { "cause", report.error().message } });
     }
--- a/src/placement/enginetracker.cpp
+++ b/src/placement/enginetracker.cpp
@@ -60,12 +60,19 @@
     m_reportAt = now;
 }
 
+void EngineTracker::noteReportFailed(bool isRefused) noexcept
+{
+    ++m_missedReports;
+    m_refusals = isRefused ? m_refusals + 1 : 0;
+}
+
 void EngineTracker::noteReport(const EngineState &state, TimePoint now)
 {
     m_reportAt.reset();
     m_reportedAt = now;
     m_isReportWanted = false;
     m_missedReports = 0;
+    m_refusals = 0;
     m_hasReport = true;
     if (state.sequence < m_state.sequence)
         return;
@@ -336,7 +343,7 @@
 
 bool EngineTracker::isUsable(const ServiceId &service) const
 {
-    return m_entry.service == service && !m_entry.isDraining && !m_isEvacuated
+    return m_entry.service == service && !m_entry.isDraining && !m_isEvacuated && !hasEnded()
             && m_missedReports < UnavailableAfterMissedReports && m_holdOffLeft < LongHoldOff;
 }
 
--- a/src/placement/enginetracker.h
+++ b/src/placement/enginetracker.h
@@ -51,7 +51,11 @@
     /// responds.
     void noteReport(const EngineState &state, TimePoint now);
     /// Records that a report request got no response.
-    void noteReportFailed() noexcept { ++m_missedReports; }
+    ///
+    /// \param isRefused whether the engine's machine has refused the connection
+    void noteReportFailed(bool isRefused) noexcept;
+    /// Records that another run of an engine responds at the address.
+    void noteOtherRun() noexcept { m_refusals = EndedAfterRefusals; }
     /// Notes for how long the engine wants to be sent nothing; zero for no hold-off.
     void noteHoldOff(Duration left) noexcept { m_holdOffLeft = left; }
     /// Notes whether the engine's data centre is evacuated. When that has ended, orders are sent
@@ -105,6 +109,10 @@
     [[nodiscard]] bool isUsable(const ServiceId &service) const;
     /// \returns whether the engine accepts orders, now or after the order in progress
     [[nodiscard]] bool acceptsOrders(const ServiceId &service) const;
+    /// \returns whether the process of this run has ended, although its entry is still listed
+    [[nodiscard]] bool hasEnded() const noexcept { return m_refusals >= EndedAfterRefusals; }
+    /// \returns whether the latest report request got a response
+    [[nodiscard]] bool isResponding() const noexcept { return m_missedReports == 0; }
     /// \returns whether no order is in progress and no backoff is active
     [[nodiscard]] bool isFree(TimePoint now) const { return !m_pending && now >= m_backoffUntil; }
     /// \returns whether the engine has asked to be sent nothing
@@ -130,6 +138,10 @@
     [[nodiscard]] std::optional<ReplicaKey> leastRecentlyUsedAdapter() const;
 
 private:
+    /// Consecutive refused connections after which the process has ended: a partition and a full
+    /// queue of connections show as timeouts.
+    static constexpr unsigned EndedAfterRefusals = 2;
+
     enum class Phase : std::uint8_t {
         /// Sent, no response yet.
         Sent,
@@ -175,6 +187,8 @@
     bool m_hasReport = false;
     /// Consecutive report requests without a response.
     unsigned m_missedReports = 0;
+    /// Those of them in a row whose connection was refused.
+    unsigned m_refusals = 0;
     /// Time until the end of the engine's hold-off.
     Duration m_holdOffLeft {};
     bool m_isEvacuated = false;
--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -83,15 +83,18 @@
                              const EngineState &state, TimePoint now)
 {
     const auto it = m_engines.find(target);
-    if (it != m_engines.end()
-        && (startTimeMs == 0 || it->second.entry().startTimeMs == startTimeMs))
+    if (it == m_engines.end())
+        return;
+    if (startTimeMs == 0 || it->second.entry().startTimeMs == startTimeMs)
         it->second.noteReport(state, now);
+    else if (it->second.entry().startTimeMs < startTimeMs)
+        it->second.noteOtherRun();
 }
 
-void SwapPlanner::noteReportFailed(const TargetId &target)
+void SwapPlanner::noteReportFailed(const TargetId &target, bool isRefused)
 {
     if (const auto it = m_engines.find(target); it != m_engines.end())
-        it->second.noteReportFailed();
+        it->second.noteReportFailed(isRefused);
 }
 
 void SwapPlanner::noteHoldOffs(const std::map<TargetId, TimePoint> &ends, TimePoint now)
@@ -158,8 +161,13 @@
 ResidentReplicas SwapPlanner::residents() const
 {
     ResidentReplicas all;
+    const auto responding = static_cast<std::size_t>(
+            std::count_if(m_engines.begin(), m_engines.end(),
+                          [](const auto &it) { return it.second.isResponding(); }));
+    // If most engines seem to have ended, the network of this daemon may have failed instead.
+    const bool mayHaveEnded = responding * 2 > m_engines.size();
     for (const auto &[id, it] : m_engines)
-        all.emplace(id, it.serving());
+        all.emplace(id, mayHaveEnded && it.hasEnded() ? std::set<ReplicaKey>() : it.serving());
     return all;
 }
 
@@ -604,6 +612,7 @@
         if (const auto order = it.takeOrderToResend(now))
             orders.push_back(*order);
     orderDemandByValue();
+    planCopiesOfOverloaded(now, orders);
     const auto wanted = m_totalDemand;
     for (const auto &it : wanted) {
         if (it.waiting == 0)
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -42,8 +42,9 @@
     void noteReport(const TargetId &target, std::uint64_t startTimeMs, const EngineState &state,
                     TimePoint now);
     /// Records that a target did not respond to a report request. After two in a row it counts as
-    /// unavailable.
-    void noteReportFailed(const TargetId &target);
+    /// unavailable; if its machine has refused the connections, it counts as ended and is published
+    /// without models.
+    void noteReportFailed(const TargetId &target, bool isRefused);
     /// Replaces the hold-offs in force, with their ends. Their targets get no orders and no report
     /// requests, and with a long one their replicas do not count as available.
     void noteHoldOffs(const std::map<TargetId, TimePoint> &ends, TimePoint now);
@@ -168,8 +169,16 @@
     /// \returns the models that should have more than one copy and have too few, those with the
     /// highest overload first
     [[nodiscard]] std::vector<MissingCopies> missingCopies() const;
+    /// Loads a copy for each of the first `missing` models, if an engine can take it.
+    ///
+    /// \returns whether an engine was found for all of them
+    bool planCopies(const std::vector<MissingCopies> &missing, TimePoint now,
+                    std::vector<PlacementOrder> &orders);
     /// Loads further copies of models that are asked for often.
     void planExtraCopies(TimePoint now, std::vector<PlacementOrder> &orders);
+    /// Loads further copies of models whose engines are full, before models with few waiting
+    /// requests take the engines that have a copy at hand.
+    void planCopiesOfOverloaded(TimePoint now, std::vector<PlacementOrder> &orders);
     /// Loads models that only draining or unavailable engines serve, before requests wait for them.
     void planReplacements(TimePoint now, std::vector<PlacementOrder> &orders);
     void replaceCopiesOf(const EngineTracker &leaving, TimePoint now,
@@ -224,7 +233,9 @@
     std::map<TargetId, std::uint32_t> m_targetLoad;
     /// Targets reserved for a more urgent model in the current plan.
     std::set<TargetId> m_reserved;
-    /// No engine is searched for extra copies before this time.
+    /// No engine is searched for extra copies before this time, for overloaded models and for all
+    /// others.
+    TimePoint m_nextOverloadedSearch;
     TimePoint m_nextExtraCopySearch;
     /// Start times of the latest loads from the weight store.
     std::deque<TimePoint> m_storeLoads;
--- a/src/placement/swapplannerprefetch.cpp
+++ b/src/placement/swapplannerprefetch.cpp
@@ -17,6 +17,9 @@
 /// work for them is bounded.
 constexpr std::size_t MaxExtraCopySearches = 2;
 constexpr Duration FailedSearchInterval = std::chrono::milliseconds(200);
+/// Wanted copies relative to the existing ones from which on the batches of a model's engines are
+/// full, so that its requests wait there. Copies are wanted at half-full batches.
+constexpr double FullBatchOverload = 2;
 /// Gain of an extra copy per request per second, in the unit of pressureOf().
 constexpr double ExtraCopyGain = 0.4;
 /// Loss below which a model may be evicted for one without a copy at hand, and its increase per
@@ -68,8 +71,26 @@
 {
     if (now < m_nextExtraCopySearch)
         return;
+    if (!planCopies(missingCopies(), now, orders))
+        m_nextExtraCopySearch = now + FailedSearchInterval;
+}
+
+void SwapPlanner::planCopiesOfOverloaded(TimePoint now, std::vector<PlacementOrder> &orders)
+{
+    if (now < m_nextOverloadedSearch)
+        return;
+    auto overloaded = missingCopies();
+    std::erase_if(overloaded, [](const auto &it) { return it.overload < FullBatchOverload; });
+    if (!planCopies(overloaded, now, orders))
+        m_nextOverloadedSearch = now + FailedSearchInterval;
+}
+
+bool SwapPlanner::planCopies(const std::vector<MissingCopies> &missing, TimePoint now,
+                             std::vector<PlacementOrder> &orders)
+{
+    bool isFound = true;
     std::size_t searches = 0;
-    for (const auto &it : missingCopies()) {
+    for (const auto &it : missing) {
         if (++searches > MaxExtraCopySearches)
             break;
         TotalDemand extraCopy;
@@ -80,8 +101,9 @@
         if (best && mayPrefetch(*best, *engineOf(it.service), now))
             evictOrLoad(*best, extraCopy.key, now, orders);
         else
-            m_nextExtraCopySearch = now + FailedSearchInterval;
+            isFound = false;
     }
+    return isFound;
 }
 
 bool SwapPlanner::mayPrefetch(const Candidate &candidate, const EngineSpec &engine,
--- a/tests/tst_swapplanner.cpp
+++ b/tests/tst_swapplanner.cpp
@@ -259,14 +259,51 @@
     addTarget("t1", { "m0" });
     addTarget("t2", {}, { "m0" });
     start(1);
-    m_planner.noteReportFailed(TargetId("t1"));
-    m_planner.noteReportFailed(TargetId("t1"));
+    m_planner.noteReportFailed(TargetId("t1"), false);
+    m_planner.noteReportFailed(TargetId("t1"), false);
     addDemand(model("m0"));
     const auto orders = m_planner.plan(m_now);
     ASSERT_EQ(orders.size(), 1U);
     EXPECT_EQ(orders.front().target, TargetId("t2"));
 }
 
+// Guards against requests for a model being sent to an engine that has crashed, as long as its
+// entry is still listed.
+TEST_F(SwapPlannerTest, AnEngineThatRefusesConnectionsIsPublishedWithoutModels)
+{
+    addTarget("t1", { "m0" });
+    addTarget("t2", { "m0" });
+    addTarget("t3", { "m0" });
+    start(1);
+    m_planner.noteReportFailed(TargetId("t1"), true);
+    EXPECT_TRUE(m_planner.residents().at(TargetId("t1")).contains(model("m0")));
+    m_planner.noteReportFailed(TargetId("t1"), true);
+    EXPECT_TRUE(m_planner.residents().at(TargetId("t1")).empty());
+    EXPECT_TRUE(m_planner.residents().at(TargetId("t2")).contains(model("m0")));
+}
+
+// Guards against the same after another run of an engine has taken over the address.
+TEST_F(SwapPlannerTest, AnEngineWhoseAddressHasAnotherRunIsPublishedWithoutModels)
+{
+    addTarget("t1", { "m0" });
+    addTarget("t2", { "m0" });
+    start(1);
+    m_planner.noteReport(TargetId("t1"), m_entries[TargetId("t1")].startTimeMs + 1, {}, m_now);
+    EXPECT_TRUE(m_planner.residents().at(TargetId("t1")).empty());
+    EXPECT_TRUE(m_planner.residents().at(TargetId("t2")).contains(model("m0")));
+}
+
+// Guards against the models of all engines being withdrawn when the leader's own network fails.
+TEST_F(SwapPlannerTest, EnginesThatAllRefuseConnectionsKeepTheirModels)
+{
+    addTarget("t1", { "m0" });
+    addTarget("t2", { "m0" });
+    start(1);
+    for (const auto *id : { "t1", "t2", "t1", "t2" })
+        m_planner.noteReportFailed(TargetId(id), true);
+    EXPECT_TRUE(m_planner.residents().at(TargetId("t1")).contains(model("m0")));
+}
+
 TEST_F(SwapPlannerTest, RestartedTargetNeedsAReportOfItsNewRun)
 {
     addTarget("t1", { "m0", "m1" }, { "m2" });
