Keep daemons for a while whose rows a restore of the store has lost

The log shows the relays reading a table of daemons that is empty after the restore. They stopped being relays at once, and the others waited 2.2 s for digests before they read the store themselves; entries that changed meanwhile reached some of them after the test's 2.5 s.

Change: for 4 s after a new era of the store is read, daemons whose rows are missing are kept, as evacuations are. Daemons write their rows again within that time.

--- a/programs/gateway/peersync.cpp
+++ b/programs/gateway/peersync.cpp
@@ -58,6 +58,7 @@
         co_await m_state.peerDataDue.wait(CheckInterval);
         const auto now = BootClock::now();
         m_state.expireEvacuations(now);
+        m_updates.expireMembers(now);
         if (m_state.registry.expire(now))
             m_state.stateChanged.notify();
         const auto version = m_state.index ? m_state.index->version() : 0;
--- a/programs/gateway/siteupdates.cpp
+++ b/programs/gateway/siteupdates.cpp
@@ -20,6 +20,9 @@
 /// Age up to which target entries that this daemon has read itself are preferred to relayed ones,
 /// which lack the state of engines.
 constexpr Duration MaxFreshAge = std::chrono::milliseconds(1500);
+/// How long daemons whose rows a restore of the store has lost are kept, so that the relays go on
+/// while the daemons write their rows again.
+constexpr Duration MemberRestoreGrace = std::chrono::seconds(4);
 
 } // namespace
 
@@ -183,19 +186,27 @@
 
 void SiteUpdates::applyMembers(const std::set<VmId> &changed)
 {
+    const auto now = BootClock::now();
+    const auto era = eraOf(m_state.memberRows.version());
+    if (m_memberEra && era > *m_memberEra)
+        m_membersRestoredAt = now;
+    m_memberEra = std::max(era, m_memberEra.value_or(era));
     if (changed.empty())
         return;
-    const auto now = BootClock::now();
     for (const auto &vm : changed) {
         const auto *row = m_state.memberRows.find(vm);
         if (vm == m_state.settings.vm)
             continue;
-        if (row)
-            m_state.fleet.putMember(*row, now);
-        else
-            m_state.fleet.removeMember(vm);
+        if (!row) {
+            removeMember(vm, now);
+            continue;
+        }
+        m_lostMembers.erase(vm);
+        m_state.fleet.putMember(*row, now);
     }
     std::set<VmId> registered;
+    for (const auto &[vm, until] : m_lostMembers)
+        registered.insert(vm);
     for (const auto &[vm, row] : m_state.memberRows.changesSince(0).rows)
         registered.insert(vm);
     m_state.selector.coldLimits().setDaemons(std::move(registered), now);
@@ -203,6 +214,26 @@
     m_state.notifyRelays();
 }
 
+void SiteUpdates::removeMember(const VmId &vm, TimePoint now)
+{
+    if (m_membersRestoredAt && now < *m_membersRestoredAt + MemberRestoreGrace
+        && m_state.fleet.find(vm))
+        m_lostMembers[vm] = *m_membersRestoredAt + MemberRestoreGrace;
+    else
+        m_state.fleet.removeMember(vm);
+}
+
+void SiteUpdates::expireMembers(TimePoint now)
+{
+    std::set<VmId> expired;
+    for (const auto &[vm, until] : m_lostMembers)
+        if (now >= until)
+            expired.insert(vm);
+    for (const auto &vm : expired)
+        m_lostMembers.erase(vm);
+    applyMembers(expired);
+}
+
 bool SiteUpdates::isRegistered() const
 {
     const auto *row = m_state.memberRows.find(m_state.settings.vm);
--- a/programs/gateway/siteupdates.h
+++ b/programs/gateway/siteupdates.h
@@ -5,6 +5,8 @@
 #include "relay/digest.h"
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -41,6 +43,9 @@
     void replaceMembers(const std::vector<platform::StoreRow> &rows, RowVersion version);
     void updateMembers(const std::vector<platform::StoreRow> &rows, RowVersion version);
 
+    /// Removes daemons that have not written their rows again in time after a restore of the store.
+    void expireMembers(TimePoint now);
+
     /// Applies a relay's digest, apart from its sums.
     void applyDigest(const FleetDigest &digest, TimePoint now);
 
@@ -61,11 +66,19 @@
     [[nodiscard]] RowChanges<std::string, TargetRow>
     withColdTimes(RowChanges<std::string, TargetRow> changes, TimePoint now) const;
     void applyMembers(const std::set<VmId> &changed);
+    /// Removes a daemon whose row is gone; after a restore of the store only for as long as it may
+    /// write the row again.
+    void removeMember(const VmId &vm, TimePoint now);
 
     GatewayState &m_state;
     std::function<void()> m_configChanged;
     /// Version of the store at which this daemon has written its row; 0 if it has not.
     RowVersion m_registeredAt = 0;
+    /// Era of the store from which the daemons' rows are, and when they were first read from it.
+    std::optional<StoreEra> m_memberEra;
+    std::optional<TimePoint> m_membersRestoredAt;
+    /// Daemons whose rows a restore of the store has lost, until the given time.
+    std::map<VmId, TimePoint> m_lostMembers;
     /// The evacuated data centres as last read from the store by this daemon.
     std::set<DataCentreId> m_evacuated;
 };
