Move the types that platform/ shares with the gateway into src/

Cause: platform/requests.h, engineclient.h and settings.h included headers of programs/gateway, so the adapter depended on a program above it. Change: CallerRequest and ForwardDetails are in src/site/callerrequest.h, TargetNotices and ResponseHead in src/site/targetresponse.h, GatewaySettings in src/settings/gatewaysettings.h, all in the namespace bluebell. Tests name the types without the namespace gateway, nothing else.

--- a/programs/gateway/attemptevidence.h
+++ b/programs/gateway/attemptevidence.h
@@ -2,6 +2,7 @@
 
 #include "gateway/gatewaystate.h"
 #include "gateway/requestcontext.h"
+#include "site/targetresponse.h"
 
 /// \file
 /// Turns the course of attempts into evidence on which prompt parts crash targets.
--- a/programs/gateway/gatewaystate.h
+++ b/programs/gateway/gatewaystate.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "core/memorybudget.h"
-#include "gateway/settings.h"
 #include "io/notifier.h"
 #include "membership/fleet.h"
 #include "membership/leadership.h"
@@ -12,6 +11,7 @@
 #include "rate/sharedrate.h"
 #include "relay/relaynode.h"
 #include "routing/targetselector.h"
+#include "settings/gatewaysettings.h"
 #include "site/evacuations.h"
 #include "site/siteindex.h"
 #include "site/targetregistry.h"
--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/request.h"
 #include "http/message.h"
 #include "placement/demandtracker.h"
+#include "site/callerrequest.h"
 #include "site/siteindex.h"
 #include "streams/eventsplitter.h"
 
--- a/programs/gateway/targetnotices.h
+++ b/programs/gateway/targetnotices.h
@@ -2,6 +2,7 @@
 
 #include "gateway/gatewaystate.h"
 #include "gateway/requestcontext.h"
+#include "site/targetresponse.h"
 
 /// \file
 /// Applies what targets state of themselves in their responses.
--- a/programs/gateway/settings.h
+++ b/src/settings/gatewaysettings.h
@@ -10,7 +10,7 @@
 /// \file
 /// Settings of a gateway daemon.
 
-namespace bluebell::gateway {
+namespace bluebell {
 
 struct GatewaySettings
 {
@@ -49,4 +49,4 @@
     Duration maxAddressTtl = std::chrono::seconds(5);
 };
 
-} // namespace bluebell::gateway
+} // namespace bluebell
--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -44,9 +44,9 @@
     }
 }
 
-inline gateway::GatewaySettings settingsOf(const std::string &vm, const Endpoint &store)
+inline GatewaySettings settingsOf(const std::string &vm, const Endpoint &store)
 {
-    gateway::GatewaySettings it;
+    GatewaySettings it;
     it.vm = VmId(vm);
     it.dataCentre = DataCentreId("leicester");
     for (auto *endpoint :
@@ -64,10 +64,7 @@
 /// A gateway with its own event loop, so that a test can suspend it.
 struct GatewayProcess
 {
-    explicit GatewayProcess(gateway::GatewaySettings settings)
-        : daemon(context, std::move(settings))
-    {
-    }
+    explicit GatewayProcess(GatewaySettings settings) : daemon(context, std::move(settings)) { }
 
     boost::asio::io_context context;
     gateway::Daemon daemon;
@@ -211,7 +208,7 @@
     standin::PlatformServer store;
     Endpoint storeAddress;
     std::vector<std::unique_ptr<TargetStandIn>> targets;
-    std::vector<gateway::GatewaySettings> settings;
+    std::vector<GatewaySettings> settings;
     std::vector<std::unique_ptr<GatewayProcess>> processes;
     std::string lastBody;
     int attempts = 0;
--- a/tests/tst_adapter_oddentries.cpp
+++ b/tests/tst_adapter_oddentries.cpp
@@ -88,7 +88,7 @@
 
     void startGateway()
     {
-        gateway::GatewaySettings it;
+        GatewaySettings it;
         it.vm = VmId("vm-1");
         it.dataCentre = DataCentreId("leicester");
         for (auto *endpoint :
@@ -154,7 +154,7 @@
     Endpoint storeAddress;
     std::vector<std::unique_ptr<TargetStandIn>> targets;
     std::map<std::string, Endpoint> addresses;
-    gateway::GatewaySettings settings;
+    GatewaySettings settings;
     std::unique_ptr<gateway::Daemon> daemon;
     int attempts = 0;
 };
--- a/tests/tst_adapter_platform.cpp
+++ b/tests/tst_adapter_platform.cpp
@@ -189,7 +189,7 @@
                         { "X-Prompt-Prefix", "5c:8" },
                         { "Authorization", "Bearer k" } });
     in.body = "body";
-    gateway::ForwardDetails details;
+    ForwardDetails details;
     details.target = TargetId("i-1");
     details.timeLeft = 700ms;
     const auto out = platform::encodeForward(in, details);
--- a/tests/tst_adapter_requestadmission.cpp
+++ b/tests/tst_adapter_requestadmission.cpp
@@ -18,7 +18,7 @@
 class RequestAdmissionTest : public ::testing::Test
 {
 protected:
-    RequestAdmissionTest() : state(context.get_executor(), gateway::GatewaySettings())
+    RequestAdmissionTest() : state(context.get_executor(), GatewaySettings())
     {
         auto config = platform::decodeConfig(siteConfig(1).dump());
         state.index = std::make_shared<const SiteIndex>(std::move(config.value()));
