Give src/records an interface of its store

Cause: src/records/table.h included platform/store.h, the only dependency of src/ on a folder outside of it. Change: RecordTable reads and writes through the interface RecordStore (src/records/recordstore.h); platform/recordstore implements it with the client of the store. A RecordTable owns its store and is moved instead of copied, so that each part of a daemon keeps its own view of the store's era, as before. bluebell-records links the decisions only. Result: src/ includes nothing outside of src/, and the include path enforces it. RecordTableTest makes its table from platform::makeRecordStore().

--- a/programs/controller/daemon.cpp
+++ b/programs/controller/daemon.cpp
@@ -3,6 +3,7 @@
 #include "core/digest.h"
 #include "core/log.h"
 #include "io/notifier.h"
+#include "platform/recordstore.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -31,14 +32,16 @@
 Result<Endpoint> Daemon::start()
 {
     BOOST_OUTCOME_TRY(auto address, m_peers.listen(m_settings.listen));
-    const RecordTable records(m_settings.platform);
+    const auto openRecords = [this] {
+        return RecordTable(platform::makeRecordStore(m_settings.platform));
+    };
     const Member self { m_settings.vm, IncarnationId(randomHex(IdBytes)), address };
-    m_roles.emplace(records, self, m_settings.lease, [this] { return wantedRoles(); });
-    m_config.emplace(records, *m_roles, m_peers, m_settings.seeds, m_settings.config);
+    m_roles.emplace(openRecords(), self, m_settings.lease, [this] { return wantedRoles(); });
+    m_config.emplace(openRecords(), *m_roles, m_peers, m_settings.seeds, m_settings.config);
     m_rates.emplace(
             [this](const RoleId &role, TimePoint now) { return m_roles->heldRole(role, now); },
             m_settings.rate);
-    m_placement.emplace(m_context.get_executor(), records, *m_roles, m_settings.placement);
+    m_placement.emplace(m_context.get_executor(), openRecords(), *m_roles, m_settings.placement);
     asio::co_spawn(m_context, m_roles->run(), asio::detached);
     asio::co_spawn(m_context, m_config->run(), asio::detached);
     asio::co_spawn(m_context, m_placement->run(), asio::detached);
--- a/programs/ctl/commands.cpp
+++ b/programs/ctl/commands.cpp
@@ -5,6 +5,7 @@
 #include "ctl/rulefile.h"
 #include "io/notifier.h"
 #include "peer/peernode.h"
+#include "platform/recordstore.h"
 #include "rate/shares.h"
 #include "records/configstore.h"
 #include "records/rows.h"
@@ -66,7 +67,7 @@
 {
 public:
     Tool(asio::any_io_executor executor, Options options)
-        : m_options(std::move(options)), m_records(m_options.platform),
+        : m_options(std::move(options)), m_records(platform::makeRecordStore(m_options.platform)),
           m_peers(std::move(executor), {})
     {
     }
--- a/programs/entry/daemon.cpp
+++ b/programs/entry/daemon.cpp
@@ -3,6 +3,7 @@
 #include "core/digest.h"
 #include "core/log.h"
 #include "io/notifier.h"
+#include "platform/recordstore.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -64,13 +65,13 @@
 Result<Endpoint> Daemon::start()
 {
     BOOST_OUTCOME_TRY(auto address, m_server.listen(m_settings.listen));
-    const RecordTable records(m_settings.platform);
     m_config.emplace(m_peers, m_settings.controllers,
                      EntryAddress { m_settings.vm, address, false }, m_settings.config);
     m_rateLimiter.emplace(m_peers, *m_config, m_settings.vm.value() + '/' + randomHex(IdBytes));
     m_dispatcher.emplace(m_context.get_executor(), m_peers, *m_config, m_metrics, m_settings.vm);
     m_chat.emplace(*m_config, *m_dispatcher, *m_rateLimiter, m_metrics);
-    m_service.emplace(*m_config, records, *m_rateLimiter, m_metrics);
+    m_service.emplace(*m_config, RecordTable(platform::makeRecordStore(m_settings.platform)),
+                      *m_rateLimiter, m_metrics);
     m_filters = { makeAuthenticationFilter(*m_config), makeAuthorisationFilter(*m_config),
                   makeRateFilter(*m_rateLimiter) };
     asio::co_spawn(m_context, m_config->run(), asio::detached);
--- a/src/records/table.cpp
+++ b/src/records/table.cpp
@@ -15,11 +15,6 @@
 const std::string Table = "bluebell-records";
 constexpr Duration RetryDelay = std::chrono::milliseconds(100);
 
-Row toRow(platform::StoreRow it)
-{
-    return { std::move(it.key), std::move(it.value), it.version };
-}
-
 /// \returns the exclusive upper bound of the keys that begin with `prefix`
 std::string prefixEnd(std::string prefix)
 {
@@ -56,41 +51,26 @@
 
 asio::awaitable<Result<std::optional<Row>>> RecordTable::get(std::string key)
 {
-    auto found = co_await m_store.read(Table, m_timeout, key, key + '\x01');
+    auto found = co_await m_store->read(Table, m_timeout, key, key + '\x01');
     if (!found)
         co_return toReadError(std::move(found.error()));
-    auto &rows = found.value().rows;
-    if (rows.empty())
+    if (found.value().empty())
         co_return std::optional<Row>();
-    co_return std::optional<Row>(toRow(std::move(rows.front())));
+    co_return std::optional<Row>(std::move(found.value().front()));
 }
 
 asio::awaitable<Result<std::vector<Row>>> RecordTable::range(std::string prefix, std::string after)
 {
     const auto from = after.empty() ? prefix : after + '\x01';
-    auto found = co_await m_store.read(Table, m_timeout, from, prefixEnd(prefix));
+    auto found = co_await m_store->read(Table, m_timeout, from, prefixEnd(prefix));
     if (!found)
         co_return toReadError(std::move(found.error()));
-    std::vector<Row> rows;
-    for (auto &it : found.value().rows)
-        rows.push_back(toRow(std::move(it)));
-    co_return rows;
+    co_return found;
 }
 
 asio::awaitable<Result<CommitOutcome>> RecordTable::commitOnce(Transaction it)
 {
-    platform::Transact transaction;
-    for (auto &condition : it.conditions)
-        transaction.conditions.push_back({ Table, std::move(condition.key), condition.version });
-    for (auto &mutation : it.mutations)
-        transaction.changes.push_back(
-                { Table, std::move(mutation.key), std::move(mutation.value) });
-    auto outcome = co_await m_store.write(std::move(transaction), m_timeout);
-    if (!outcome)
-        co_return outcome.error();
-    if (const auto *written = std::get_if<platform::Written>(&outcome.value()))
-        co_return CommitOutcome(Committed { written->version });
-    co_return CommitOutcome(Conflicted {});
+    co_return co_await m_store->write(Table, std::move(it), m_timeout);
 }
 
 asio::awaitable<Result<CommitOutcome>> RecordTable::commit(Transaction it, TimePoint deadline)
@@ -134,21 +114,21 @@
 
 asio::awaitable<Result<void>> RecordTable::putObject(std::string name, std::string value)
 {
-    co_return co_await m_store.putObject(std::move(name), std::move(value), m_timeout);
+    co_return co_await m_store->putObject(std::move(name), std::move(value), m_timeout);
 }
 
 asio::awaitable<Result<std::string>> RecordTable::getObject(std::string name)
 {
-    co_return co_await m_store.getObject(std::move(name), m_timeout);
+    co_return co_await m_store->getObject(std::move(name), m_timeout);
 }
 
 asio::awaitable<Result<std::vector<ListedVm>>> RecordTable::listVms()
 {
-    auto found = co_await m_store.read(std::string(VmTable), m_timeout);
+    auto found = co_await m_store->read(std::string(VmTable), m_timeout, {}, {});
     if (!found)
         co_return toReadError(std::move(found.error()));
     std::vector<ListedVm> vms;
-    for (auto &it : found.value().rows)
+    for (auto &it : found.value())
         vms.push_back({ VmId(std::move(it.key)),
                         it.value == LeavingVm ? VmState::Leaving : VmState::Live });
     co_return vms;
--- a/src/records/table.h
+++ b/src/records/table.h
@@ -2,15 +2,16 @@
 
 #include "core/ids.h"
 #include "core/result.h"
-#include "membership/lease.h"
-#include "platform/store.h"
+#include "core/time.h"
+#include "records/recordstore.h"
 
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
 /// \file
@@ -18,56 +19,11 @@
 
 namespace bluebell {
 
-/// A row with the version of its last write.
-struct Row
-{
-    std::string key;
-    std::string value;
-    RowVersion version = 0;
-};
-
-/// Requires that a row has this version; 0 requires that it is absent.
-struct Condition
-{
-    std::string key;
-    RowVersion version = 0;
-};
-
-/// Writes a row, or deletes it when there is no value.
-struct Mutation
-{
-    std::string key;
-    std::optional<std::string> value;
-};
-
-/// Mutations that are committed atomically if all conditions hold.
-struct Transaction
-{
-    /// Included in the values written, so that after a lost reply a read shows whether the
-    /// transaction was committed.
-    ChangeId change;
-    std::vector<Condition> conditions;
-    std::vector<Mutation> mutations;
-};
-
-/// The transaction was committed; all rows written have this version.
-struct Committed
-{
-    RowVersion version = 0;
-};
-
-/// A condition did not hold; nothing was written.
-struct Conflicted
-{
-};
-
 /// Table in which the operators list the VMs.
 inline constexpr std::string_view VmTable = "vms";
 /// Value of the row of a VM that is about to be removed.
 inline constexpr std::string_view LeavingVm = "leaving";
 
-using CommitOutcome = std::variant<Committed, Conflicted>;
-
 enum class VmState : std::uint8_t {
     Live,
     Leaving,
@@ -80,7 +36,7 @@
     VmState state = VmState::Live;
 };
 
-/// Client of one table of the store; also determines the outcome of transactions whose reply was
+/// One table of the store; also determines the outcome of transactions whose reply was
 /// lost.
 ///
 /// Errors carry Execution::NotRun when the store cannot have executed the request, and
@@ -88,9 +44,11 @@
 class RecordTable
 {
 public:
+    /// \param store must not be null
     /// \param timeout time limit of each request to the store
-    explicit RecordTable(Endpoint endpoint, Duration timeout = std::chrono::seconds(2))
-        : m_store(std::move(endpoint)), m_timeout(timeout)
+    explicit RecordTable(std::unique_ptr<RecordStore> store,
+                         Duration timeout = std::chrono::seconds(2))
+        : m_store(std::move(store)), m_timeout(timeout)
     {
     }
 
@@ -127,7 +85,7 @@
     [[nodiscard]] boost::asio::awaitable<Result<std::vector<ListedVm>>> listVms();
 
 private:
-    platform::Store m_store;
+    std::unique_ptr<RecordStore> m_store;
     Duration m_timeout;
 };
 
--- a/tests/tst_adapter_storecodec.cpp
+++ b/tests/tst_adapter_storecodec.cpp
@@ -1,5 +1,6 @@
 #include "http/client.h"
 #include "io/notifier.h"
+#include "platform/recordstore.h"
 #include "platform/store.h"
 #include "platform/storecodec.h"
 #include "records/configstore.h"
@@ -37,7 +38,7 @@
 protected:
     RecordTableTest()
         : store(context, {}), storeAddress(store.listen({ "127.0.0.1", 0 }).value()),
-          table(storeAddress, 500ms)
+          table(platform::makeRecordStore(storeAddress), 500ms)
     {
     }
 
