Give each test process its own range of ports

Cause: there were two copies each of freePorts() and freePort(), with ranges that overlapped each other. A fleet of 21 gateways takes 126 ports, while neighbouring processes began 125 ports apart; freePorts() of the untrusted clients began 10 ports apart and looked at ports of gatewayfixture.h. A port that one process has chosen and not yet opened looks free to the others. The tests that used the four copies use the header; what they check is unchanged.

--- a/tests/gatewayfixture.h
+++ b/tests/gatewayfixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "freeports.h"
 #include "gateway/daemon.h"
 #include "http/client.h"
 #include "platformstandin.h"
@@ -7,12 +8,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
 #include <functional>
 #include <memory>
-#include <unistd.h>
 
 /// \file
 /// Fixture for tests of gateways with a store and targets on the loopback interface.
@@ -21,29 +20,6 @@
 
 using namespace std::chrono_literals;
 
-/// \returns an unused port of the loopback interface, a different one for each call
-///
-/// Ports chosen by the system are not used: it may return the same port twice, or assign it to a
-/// connection of another test before the gateway listens on it.
-inline std::uint16_t freePort()
-{
-    constexpr int First = 20000;
-    constexpr int Last = 32000;
-    constexpr int PortsPerProcess = 125;
-    static int next = First + ::getpid() * PortsPerProcess % (Last - First);
-    boost::asio::io_context context;
-    for (;;) {
-        const auto port = static_cast<std::uint16_t>(next);
-        next = next + 1 < Last ? next + 1 : First;
-        boost::asio::ip::tcp::acceptor acceptor(context);
-        boost::system::error_code ec;
-        acceptor.open(boost::asio::ip::tcp::v4(), ec);
-        acceptor.bind({ boost::asio::ip::make_address("127.0.0.1"), port }, ec);
-        if (!ec)
-            return port;
-    }
-}
-
 inline GatewaySettings settingsOf(const std::string &vm, const Endpoint &store)
 {
     GatewaySettings it;
--- a/tests/gatewaysoak.cpp
+++ b/tests/gatewaysoak.cpp
@@ -1,6 +1,7 @@
 #include "gatewaysoak.h"
 
 #include "core/time.h"
+#include "freeports.h"
 #include "platformstandin.h"
 #include "soakcaller.h"
 #include "soakchecks.h"
@@ -8,7 +9,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 #include <fcntl.h>
 #include <sys/prctl.h>
@@ -36,6 +36,8 @@
 using nlohmann::json;
 
 constexpr int Callers = 16;
+/// Ports that the settings of a gateway name or derive.
+constexpr int PortsPerGateway = 10;
 
 struct Rng
 {
@@ -151,35 +153,6 @@
     SoakRecord m_record;
 };
 
-/// \returns the first of ten consecutive unused ports
-std::uint16_t freePorts()
-{
-    constexpr int First = 12000;
-    constexpr int Last = 19000;
-    constexpr int Step = 10;
-    // Soaks that start at the same moment have neighbouring process ids. Their ranges must not
-    // overlap: a port that one has chosen and not yet opened looks free to the other.
-    constexpr int StepsPerSoak = 8;
-    static int next = First + ::getpid() * StepsPerSoak % ((Last - First) / Step) * Step;
-    for (;;) {
-        const int first = next;
-        next = next + Step < Last ? next + Step : First;
-        asio::io_context context;
-        bool isFree = true;
-        for (int n = 0; n < Step && isFree; ++n) {
-            asio::ip::tcp::acceptor acceptor(context);
-            boost::system::error_code ec;
-            acceptor.open(asio::ip::tcp::v4(), ec);
-            acceptor.bind(
-                    { asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(first + n) },
-                    ec);
-            isFree = !ec;
-        }
-        if (isFree)
-            return static_cast<std::uint16_t>(first);
-    }
-}
-
 Soak::Soak(std::uint64_t seed)
     : m_store(m_context, { .readsPerSecond = 10000, .writesPerSecond = 2000 }),
       m_storeAddress(m_store.listen({ "127.0.0.1", 0 }).value()), m_config(siteConfig(1))
@@ -201,7 +174,7 @@
     putConfig("first configuration");
     Rng rng(seed);
     for (std::size_t n = 0; n < SoakGateways; ++n) {
-        m_gateways[n].port = freePorts();
+        m_gateways[n].port = freePorts(PortsPerGateway);
         m_record.logFiles.at(n) = m_dir / ("gateway-" + std::to_string(n) + ".log");
         writeSettings(n, rng);
         startGateway(n);
--- a/tests/tst_adapter_oddentries.cpp
+++ b/tests/tst_adapter_oddentries.cpp
@@ -1,3 +1,4 @@
+#include "freeports.h"
 #include "gateway/daemon.h"
 #include "gateway/memberrow.h"
 #include "http/client.h"
@@ -7,13 +8,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
 #include <functional>
 #include <limits>
 #include <memory>
-#include <unistd.h>
 
 namespace asio = boost::asio;
 
@@ -23,25 +22,6 @@
 
 namespace {
 
-/// \returns an unused port of the loopback interface, below those of the other gateway tests
-std::uint16_t freePort()
-{
-    constexpr int First = 12000;
-    constexpr int Last = 19000;
-    static int next = First + ::getpid() * 50 % (Last - First);
-    asio::io_context context;
-    for (;;) {
-        const auto port = static_cast<std::uint16_t>(next);
-        next = next + 1 < Last ? next + 1 : First;
-        asio::ip::tcp::acceptor acceptor(context);
-        boost::system::error_code ec;
-        acceptor.open(asio::ip::tcp::v4(), ec);
-        acceptor.bind({ asio::ip::make_address("127.0.0.1"), port }, ec);
-        if (!ec)
-            return port;
-    }
-}
-
 std::string nestedArrays(std::size_t depth)
 {
     return std::string(depth, '[') + std::string(depth, ']');
--- a/tests/tst_process_untrustedclients.cpp
+++ b/tests/tst_process_untrustedclients.cpp
@@ -1,8 +1,8 @@
+#include "freeports.h"
 #include "platformstandin.h"
 #include "soakcaller.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
@@ -47,6 +47,8 @@
 constexpr std::size_t MaxGrowth = 64 * MegaByte;
 /// Descriptors that are kept for other uses than sockets.
 constexpr std::size_t FileDescriptors = 200;
+/// Ports that the settings of the process name or derive.
+constexpr int PortsPerGateway = 10;
 
 /// What every client of a crowd sends.
 struct Flood
@@ -153,7 +155,7 @@
         auto pathTemplate =
                 (std::filesystem::temp_directory_path() / "bluebell-untrusted-XXXXXX").string();
         directory = ::mkdtemp(pathTemplate.data());
-        port = freePorts();
+        port = freePorts(PortsPerGateway);
         writeSettings(storeAddress);
         start();
         world = std::thread([this] { context.run(); });
@@ -179,29 +181,6 @@
         idleBytes = memoryField("VmRSS:");
     }
 
-    /// \returns the first of ten consecutive unused ports
-    static std::uint16_t freePorts()
-    {
-        constexpr int First = 21000;
-        constexpr int Last = 27000;
-        constexpr int Step = 10;
-        for (int first = First + ::getpid() % ((Last - First) / Step) * Step;; first += Step) {
-            bool isFree = true;
-            for (int n = 0; n < Step && isFree; ++n) {
-                asio::io_context unused;
-                asio::ip::tcp::acceptor acceptor(unused);
-                boost::system::error_code ec;
-                acceptor.open(asio::ip::tcp::v4(), ec);
-                acceptor.bind(
-                        { asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(first + n) },
-                        ec);
-                isFree = !ec;
-            }
-            if (isFree)
-                return static_cast<std::uint16_t>(first);
-        }
-    }
-
     void writeSettings(const Endpoint &storeAddress) const
     {
         const auto address = [&](int offset) {
