--- a/programs/gateway/settings.h
+++ b/src/settings/gatewaysettings.h
@@ -11,7 +11,7 @@
 /// \file
 /// Settings of a gateway daemon.
 
-namespace bluebell::gateway {
+namespace bluebell {
 
 struct GatewaySettings
 {
@@ -52,4 +52,4 @@
     QuotaBound quota { 0.1, 17000, std::chrono::seconds(8) };
 };
 
-} // namespace bluebell::gateway
+} // namespace bluebell
