--- a/tests/tst_placementswaps.cpp
+++ b/tests/tst_placementswaps.cpp
@@ -78,6 +78,21 @@
     EXPECT_EQ(orders.front().target, TargetId("t3"));
 }
 
+/// Load: an engine has twice as many requests for one model as it has slots, and a single request
+/// waits for another model, both with a copy on the disk of the only free engine. Guards against
+/// the full engine getting no relief as long as single requests wait for rare models.
+TEST_F(PlacementSwaps, AModelWhoseEngineIsFullGetsACopyBeforeARareModel)
+{
+    addEngine("t1", { "m0" }, { "m0" });
+    addEngine("t2", {}, { "m0", "m1" });
+    start(spec(2));
+    const auto orders = plan({ demand(model("m1"), 1, 0.2), demand(model("m0"), 0, 40) },
+                             { { TargetId("t1"), model("m0"), 128 } });
+    ASSERT_FALSE(orders.empty());
+    EXPECT_TRUE(contains(orders, "t2", IntentAction::Load, model("m0")));
+    EXPECT_FALSE(contains(orders, "t2", IntentAction::Load, model("m1")));
+}
+
 /// A draining engine still serves its requests. Its only copy is loaded elsewhere meanwhile, before
 /// requests wait for it.
 TEST_F(PlacementSwaps, LoadsElsewhereWhatOnlyADrainingEngineServes)
