--- a/tests/relaysimulation.cpp
+++ b/tests/relaysimulation.cpp
@@ -16,6 +16,8 @@
 /// Daemons start within this time of each other.
 constexpr std::int64_t MaxStartDelayMs = 300;
 const OrganisationId Organisation("org");
+/// As in the settings by default.
+constexpr QuotaBound Quota { 0.1, 17000, std::chrono::seconds(8) };
 
 TargetRow rowOf(std::uint64_t version)
 {
@@ -53,7 +55,7 @@
     it->startedAt = m_now;
     it->nextReport = it->nextDigest = it->nextTick = it->nextRead = m_now + delay;
     if (m_limit)
-        it->rate.emplace(*m_limit, m_now);
+        startRate(daemon);
     std::vector<RelayCandidate> all;
     for (const auto &other : m_vms)
         all.push_back({ other.id, other.dataCentre, other.capacity });
@@ -158,8 +160,10 @@
 {
     if (!daemon.rate)
         return;
+    const CountTimes times { m_now - counts.age, counts.ownCountedAt - counts.age,
+                             m_now - relayUptime };
     for (const auto &[organisation, tokens] : counts.admitted)
-        daemon.rate->noteAdmitted(counts.relay, tokens, m_now);
+        daemon.rate->noteFleetAdmitted(counts.relay, tokens, times, m_now);
     const bool isNewRelay = std::exchange(daemon.countingRelay, counts.relay) != counts.relay;
     if (!isNewRelay || relayUptime < std::chrono::seconds(3))
         return;
@@ -215,7 +219,7 @@
     for (const auto &report : it.node.takeReports(status, m_now))
         send(self, report.relay, Report { status, report.sequence, report.isPrimary });
     if (const auto counts = it.node.ownCounts(status, m_now))
-        noteCounts(it, *counts, {}, {});
+        noteCounts(it, *counts, m_now - it.startedAt, {});
 }
 
 FleetDigest RelaySimulation::makeDigest(std::size_t self, const DigestVersions &base)
@@ -247,8 +251,10 @@
     Digest digest { makeDigest(self, history.base(current)), 0 };
     history.note(current);
     digest.digest.hasInFlight = isForAll;
-    if (hasCounts)
+    if (hasCounts) {
         digest.digest.counts = it.node.fleetCounts(m_now);
+        digest.digest.countsAge = it.node.countsAge(m_now);
+    }
     for (const auto &subscriber : it.node.subscribers(m_now)) {
         if (!isForAll && !subscriber.isPrimary)
             continue;
@@ -348,9 +354,15 @@
 void RelaySimulation::setLimit(RateLimit limit)
 {
     m_limit = limit;
-    for (auto &it : m_daemons)
-        if (it)
-            it->rate.emplace(limit, m_now);
+    for (std::size_t n = 0; n < m_daemons.size(); ++n)
+        if (m_daemons[n])
+            startRate(n);
+}
+
+void RelaySimulation::startRate(std::size_t daemon)
+{
+    auto &rate = m_daemons[daemon]->rate.emplace(*m_limit, m_now, m_random());
+    rate.setBound(Quota);
 }
 
 TimePoint RelaySimulation::calmSince(std::size_t daemon) const
--- a/tests/relaysimulation.h
+++ b/tests/relaysimulation.h
@@ -133,6 +133,7 @@
     };
 
     void start(std::size_t daemon);
+    void startRate(std::size_t daemon);
     void step();
     void send(std::size_t from, const VmId &to, std::variant<Report, Digest, GroupSummary> content);
     void deliver();
