Split the HTTP session into files with one job each

Change: the parsing of a request within its limits is RequestParser, the writing of a response ResponseWriter, the watch for a caller that disconnects DisconnectWatch, and the responses to requests that could not be read are in requestrefusal. The session keeps the phases of a connection and their deadlines. A write of a response awaits one coroutine more than before.

--- a/src/http/httpsession.h
+++ b/src/http/httpsession.h
@@ -2,14 +2,14 @@
 
 #include "core/readprogress.h"
 #include "core/time.h"
-#include "http/requestbody.h"
+#include "http/disconnectwatch.h"
+#include "http/requestparser.h"
+#include "http/responsewriter.h"
 #include "http/server.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <memory>
 #include <optional>
@@ -23,17 +23,6 @@
 
 class HttpListener;
 
-/// A request with the memory that it holds.
-struct HeldRequest
-{
-    explicit HeldRequest(std::shared_ptr<MemoryBudget> budget) noexcept : memory(std::move(budget))
-    {
-    }
-
-    HttpRequest request;
-    MemoryShare memory;
-};
-
 /// A server connection; reads and handles its requests one after another.
 ///
 /// A connection ends by itself only when no byte of a further request has arrived, or after a
@@ -72,7 +61,7 @@
     boost::asio::awaitable<bool> begin(HttpResponse head);
     boost::asio::awaitable<bool> write(std::string chunk);
     boost::asio::awaitable<bool> end();
-    [[nodiscard]] bool hasBegun() const noexcept { return m_hasBegun; }
+    [[nodiscard]] bool hasBegun() const noexcept { return m_writer.hasBegun(); }
     void cancelOnDisconnect(const std::shared_ptr<CancelSource> &source);
 
 private:
@@ -100,19 +89,8 @@
     /// \returns false if the connection ends before the first byte of a request
     boost::asio::awaitable<bool> awaitRequest();
     boost::asio::awaitable<bool> readRequest();
-    void startParsing();
     /// Reads until the request is complete.
     boost::asio::awaitable<boost::beast::error_code> readMessage();
-    /// Parses what has arrived. Without an error, the request is complete or more is needed.
-    boost::beast::error_code parseArrived();
-    /// Takes memory for what has arrived.
-    ///
-    /// \returns false if there is none
-    bool holdArrived();
-    /// \returns whether a part of the framing is longer than what the header leaves of its limit
-    [[nodiscard]] bool isFramingTooLong() const;
-    /// \returns the size that the body may reach
-    [[nodiscard]] std::size_t maxBodySize() const;
     /// Responds to a request that could not be read.
     boost::asio::awaitable<void> reject(boost::beast::error_code ec);
     /// Runs the handler. If it fails before it has begun a response, sends an error response.
@@ -122,10 +100,6 @@
     /// yet.
     boost::asio::awaitable<void> finish();
     boost::asio::awaitable<void> discardInput();
-    void watchForDisconnect(const std::shared_ptr<CancelSource> &source);
-    void stopDisconnectWatch();
-    /// \returns whether the caller has closed the connection, as far as is known
-    [[nodiscard]] bool hasCallerClosed();
     /// Notes the result of a write.
     ///
     /// \returns whether it succeeded
@@ -136,37 +110,27 @@
     /// Logs that the connection ends although the caller has sent bytes that were not read, or
     /// waits for a response.
     void logUnfinished();
-    /// \returns whether the request is HEAD, so that its response ends with its head
-    [[nodiscard]] bool isHeadRequest() const;
-    template<typename Message>
-    void fillHead(Message &message, const HttpResponse &response) const;
 
     boost::beast::tcp_stream m_stream;
     std::weak_ptr<HttpListener> m_listener;
     HttpLimits m_limits;
     HttpHandler m_handler;
     boost::asio::steady_timer m_timer;
+    ResponseWriter m_writer;
+    /// Active while a handler asks for it.
+    DisconnectWatch m_disconnectWatch;
     Phase m_phase = Phase::Idle;
     TimePoint m_phaseStartedAt;
     /// Whether the time of the current phase was found to be over once, with input still to read.
     bool m_isOverdue = false;
     /// Whether the current phase was ended because its time is over.
     bool m_hasExpired = false;
-    /// Triggered when the caller disconnects; null while no handler watches for it.
-    std::shared_ptr<CancelSource> m_disconnectSource;
-    boost::beast::flat_buffer m_buffer;
-    /// Set while a request is read.
-    std::optional<boost::beast::http::request_parser<RequestBody>> m_parser;
+    RequestParser m_parser;
+    /// The request that is read or handled.
     std::shared_ptr<HeldRequest> m_held;
-    /// Size of the request line and headers.
-    std::size_t m_headBytes = 0;
     TimePoint m_lastBytesAt;
     /// Why the request that is being read was given up; empty if it was not.
     std::string_view m_refusal;
-    unsigned m_version = 11;
-    bool m_keepAlive = true;
-    bool m_hasBegun = false;
-    bool m_hasEnded = false;
     /// Whether a request was handled.
     bool m_hasServed = false;
     /// Whether a request was rejected before all of it was read.
