--- a/src/placement/loadplanner.h
+++ b/src/placement/loadplanner.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "placement/ledger.h"
-#include "rules/ruleset.h"
+#include "placement/replicademand.h"
+#include "placement/replicarecords.h"
 
 #include <cstdint>
 #include <map>
@@ -17,18 +17,6 @@
 
 namespace bluebell {
 
-/// A transaction on one target's ledger and one replica's places. It is conditional on the versions
-/// of both rows, so that the number of replicas and the reserved memory change together.
-struct LedgerChange
-{
-    TargetId target;
-    ReplicaKey key;
-    Ledger ledger;
-    RowVersion ledgerVersion = 0;
-    ReplicaPlaces places;
-    RowVersion placesVersion = 0;
-};
-
 /// An order to a target, recorded in the ledger before it is sent. Resending it is safe: the target
 /// recognises the intent id.
 struct TargetOrder
@@ -38,18 +26,6 @@
     LedgerEntry entry;
 };
 
-/// Requests of one organisation at one daemon that wait for, or run on, a replica.
-struct Demand
-{
-    VmId daemon;
-    OrganisationId organisation;
-    std::uint32_t waiting = 0;
-    /// Requests running on the replica now.
-    std::uint32_t running = 0;
-    /// How long the oldest waiting request has waited.
-    Duration oldestWait {};
-};
-
 /// State of a replica as reported to daemons whose requests wait for it.
 struct ReplicaStatus
 {
@@ -97,16 +73,25 @@
 
     // Events.
 
-    void noteRules(std::shared_ptr<const RuleSet> rules);
-    void noteLedger(const TargetId &target, Ledger ledger, RowVersion version);
-    void notePlaces(const ReplicaKey &key, ReplicaPlaces places, RowVersion version);
+    void noteRules(std::shared_ptr<const RuleSet> rules) { m_records.noteRules(std::move(rules)); }
+    void noteLedger(const TargetId &target, Ledger ledger, RowVersion version)
+    {
+        m_records.noteLedger(target, std::move(ledger), version);
+    }
+    void notePlaces(const ReplicaKey &key, ReplicaPlaces places, RowVersion version)
+    {
+        m_records.notePlaces(key, std::move(places), version);
+    }
     void noteReport(const TargetId &target, TargetReport report, TimePoint now);
-    void noteDemand(const ReplicaKey &key, const Demand &demand, TimePoint now);
+    void noteDemand(const ReplicaKey &key, const Demand &demand, TimePoint now)
+    {
+        m_demand.noteDemand(key, demand, now);
+    }
     /// Applies a committed change with the new version of its rows.
     void noteCommitted(const LedgerChange &change, RowVersion version);
     /// Records that a change failed on newer rows. The target gets no loads until its ledger has
     /// been read again and noted.
-    void noteConflict(const LedgerChange &change);
+    void noteConflict(const LedgerChange &change) { m_records.noteConflict(change.target); }
     /// Records that an order was sent, so that it is not resent within Settings::resendInterval.
     void noteOrderSent(const TargetOrder &order, TimePoint now);
 
@@ -123,59 +108,26 @@
     /// \returns the usable targets where `key` is resident or being loaded, with a load estimate
     [[nodiscard]] ReplicaStatus status(const ReplicaKey &key, TimePoint now) const;
     /// \returns bytes of `target` that are reserved in its ledger or held by replicas outside it
-    [[nodiscard]] Bytes committedBytes(const TargetId &target) const;
+    [[nodiscard]] Bytes committedBytes(const TargetId &target) const
+    {
+        return m_records.committedBytes(target);
+    }
     /// \returns the number of targets that hold, or may hold, a replica of `key`
-    [[nodiscard]] std::size_t decidedReplicas(const ReplicaKey &key) const;
+    [[nodiscard]] std::size_t decidedReplicas(const ReplicaKey &key) const
+    {
+        return m_records.placesOf(key).size();
+    }
     /// \returns targets whose ledger must be read again after a conflict
-    [[nodiscard]] const std::set<TargetId> &staleTargets() const noexcept { return m_stale; }
+    [[nodiscard]] const std::set<TargetId> &staleTargets() const noexcept
+    {
+        return m_records.staleTargets();
+    }
     /// \returns targets whose next report may confirm an order
     [[nodiscard]] std::set<TargetId> unconfirmedTargets() const;
     /// \returns the number of loads decided since the start
     [[nodiscard]] std::uint64_t loadsDecided() const noexcept { return m_loadsDecided; }
 
 private:
-    struct TargetState
-    {
-        Ledger ledger;
-        RowVersion version = 0;
-        bool isLedgerKnown = false;
-        std::optional<TargetReport> report;
-        TimePoint reportedAt;
-    };
-
-    struct DemandKey
-    {
-        VmId daemon;
-        OrganisationId organisation;
-        friend auto operator<=>(const DemandKey &, const DemandKey &) = default;
-    };
-
-    struct DemandState
-    {
-        Demand demand;
-        TimePoint notedAt;
-    };
-
-    struct ReplicaInfo
-    {
-        ReplicaPlaces places;
-        RowVersion version = 0;
-        std::map<DemandKey, DemandState> demand;
-        TimePoint lastUsed;
-        /// Duration of the last load.
-        Duration loadTime = std::chrono::seconds(5);
-        std::optional<TimePoint> loadStartedAt;
-    };
-
-    /// A replica that requests wait for.
-    struct WantedReplica
-    {
-        ReplicaKey key;
-        Duration oldestWait {};
-        OrganisationId organisation;
-        std::uint32_t waiting = 0;
-    };
-
     /// Rows that the current plan has already changed.
     struct Touched
     {
@@ -183,16 +135,11 @@
         std::set<ReplicaKey> keys;
     };
 
-    /// Drops expired demand and decays the counts of recent loads.
-    void expireDemand(TimePoint now);
-    [[nodiscard]] std::vector<WantedReplica> wantedReplicas(TimePoint now) const;
+    /// Drops expired demand and what is too old to delay a load or an order.
+    void forgetExpired(TimePoint now);
     /// \returns whether `waiting` requests justify one more replica of `key` and its limit allows
     /// it
     [[nodiscard]] bool needsReplica(const ReplicaKey &key, std::uint32_t waiting) const;
-    [[nodiscard]] std::optional<Bytes> bytesOf(const ReplicaKey &key) const;
-    [[nodiscard]] std::uint32_t replicaLimit(const ReplicaKey &key) const;
-    /// \returns the number of adapters, or else of models, being loaded from the weight store
-    [[nodiscard]] std::size_t loadsInProgress(bool adapters) const;
     /// \returns whether the weight store's limits allow to load `key` on `target` now
     [[nodiscard]] bool storeHasCapacity(const ReplicaKey &key, const TargetId &target,
                                         TimePoint now) const;
@@ -200,13 +147,6 @@
     [[nodiscard]] bool owns(const ReplicaKey &key) const;
     /// \returns this shard's share of a weight store limit, at least 1
     [[nodiscard]] std::size_t perShard(std::uint32_t limit) const;
-    [[nodiscard]] bool isUsable(const TargetId &target, TimePoint now) const;
-    [[nodiscard]] CacheTier tierOf(const TargetId &target, const ModelId &model) const;
-    /// \returns the replica in the target's last report, or null
-    [[nodiscard]] const ReportedReplica *reported(const TargetId &target,
-                                                  const ReplicaKey &key) const;
-    [[nodiscard]] bool isResident(const TargetId &target, const ReplicaKey &key) const;
-    [[nodiscard]] Bytes freeBytes(const TargetId &target) const;
     /// \returns usable targets on which `key` may be placed, regardless of their free memory
     [[nodiscard]] std::vector<TargetId> candidates(const ReplicaKey &key, const Touched &touched,
                                                    TimePoint now) const;
@@ -219,17 +159,10 @@
     /// can be unloaded, if any
     [[nodiscard]] std::optional<ReplicaKey> evictable(const TargetId &target, Duration minIdle,
                                                       TimePoint now) const;
-    /// \returns whether this planner may unload a replica: it is resident, runs no requests and,
-    /// for a model, has no adapters on the target
+    /// \returns whether this planner is responsible for a replica that can be unloaded
     [[nodiscard]] bool canUnload(const TargetId &target, const ReplicaKey &key) const;
-    [[nodiscard]] Duration idleTime(const ReplicaKey &key, TimePoint now) const;
     /// \returns the idle time after which a replica is unloaded
     [[nodiscard]] Duration idleLimit(const ReplicaKey &key) const;
-    /// \returns whether an entry no longer holds memory, so that it can be removed from the ledger
-    [[nodiscard]] bool isObsolete(const TargetId &target, const ReplicaKey &key,
-                                  const LedgerEntry &entry) const;
-    [[nodiscard]] bool isConfirmed(const TargetId &target, const ReplicaKey &key,
-                                   const LedgerEntry &entry) const;
 
     /// Removes ledger entries of replicas that no longer hold memory.
     void planRemovals(std::vector<LedgerChange> &changes, Touched &touched);
@@ -248,7 +181,6 @@
                    std::vector<LedgerChange> &changes, Touched &touched);
     void addRemoval(const TargetId &target, const ReplicaKey &key,
                     std::vector<LedgerChange> &changes, Touched &touched);
-    [[nodiscard]] LedgerChange makeChange(const TargetId &target, const ReplicaKey &key) const;
     /// \returns whether the current plan has changed neither row yet
     [[nodiscard]] static bool isUntouched(const Touched &touched, const TargetId &target,
                                           const ReplicaKey &key);
@@ -257,21 +189,12 @@
     std::string m_name;
     Epoch m_epoch;
     Settings m_settings;
-    TimePoint m_startedAt;
     std::uint64_t m_nextIntent = 0;
     std::uint64_t m_loadsDecided = 0;
-    std::shared_ptr<const RuleSet> m_rules;
-    std::map<TargetId, TargetState> m_targets;
-    std::map<ReplicaKey, ReplicaInfo> m_replicas;
+    ReplicaRecords m_records;
+    ReplicaDemand m_demand;
     /// When each order was last sent.
     std::map<IntentId, TimePoint> m_sent;
-    /// Times at which a target refused to load a replica.
-    std::map<std::pair<TargetId, ReplicaKey>, TimePoint> m_refusals;
-    /// Decayed number of recent loads for each organisation; more loads lower the rank of its
-    /// demand.
-    std::map<OrganisationId, double> m_recentLoads;
-    TimePoint m_recentLoadsAt;
-    std::set<TargetId> m_stale;
     /// Times of the loads from the remote weight store within the last second.
     std::vector<TimePoint> m_storeLoads;
 };
