Split SwapPlanner into engines, demand, copies and decisions

Change: EnginePool keeps the engines and the configuration of their services, FleetDemand sums up the demand of all daemons, ModelCopies counts the copies of each model; SwapPlanner decides. All 365 tests of bluebell-decision-tests pass, and the libraries of the gateway and of the controller compile; the adapter tests were not run with this change.

--- a/src/placement/swapplanner.cpp
+++ b/src/placement/swapplanner.cpp
@@ -37,287 +37,29 @@
 constexpr std::size_t MaxUrgentLoads = 2;
 /// Pressure from which on a model counts as urgent; see pressureOf().
 constexpr double UrgentPressure = 30;
-/// Interval between reports of an engine without orders, and their largest number per second and
-/// per round, so that the leader's work for them does not grow with the number of engines.
-constexpr Duration MinIdleReportInterval = std::chrono::seconds(3);
-constexpr std::int64_t MaxIdleReportsPerSecond = 40;
-constexpr std::size_t MaxIdleReportsPerRound = 8;
-
-/// \returns the urgency of the waiting requests, weighted by the longest wait
-double pressureOf(const ModelDemand &it)
-{
-    return it.urgency * (1.0 + toSeconds(it.oldestWait));
-}
-
 } // namespace
 
-void SwapPlanner::setServices(const std::map<ServiceId, Service> &services)
-{
-    m_services = services;
-}
-
-const EngineSpec *SwapPlanner::engineOf(const ServiceId &service) const
-{
-    const auto it = m_services.find(service);
-    return it == m_services.end() || !it->second.engine ? nullptr : &*it->second.engine;
-}
-
-const ModelSpec *SwapPlanner::specOf(const ServiceId &service, const ModelId &model) const
-{
-    const auto *engine = engineOf(service);
-    if (!engine)
-        return nullptr;
-    const auto it = engine->models.find(model);
-    return it == engine->models.end() ? nullptr : &it->second;
-}
-
-void SwapPlanner::noteTargets(const std::map<TargetId, TargetEntry> &targets, TimePoint now)
-{
-    std::erase_if(m_engines, [&](const auto &it) { return !targets.contains(it.first); });
-    for (const auto &[id, entry] : targets)
-        if (entry.engine)
-            m_engines[id].noteEntry(entry, now);
-}
-
-void SwapPlanner::noteReport(const TargetId &target, std::uint64_t startTimeMs,
-                             const EngineState &state, TimePoint now)
-{
-    const auto it = m_engines.find(target);
-    if (it != m_engines.end()
-        && (startTimeMs == 0 || it->second.entry().startTimeMs == startTimeMs))
-        it->second.noteReport(state, now);
-}
-
-void SwapPlanner::noteReportFailed(const TargetId &target)
-{
-    if (const auto it = m_engines.find(target); it != m_engines.end())
-        it->second.noteReportFailed();
-}
-
-void SwapPlanner::noteHoldOffs(const std::map<TargetId, TimePoint> &ends, TimePoint now)
-{
-    for (auto &[id, it] : m_engines) {
-        const auto end = ends.find(id);
-        it.noteHoldOff(end == ends.end() ? Duration::zero() : end->second - now);
-    }
-}
-
-void SwapPlanner::noteEvacuated(const std::set<DataCentreId> &dataCentres, TimePoint now)
-{
-    for (auto &[id, it] : m_engines)
-        it.noteEvacuated(dataCentres.contains(it.entry().dataCentre), now);
-}
-
 void SwapPlanner::noteDemand(const VmId &vm, std::vector<ModelDemand> demand,
                              std::vector<ModelInFlight> inFlight, TimePoint now)
 {
     for (const auto &it : inFlight)
-        if (const auto engine = m_engines.find(it.target); engine != m_engines.end())
-            engine->second.noteUse(it.key, now);
-    m_demand[vm] = { std::move(demand), std::move(inFlight), now };
-}
-
-void SwapPlanner::noteOutcome(const PlacementOrder &order, OrderOutcome outcome, TimePoint now)
-{
-    if (const auto it = m_engines.find(order.target); it != m_engines.end())
-        it->second.noteOutcome(order, outcome, now);
-}
-
-std::vector<TargetId> SwapPlanner::reportsDue(std::size_t limit, TimePoint now)
-{
-    const auto idleInterval =
-            std::max<Duration>(MinIdleReportInterval,
-                               std::chrono::seconds(1) * static_cast<std::int64_t>(m_engines.size())
-                                       / MaxIdleReportsPerSecond);
-    struct DueReport
-    {
-        bool isIdle = false;
-        TimePoint since;
-        TargetId target;
-    };
-    std::vector<DueReport> due;
-    for (auto &[id, it] : m_engines) {
-        it.completeTimedOrder(now);
-        if (const auto since = it.reportDueSince(idleInterval, now))
-            due.push_back({ !it.isReportUrgent(), *since, id });
-    }
-    std::sort(due.begin(), due.end(), [](const auto &a, const auto &b) {
-        return std::tie(a.isIdle, a.since, a.target) < std::tie(b.isIdle, b.since, b.target);
-    });
-    std::vector<TargetId> requested;
-    std::size_t idle = 0;
-    for (const auto &it : due) {
-        if (requested.size() >= limit || (it.isIdle && ++idle > MaxIdleReportsPerRound))
-            break;
-        m_engines.at(it.target).noteReportRequested(now);
-        requested.push_back(it.target);
-    }
-    return requested;
-}
-
-ResidentReplicas SwapPlanner::residents() const
-{
-    ResidentReplicas all;
-    for (const auto &[id, it] : m_engines)
-        all.emplace(id, it.serving());
-    return all;
-}
-
-void SwapPlanner::aggregateDemand(TimePoint now)
-{
-    std::erase_if(m_demand, [&](const auto &it) { return now - it.second.at > m_demandLifetime; });
-    std::map<std::pair<ServiceId, ReplicaKey>, TotalDemand> sum;
-    m_inFlight.clear();
-    m_targetLoad.clear();
-    for (const auto &[vm, reported] : m_demand) {
-        for (const auto &it : reported.demand) {
-            auto &wanted = sum[{ it.service, it.key }];
-            wanted.service = it.service;
-            wanted.key = it.key;
-            wanted.waiting += it.waiting;
-            wanted.urgency += it.urgency;
-            wanted.arrivalsPerSecond += it.arrivalsPerSecond;
-            if (it.waiting > 0)
-                wanted.oldestWait =
-                        std::max(wanted.oldestWait, it.oldestWait + (now - reported.at));
-        }
-        for (const auto &it : reported.inFlight) {
-            m_inFlight[{ it.target, it.key.model }] += it.count;
-            m_targetLoad[it.target] += it.count;
-        }
-    }
-    m_totalDemand.clear();
-    for (auto &[key, wanted] : sum)
-        m_totalDemand.push_back(std::move(wanted));
-    std::sort(m_totalDemand.begin(), m_totalDemand.end(),
-              [](const auto &a, const auto &b) { return pressureOf(a) > pressureOf(b); });
-}
-
-void SwapPlanner::countCopiesOf(const EngineTracker &it)
-{
-    const auto &service = it.entry().service;
-    std::set<ModelId> atHand = it.state().onDisk;
-    atHand.insert(it.state().inMemory.begin(), it.state().inMemory.end());
-    for (const auto &key : it.state().resident) {
-        atHand.insert(key.model);
-        if (key.adapter.isEmpty() && it.serves(key))
-            ++m_models[{ service, key.model }].copies;
-    }
-    if (const auto *order = it.order(); order && order->action == IntentAction::Load) {
-        if (const auto *engine = engineOf(service); engine && !order->isForAdapter())
-            for (const auto &lost : it.copiesLostByLoading(*engine, order->key.model))
-                atHand.erase(lost);
-        atHand.insert(order->key.model);
-    }
-    for (const auto &model : atHand)
-        ++m_models[{ service, model }].atHand;
-}
-
-void SwapPlanner::countCopies()
-{
-    m_models.clear();
-    for (const auto &it : m_totalDemand) {
-        auto &status = m_models[{ it.service, it.key.model }];
-        status.perSecond += it.arrivalsPerSecond;
-        status.waiting += it.urgency;
-    }
-    for (const auto &[id, it] : m_engines)
-        if (it.isUsable(it.entry().service))
-            countCopiesOf(it);
-}
-
-const SwapPlanner::ModelStatus &SwapPlanner::statusOf(const ServiceId &service,
-                                                      const ModelId &model) const
-{
-    static const ModelStatus None;
-    const auto it = m_models.find({ service, model });
-    return it == m_models.end() ? None : it->second;
-}
-
-bool SwapPlanner::keepsLastCopies(const EngineTracker &it, const ModelId &model) const
-{
-    const auto &service = it.entry().service;
-    const auto *engine = engineOf(service);
-    if (!engine)
-        return false;
-    const auto lost = it.copiesLostByLoading(*engine, model);
-    return std::none_of(lost.begin(), lost.end(), [&](const ModelId &copy) {
-        return specOf(service, copy) && statusOf(service, copy).atHand < 2;
-    });
-}
-
-bool SwapPlanner::isOnlyCopy(const EngineTracker &it, const ModelId &model) const
-{
-    const auto *engine = engineOf(it.entry().service);
-    // An engine whose disk has unlimited room keeps a copy of an unloaded model.
-    if (!engine || engine->disk <= 0 || !specOf(it.entry().service, model))
-        return false;
-    return !it.state().onDisk.contains(model) && !it.state().inMemory.contains(model)
-            && statusOf(it.entry().service, model).atHand < 2;
-}
-
-std::size_t SwapPlanner::missingModels() const
-{
-    std::size_t missing = 0;
-    for (const auto &[name, service] : m_services)
-        if (service.engine)
-            for (const auto &[model, spec] : service.engine->models)
-                missing += statusOf(name, model).atHand == 0 ? 1 : 0;
-    return missing;
-}
-
-std::size_t SwapPlanner::copyCount(const ReplicaKey &key, const ServiceId &service) const
-{
-    return static_cast<std::size_t>(
-            std::count_if(m_engines.begin(), m_engines.end(), [&](const auto &it) {
-                return it.second.isUsable(service) && it.second.serves(key);
-            }));
-}
-
-std::size_t SwapPlanner::loadingCount(const ReplicaKey &key, const ServiceId &service) const
-{
-    return static_cast<std::size_t>(
-            std::count_if(m_engines.begin(), m_engines.end(), [&](const auto &it) {
-                return it.second.isUsable(service) && it.second.isLoading(key);
-            }));
-}
-
-bool SwapPlanner::isResidentOrLoading(const ReplicaKey &key, const ServiceId &service) const
-{
-    return copyCount(key, service) + loadingCount(key, service) > 0;
-}
-
-std::uint32_t SwapPlanner::inFlightAt(const TargetId &target, const ModelId &model) const
-{
-    const auto it = m_inFlight.find({ target, model });
-    return it == m_inFlight.end() ? 0 : it->second;
-}
-
-std::uint32_t SwapPlanner::targetLoad(const TargetId &target) const
-{
-    const auto it = m_targetLoad.find(target);
-    return it == m_targetLoad.end() ? 0 : it->second;
-}
-
-std::size_t SwapPlanner::storeLoadsInProgress() const
-{
-    return static_cast<std::size_t>(
-            std::count_if(m_engines.begin(), m_engines.end(),
-                          [](const auto &it) { return it.second.isLoadingFromStore(); }));
+        m_engines.noteUse(it.target, it.key, now);
+    m_demand.note(vm, std::move(demand), std::move(inFlight), now);
 }
 
 void SwapPlanner::trackStoreLoads(TimePoint now)
 {
     for (const auto &[id, model] : m_pace.inProgress()) {
-        const auto it = m_engines.find(id);
-        const bool isInProgress = it != m_engines.end() && it->second.isLoadingFromStore();
+        const auto it = m_engines.engines().find(id);
+        const bool isInProgress =
+                it != m_engines.engines().end() && it->second.isLoadingFromStore();
         const ReplicaKey key { model, AdapterId() };
         if (!isInProgress)
-            m_pace.noteEnded(id, it != m_engines.end() && it->second.serves(key), now);
+            m_pace.noteEnded(id, it != m_engines.engines().end() && it->second.serves(key), now);
     }
     m_pace.advance(now);
     for (const auto &[id, model] : m_pace.inProgress())
-        m_engines.at(id).noteTimeLeft(m_pace.timeLeft(id) + CompletionMargin, now);
+        m_engines.engines().at(id).noteTimeLeft(m_pace.timeLeft(id) + CompletionMargin, now);
 }
 
 bool SwapPlanner::mayLoadFromStore(const EngineSpec &engine, TimePoint now) const
@@ -331,8 +73,9 @@
 
 double SwapPlanner::evictionLoss(const EngineTracker &it, const ReplicaKey &key) const
 {
-    const auto &[perSecond, waiting, copies, atHand] = statusOf(it.entry().service, key.model);
-    const auto running = inFlightAt(it.entry().id, key.model);
+    const auto &[perSecond, waiting, copies, atHand] =
+            m_copies.statusOf(it.entry().service, key.model);
+    const auto running = m_demand.inFlightAt(it.entry().id, key.model);
     // Without its last copy, all requests that arrive during a reload are late.
     const auto missed = copies <= 1 ? 2.0 * perSecond + waiting : perSecond * 0.5;
     return missed * 2.0 + running * 1.5;
@@ -342,7 +85,7 @@
                                                                Megabytes needed, double gain) const
 {
     std::vector<ReplicaKey> victims;
-    const auto *engine = engineOf(it.entry().service);
+    const auto *engine = m_engines.engineOf(it.entry().service);
     if (!engine)
         return std::nullopt;
     auto free = it.freeMemory(*engine);
@@ -356,7 +99,7 @@
     };
     std::vector<Victim> byLoss;
     for (const auto &key : it.state().resident)
-        if (key.adapter.isEmpty() && !isOnlyCopy(it, key.model))
+        if (key.adapter.isEmpty() && !m_copies.isOnlyCopy(m_engines, it, key.model))
             byLoss.push_back({ evictionLoss(it, key), it.lastUsedAt(key), key });
     std::sort(byLoss.begin(), byLoss.end(), [](const Victim &a, const Victim &b) {
         return std::tie(a.loss, a.usedAt) < std::tie(b.loss, b.usedAt);
@@ -378,7 +121,7 @@
                                bool &isFromStore) const
 {
     isFromStore = false;
-    const auto *spec = specOf(it.entry().service, model);
+    const auto *spec = m_engines.specOf(it.entry().service, model);
     if (!spec)
         return std::chrono::hours(1);
     if (it.state().inMemory.contains(model))
@@ -391,43 +134,26 @@
 
 Duration SwapPlanner::maxWaitForCopy(const ServiceId &service, const ModelId &model) const
 {
-    const auto *spec = specOf(service, model);
+    const auto *spec = m_engines.specOf(service, model);
     return spec ? spec->storeLoadTime * 2 / 3 : Duration::zero();
 }
 
-std::set<DataCentreId> SwapPlanner::dataCentresOf(const ReplicaKey &key,
-                                                  const ServiceId &service) const
-{
-    std::set<DataCentreId> all;
-    for (const auto &[id, it] : m_engines)
-        if (it.isUsable(service) && (it.serves(key) || it.isLoading(key)))
-            all.insert(it.entry().dataCentre);
-    return all;
-}
-
-bool SwapPlanner::hasDiskCopy(const ModelId &model, const ServiceId &service) const
-{
-    return std::any_of(m_engines.begin(), m_engines.end(), [&](const auto &it) {
-        return it.second.acceptsOrders(service) && it.second.state().onDisk.contains(model);
-    });
-}
-
-std::optional<SwapPlanner::Candidate> SwapPlanner::bestTarget(const TotalDemand &wanted,
+std::optional<SwapPlanner::Candidate> SwapPlanner::bestTarget(const ModelDemand &wanted,
                                                               TimePoint now) const
 {
     std::optional<Candidate> best;
     bool isBestCold = false;
     std::uint32_t bestLoad = 0;
-    const auto *engine = engineOf(wanted.service);
+    const auto *engine = m_engines.engineOf(wanted.service);
     if (!engine)
         return best;
     const auto bytes = sizeOf(*engine, wanted.key);
     const bool waitsForCopy = wanted.waiting > 0
             && wanted.oldestWait < maxWaitForCopy(wanted.service, wanted.key.model)
-            && hasDiskCopy(wanted.key.model, wanted.service);
+            && m_engines.hasDiskCopy(wanted.key.model, wanted.service);
     const auto taken = wanted.waiting > 0 ? std::set<DataCentreId>()
-                                          : dataCentresOf(wanted.key, wanted.service);
-    for (const auto &[id, it] : m_engines) {
+                                          : m_engines.dataCentresOf(wanted.key, wanted.service);
+    for (const auto &[id, it] : m_engines.engines()) {
         if (!it.acceptsOrders(wanted.service) || it.state().resident.contains(wanted.key)
             || m_reserved.contains(id))
             continue;
@@ -438,7 +164,7 @@
         candidate.readyIn += it.timeUntilFree(now);
         if (taken.contains(it.entry().dataCentre))
             candidate.readyIn += SameDataCentrePenalty;
-        const auto load = targetLoad(id);
+        const auto load = m_demand.targetLoad(id);
         candidate.readyIn += TakenSlotsPenalty * load / std::max<std::uint32_t>(engine->slots, 1);
         if (best && best->readyIn < candidate.readyIn)
             continue;
@@ -447,14 +173,14 @@
             continue;
         for (const auto &victim : *victims)
             candidate.readyIn += EvictionTimePenalty + UnloadTime
-                    + (inFlightAt(id, victim.model) > 0 ? DrainTime : Duration::zero());
+                    + (m_demand.inFlightAt(id, victim.model) > 0 ? DrainTime : Duration::zero());
         candidate.victims = std::move(*victims);
         const bool isCold = it.entry().isCold(now);
         if (best
             && std::tie(best->readyIn, isBestCold, bestLoad)
                     <= std::tie(candidate.readyIn, isCold, load))
             continue;
-        if (!keepsLastCopies(it, wanted.key.model))
+        if (!m_copies.keepsLastCopies(m_engines, it, wanted.key.model))
             continue;
         best = std::move(candidate);
         isBestCold = isCold;
@@ -471,14 +197,10 @@
         timing.duration = loadTime(it, key.model, timing.isFromStore) + CompletionMargin;
         timing.hasFixedDuration = !timing.isFromStore;
     }
-    if (const auto *engine = engineOf(it.entry().service); engine && key.adapter.isEmpty())
-        for (const auto &lost : it.copiesLostByLoading(*engine, key.model))
-            if (auto &atHand = m_models[{ it.entry().service, lost }].atHand; atHand > 0)
-                --atHand;
     if (key.adapter.isEmpty())
-        ++m_models[{ it.entry().service, key.model }].atHand;
+        m_copies.noteLoad(m_engines, it, key.model);
     if (timing.isFromStore) {
-        timing.leastDuration = specOf(it.entry().service, key.model)->storeLoadTime;
+        timing.leastDuration = m_engines.specOf(it.entry().service, key.model)->storeLoadTime;
         m_pace.noteStarted(it.entry().id, key.model, timing.leastDuration, now);
         m_storeLoads.push_back(now);
     }
@@ -490,44 +212,45 @@
 void SwapPlanner::unload(EngineTracker &it, const ReplicaKey &key, TimePoint now,
                          std::vector<PlacementOrder> &orders)
 {
-    const bool hasRunning = inFlightAt(it.entry().id, key.model) > 0;
-    if (auto &copies = m_models[{ it.entry().service, key.model }].copies;
-        key.adapter.isEmpty() && copies > 0)
-        --copies;
+    const bool hasRunning = m_demand.inFlightAt(it.entry().id, key.model) > 0;
+    if (key.adapter.isEmpty())
+        m_copies.noteUnload(it.entry().service, key.model);
     const auto wait = hasRunning ? DrainTime : Duration::zero();
     const OrderTiming timing { UnloadTime + wait, false, !hasRunning };
     orders.push_back(it.beginOrder(IntentAction::Unload, key, timing, now));
 }
 
-void SwapPlanner::refreshResidentEngines(const TotalDemand &wanted, TimePoint now)
+void SwapPlanner::refreshResidentEngines(const ModelDemand &wanted, TimePoint now)
 {
-    for (auto &[id, it] : m_engines)
+    for (auto &[id, it] : m_engines.engines())
         if (it.state().resident.contains(wanted.key))
             it.requestReport(now);
 }
 
-bool SwapPlanner::needsSecondEngine(const TotalDemand &wanted) const
+bool SwapPlanner::needsSecondEngine(const ModelDemand &wanted) const
 {
-    const auto *engine = engineOf(wanted.service);
+    const auto *engine = m_engines.engineOf(wanted.service);
     return engine && wanted.waiting >= SecondAdapterShare * engine->slots
-            && copyCount(wanted.key, wanted.service) == 1
-            && loadingCount(wanted.key, wanted.service) == 0;
+            && m_engines.copyCount(wanted.key, wanted.service) == 1
+            && m_engines.loadingCount(wanted.key, wanted.service) == 0;
 }
 
-void SwapPlanner::planAdapter(const TotalDemand &wanted, TimePoint now,
+void SwapPlanner::planAdapter(const ModelDemand &wanted, TimePoint now,
                               std::vector<PlacementOrder> &orders)
 {
-    const auto *engine = engineOf(wanted.service);
-    if (!engine || (isResidentOrLoading(wanted.key, wanted.service) && !needsSecondEngine(wanted)))
+    const auto *engine = m_engines.engineOf(wanted.service);
+    if (!engine
+        || (m_engines.isResidentOrLoading(wanted.key, wanted.service)
+            && !needsSecondEngine(wanted)))
         return;
     EngineTracker *best = nullptr;
-    for (auto &[id, it] : m_engines) {
+    for (auto &[id, it] : m_engines.engines()) {
         if (!it.acceptsOrders(wanted.service) || !it.isFree(now)
             || !it.state().resident.contains({ wanted.key.model, AdapterId() })
             || it.state().resident.contains(wanted.key)
             || it.state().pendingAdapters.contains(wanted.key))
             continue;
-        if (!best || targetLoad(id) < targetLoad(best->entry().id))
+        if (!best || m_demand.targetLoad(id) < m_demand.targetLoad(best->entry().id))
             best = &it;
     }
     if (!best)
@@ -540,12 +263,13 @@
         unload(*best, *leastRecent, now, orders);
 }
 
-void SwapPlanner::planModel(const TotalDemand &wanted, TimePoint now,
+void SwapPlanner::planModel(const ModelDemand &wanted, TimePoint now,
                             std::vector<PlacementOrder> &orders)
 {
     const ReplicaKey key { wanted.key.model, AdapterId() };
-    const auto *engine = engineOf(wanted.service);
-    if (!engine || !specOf(wanted.service, key.model) || isResidentOrLoading(key, wanted.service))
+    const auto *engine = m_engines.engineOf(wanted.service);
+    if (!engine || !m_engines.specOf(wanted.service, key.model)
+        || m_engines.isResidentOrLoading(key, wanted.service))
         return;
     auto modelDemand = wanted;
     modelDemand.key = key;
@@ -555,7 +279,7 @@
     const auto urgentLoads = pressureOf(wanted) >= UrgentPressure ? MaxUrgentLoads : 0;
     const auto maxLoads = m_pace.fullSpeedLoads() + urgentLoads;
     if (best->isFromStore
-        && (storeLoadsInProgress() >= maxLoads || !mayLoadFromStore(*engine, now)))
+        && (m_engines.storeLoadsInProgress() >= maxLoads || !mayLoadFromStore(*engine, now)))
         return;
     evictOrLoad(*best, key, now, orders);
 }
@@ -564,7 +288,7 @@
                               std::vector<PlacementOrder> &orders)
 {
     m_reserved.insert(candidate.target);
-    auto &it = m_engines.at(candidate.target);
+    auto &it = m_engines.engines().at(candidate.target);
     if (!it.isFree(now))
         return;
     if (candidate.victims.empty())
@@ -573,44 +297,31 @@
         unload(it, candidate.victims.front(), now, orders);
 }
 
-std::vector<LoadEstimate> SwapPlanner::estimates(TimePoint now) const
-{
-    std::vector<LoadEstimate> all;
-    for (const auto &[id, it] : m_engines) {
-        const auto *order = it.order();
-        const bool isModelLoad =
-                order && order->action == IntentAction::Load && !order->isForAdapter();
-        if (isModelLoad && !it.entry().isDraining && !it.isEvacuated())
-            all.push_back({ it.entry().service, order->key.model, it.timeLeft(now) });
-    }
-    return all;
-}
-
-void SwapPlanner::orderDemandByValue()
+std::vector<ModelDemand> SwapPlanner::demandByValue() const
 {
-    std::stable_partition(m_totalDemand.begin(), m_totalDemand.end(), [&](const auto &it) {
-        return statusOf(it.service, it.key.model).atHand > 0;
+    auto demand = m_demand.total();
+    std::stable_partition(demand.begin(), demand.end(), [&](const auto &it) {
+        return m_copies.statusOf(it.service, it.key.model).atHand > 0;
     });
+    return demand;
 }
 
 std::vector<PlacementOrder> SwapPlanner::plan(TimePoint now)
 {
     std::vector<PlacementOrder> orders;
-    aggregateDemand(now);
+    m_demand.aggregate(now);
     trackStoreLoads(now);
-    countCopies();
+    m_copies.count(m_engines, m_demand.total());
     m_reserved.clear();
-    for (auto &[id, it] : m_engines)
+    for (auto &[id, it] : m_engines.engines())
         if (const auto order = it.takeOrderToResend(now))
             orders.push_back(*order);
-    orderDemandByValue();
-    const auto wanted = m_totalDemand;
-    for (const auto &it : wanted) {
+    for (const auto &it : demandByValue()) {
         if (it.waiting == 0)
             continue;
         refreshResidentEngines(it, now);
         const ReplicaKey model { it.key.model, AdapterId() };
-        if (!it.key.adapter.isEmpty() && copyCount(model, it.service) > 0)
+        if (!it.key.adapter.isEmpty() && m_engines.copyCount(model, it.service) > 0)
             planAdapter(it, now, orders);
         else
             planModel(it, now, orders);
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -2,7 +2,10 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "placement/enginepool.h"
 #include "placement/enginetracker.h"
+#include "placement/fleetdemand.h"
+#include "placement/modelcopies.h"
 #include "placement/modeldemand.h"
 #include "placement/placementorder.h"
 #include "placement/placementupdate.h"
@@ -31,31 +34,49 @@
 public:
     // Events.
 
-    void setServices(const std::map<ServiceId, Service> &services);
+    void setServices(const std::map<ServiceId, Service> &services)
+    {
+        m_engines.setServices(services);
+    }
     /// Replaces the registry entries of all targets. What a target holds is taken from its reports,
     /// which are newer; a target gets no order before its first report.
-    void noteTargets(const std::map<TargetId, TargetEntry> &targets, TimePoint now);
+    void noteTargets(const std::map<TargetId, TargetEntry> &targets, TimePoint now)
+    {
+        m_engines.noteTargets(targets, now);
+    }
     /// Applies a report that was requested; one of another run of the target is ignored.
     ///
     /// \param startTimeMs start time of the target's process in the report, see
     ///        TargetEntry::startTimeMs; 0 when the report does not state it
     void noteReport(const TargetId &target, std::uint64_t startTimeMs, const EngineState &state,
-                    TimePoint now);
+                    TimePoint now)
+    {
+        m_engines.noteReport(target, startTimeMs, state, now);
+    }
     /// Records that a target did not respond to a report request. After two in a row it counts as
     /// unavailable.
-    void noteReportFailed(const TargetId &target);
+    void noteReportFailed(const TargetId &target) { m_engines.noteReportFailed(target); }
     /// Replaces the hold-offs in force, with their ends. Their targets get no orders and no report
     /// requests, and with a long one their replicas do not count as available.
-    void noteHoldOffs(const std::map<TargetId, TimePoint> &ends, TimePoint now);
+    void noteHoldOffs(const std::map<TargetId, TimePoint> &ends, TimePoint now)
+    {
+        m_engines.noteHoldOffs(ends, now);
+    }
     /// Replaces the evacuated data centres. Their engines get no orders and no report requests, and
     /// what they hold does not count as available.
-    void noteEvacuated(const std::set<DataCentreId> &dataCentres, TimePoint now);
+    void noteEvacuated(const std::set<DataCentreId> &dataCentres, TimePoint now)
+    {
+        m_engines.noteEvacuated(dataCentres, now);
+    }
     /// Replaces one daemon's demand and requests in flight.
     void noteDemand(const VmId &vm, std::vector<ModelDemand> demand,
                     std::vector<ModelInFlight> inFlight, TimePoint now);
-    void noteOutcome(const PlacementOrder &order, OrderOutcome outcome, TimePoint now);
+    void noteOutcome(const PlacementOrder &order, OrderOutcome outcome, TimePoint now)
+    {
+        m_engines.noteOutcome(order, outcome, now);
+    }
     /// Sets how long a daemon's demand stays valid without renewal.
-    void setDemandLifetime(Duration lifetime) { m_demandLifetime = lifetime; }
+    void setDemandLifetime(Duration lifetime) { m_demand.setLifetime(lifetime); }
 
     // Decisions.
 
@@ -65,44 +86,27 @@
     /// depend on first
     ///
     /// \param limit largest number of targets
-    [[nodiscard]] std::vector<TargetId> reportsDue(std::size_t limit, TimePoint now);
+    [[nodiscard]] std::vector<TargetId> reportsDue(std::size_t limit, TimePoint now)
+    {
+        return m_engines.reportsDue(limit, now);
+    }
 
     // Queries.
 
     /// \returns the replicas that can serve requests at each target, without those being unloaded
-    [[nodiscard]] ResidentReplicas residents() const;
+    [[nodiscard]] ResidentReplicas residents() const { return m_engines.residents(); }
     /// \returns for each model being loaded the time until it can serve requests; loads at draining
     /// or evacuated targets, which get no requests, are left out
-    [[nodiscard]] std::vector<LoadEstimate> estimates(TimePoint now) const;
+    [[nodiscard]] std::vector<LoadEstimate> estimates(TimePoint now) const
+    {
+        return m_engines.estimates(now);
+    }
     /// \returns the number of configured models without a copy at hand, as of the last plan
-    [[nodiscard]] std::size_t missingModels() const;
+    [[nodiscard]] std::size_t missingModels() const { return m_copies.missingModels(m_engines); }
     /// \returns the learned number of loads from the weight store that run at full speed
     [[nodiscard]] std::size_t fullSpeedLoads() const noexcept { return m_pace.fullSpeedLoads(); }
 
 private:
-    struct VmDemand
-    {
-        std::vector<ModelDemand> demand;
-        std::vector<ModelInFlight> inFlight;
-        TimePoint at;
-    };
-
-    /// Sum of the demand of all daemons for one model or adapter.
-    using TotalDemand = ModelDemand;
-
-    /// What the demand and the usable engines say about one model.
-    struct ModelStatus
-    {
-        /// Arrival rate and urgency of the waiting requests, with those for its adapters.
-        double perSecond = 0;
-        double waiting = 0;
-        /// Engines that serve it.
-        std::size_t copies = 0;
-        /// Engines that have it resident, in memory, on disk or being loaded, without those that
-        /// lose it by their load in progress.
-        std::size_t atHand = 0;
-    };
-
     /// A target on which a model can be loaded.
     struct Candidate
     {
@@ -115,24 +119,6 @@
         std::vector<ReplicaKey> victims;
     };
 
-    /// Counts the copies of each model, once per plan.
-    void countCopies();
-    void countCopiesOf(const EngineTracker &it);
-    [[nodiscard]] const ModelStatus &statusOf(const ServiceId &service, const ModelId &model) const;
-    /// \returns whether the load evicts no last copy of a configured model
-    [[nodiscard]] bool keepsLastCopies(const EngineTracker &it, const ModelId &model) const;
-    /// \returns whether the model is at hand only by being resident on this engine
-    [[nodiscard]] bool isOnlyCopy(const EngineTracker &it, const ModelId &model) const;
-    /// Drops expired demand and sums up the rest over all daemons.
-    void aggregateDemand(TimePoint now);
-    [[nodiscard]] const EngineSpec *engineOf(const ServiceId &service) const;
-    [[nodiscard]] const ModelSpec *specOf(const ServiceId &service, const ModelId &model) const;
-    [[nodiscard]] std::size_t copyCount(const ReplicaKey &key, const ServiceId &service) const;
-    [[nodiscard]] std::size_t loadingCount(const ReplicaKey &key, const ServiceId &service) const;
-    [[nodiscard]] bool isResidentOrLoading(const ReplicaKey &key, const ServiceId &service) const;
-    [[nodiscard]] std::uint32_t inFlightAt(const TargetId &target, const ModelId &model) const;
-    [[nodiscard]] std::uint32_t targetLoad(const TargetId &target) const;
-    [[nodiscard]] std::size_t storeLoadsInProgress() const;
     /// \returns the concurrent loads from the weight store up to which models without waiting
     /// requests are loaded
     [[nodiscard]] std::size_t maxPrefetchLoads() const;
@@ -148,14 +134,12 @@
     /// Returns nothing when not enough memory can be freed at a loss below `gain` for each model.
     [[nodiscard]] std::optional<std::vector<ReplicaKey>>
     victimsFor(const EngineTracker &it, Megabytes needed, double gain) const;
-    /// \returns whether an engine that accepts orders has a copy of the model on its disk
-    [[nodiscard]] bool hasDiskCopy(const ModelId &model, const ServiceId &service) const;
-    [[nodiscard]] std::optional<Candidate> bestTarget(const TotalDemand &wanted,
+    [[nodiscard]] std::optional<Candidate> bestTarget(const ModelDemand &wanted,
                                                       TimePoint now) const;
     /// Requests reports of the engines where a replica with waiting requests is resident.
-    void refreshResidentEngines(const TotalDemand &wanted, TimePoint now);
-    void planAdapter(const TotalDemand &wanted, TimePoint now, std::vector<PlacementOrder> &orders);
-    void planModel(const TotalDemand &wanted, TimePoint now, std::vector<PlacementOrder> &orders);
+    void refreshResidentEngines(const ModelDemand &wanted, TimePoint now);
+    void planAdapter(const ModelDemand &wanted, TimePoint now, std::vector<PlacementOrder> &orders);
+    void planModel(const ModelDemand &wanted, TimePoint now, std::vector<PlacementOrder> &orders);
     /// A model that should have more copies.
     struct MissingCopies
     {
@@ -177,18 +161,16 @@
     /// \returns whether a load of a model for which no request waits may be started at the target
     [[nodiscard]] bool mayPrefetch(const Candidate &candidate, const EngineSpec &engine,
                                    TimePoint now) const;
-    /// \returns the data centres of the usable engines that serve or load the replica
-    [[nodiscard]] std::set<DataCentreId> dataCentresOf(const ReplicaKey &key,
-                                                       const ServiceId &service) const;
     /// \returns how long a model with waiting requests is not loaded from the weight store while an
     /// engine with a copy on its disk is only busy: two thirds of the load from the store, as the
     /// engine may be free at any moment
     [[nodiscard]] Duration maxWaitForCopy(const ServiceId &service, const ModelId &model) const;
-    /// Puts models with a copy at hand first: they are ready in time, while a load from the store
-    /// takes longer than most callers wait and keeps an engine from other orders.
-    void orderDemandByValue();
+    /// \returns the demand of all daemons, with models that have a copy at hand first: they are
+    /// ready in time, while a load from the store takes longer than most callers wait and keeps an
+    /// engine from other orders
+    [[nodiscard]] std::vector<ModelDemand> demandByValue() const;
     /// \returns whether a second engine should load the adapter for its waiting requests
-    [[nodiscard]] bool needsSecondEngine(const TotalDemand &wanted) const;
+    [[nodiscard]] bool needsSecondEngine(const ModelDemand &wanted) const;
     /// Loads models without a local copy at any engine before requests wait for them, so that an
     /// engine has them on its disk.
     void planPrefetch(TimePoint now, std::vector<PlacementOrder> &orders);
@@ -212,16 +194,9 @@
     [[nodiscard]] Duration loadTime(const EngineTracker &it, const ModelId &model,
                                     bool &isFromStore) const;
 
-    std::map<ServiceId, Service> m_services;
-    std::map<TargetId, EngineTracker> m_engines;
-    std::map<VmId, VmDemand> m_demand;
-    Duration m_demandLifetime = std::chrono::milliseconds(1400);
-    std::vector<TotalDemand> m_totalDemand;
-    std::map<std::pair<ServiceId, ModelId>, ModelStatus> m_models;
-    /// Requests of all daemons in flight, by target and model.
-    std::map<std::pair<TargetId, ModelId>, std::uint32_t> m_inFlight;
-    /// Requests of all daemons in flight at each target.
-    std::map<TargetId, std::uint32_t> m_targetLoad;
+    EnginePool m_engines;
+    FleetDemand m_demand;
+    ModelCopies m_copies;
     /// Targets reserved for a more urgent model in the current plan.
     std::set<TargetId> m_reserved;
     /// No engine is searched for extra copies before this time.
--- a/src/placement/swapplannerprefetch.cpp
+++ b/src/placement/swapplannerprefetch.cpp
@@ -36,16 +36,17 @@
 std::vector<SwapPlanner::MissingCopies> SwapPlanner::missingCopies() const
 {
     std::map<std::pair<ServiceId, ModelId>, ModelLoad> loads;
-    for (const auto &[name, status] : m_models)
+    for (const auto &[name, status] : m_copies.models())
         if (status.perSecond > 0)
             loads[name].arrivalsPerSecond = status.perSecond;
-    for (const auto &[key, count] : m_inFlight)
-        if (const auto engine = m_engines.find(key.first); engine != m_engines.end())
+    for (const auto &[key, count] : m_demand.inFlight())
+        if (const auto engine = m_engines.engines().find(key.first);
+            engine != m_engines.engines().end())
             loads[{ engine->second.entry().service, key.second }].inFlight += count;
     std::vector<MissingCopies> missing;
     for (auto &[name, load] : loads) {
         const auto &[service, model] = name;
-        const auto *engine = engineOf(service);
+        const auto *engine = m_engines.engineOf(service);
         if (!engine)
             continue;
         load.slots = engine->slots;
@@ -53,7 +54,8 @@
         if (wanted < 2)
             continue;
         const ReplicaKey key { model, AdapterId() };
-        const auto copies = copyCount(key, service) + loadingCount(key, service);
+        const auto copies =
+                m_engines.copyCount(key, service) + m_engines.loadingCount(key, service);
         if (copies < wanted)
             missing.push_back({ service, model, load.arrivalsPerSecond,
                                 static_cast<double>(wanted)
@@ -72,12 +74,12 @@
     for (const auto &it : missingCopies()) {
         if (++searches > MaxExtraCopySearches)
             break;
-        TotalDemand extraCopy;
+        ModelDemand extraCopy;
         extraCopy.service = it.service;
         extraCopy.key = { it.model, AdapterId() };
         extraCopy.urgency = ExtraCopyGain * std::max(it.arrivalsPerSecond, it.overload);
         const auto best = bestTarget(extraCopy, now);
-        if (best && mayPrefetch(*best, *engineOf(it.service), now))
+        if (best && mayPrefetch(*best, *m_engines.engineOf(it.service), now))
             evictOrLoad(*best, extraCopy.key, now, orders);
         else
             m_nextExtraCopySearch = now + FailedSearchInterval;
@@ -89,14 +91,15 @@
 {
     if (!candidate.isFromStore)
         return true;
-    const auto &service = m_engines.at(candidate.target).entry().service;
-    return !mostWantedMissing(service, engine) && storeLoadsInProgress() < maxPrefetchLoads()
+    const auto &service = m_engines.engines().at(candidate.target).entry().service;
+    return !mostWantedMissing(service, engine)
+            && m_engines.storeLoadsInProgress() < maxPrefetchLoads()
             && mayLoadFromStore(engine, now);
 }
 
 void SwapPlanner::planReplacements(TimePoint now, std::vector<PlacementOrder> &orders)
 {
-    for (const auto &[id, it] : m_engines)
+    for (const auto &[id, it] : m_engines.engines())
         if (!it.isUsable(it.entry().service))
             replaceCopiesOf(it, now, orders);
 }
@@ -105,16 +108,16 @@
                                   std::vector<PlacementOrder> &orders)
 {
     const auto &service = leaving.entry().service;
-    const auto *engine = engineOf(service);
+    const auto *engine = m_engines.engineOf(service);
     if (!engine)
         return;
     for (const auto &key : leaving.state().resident) {
-        const auto &status = statusOf(service, key.model);
-        const bool isNeeded = key.adapter.isEmpty() && specOf(service, key.model)
-                && status.perSecond > 0 && !isResidentOrLoading(key, service);
+        const auto &status = m_copies.statusOf(service, key.model);
+        const bool isNeeded = key.adapter.isEmpty() && m_engines.specOf(service, key.model)
+                && status.perSecond > 0 && !m_engines.isResidentOrLoading(key, service);
         if (!isNeeded)
             continue;
-        TotalDemand replacement;
+        ModelDemand replacement;
         replacement.service = service;
         replacement.key = key;
         // With a copy at hand elsewhere, a model of equal demand is not worth the swap.
@@ -123,7 +126,7 @@
         const auto best = bestTarget(replacement, now);
         const bool isAllowed = best
                 && (!best->isFromStore
-                    || (storeLoadsInProgress() < m_pace.fullSpeedLoads()
+                    || (m_engines.storeLoadsInProgress() < m_pace.fullSpeedLoads()
                         && mayLoadFromStore(*engine, now)));
         if (isAllowed)
             evictOrLoad(*best, key, now, orders);
@@ -136,7 +139,7 @@
     const std::pair<const ModelId, ModelSpec> *best = nullptr;
     double mostPerSecond = -1;
     for (const auto &it : engine.models) {
-        const auto &status = statusOf(service, it.first);
+        const auto &status = m_copies.statusOf(service, it.first);
         if (status.atHand > 0 || status.perSecond <= mostPerSecond)
             continue;
         best = &it;
@@ -148,12 +151,12 @@
 std::optional<SwapPlanner::Candidate>
 SwapPlanner::prefetchTarget(const ServiceId &service, const ModelId &model, TimePoint now) const
 {
-    const auto size = specOf(service, model)->weights;
-    const auto gain = PrefetchGain + CoverageGain * statusOf(service, model).perSecond;
+    const auto size = m_engines.specOf(service, model)->weights;
+    const auto gain = PrefetchGain + CoverageGain * m_copies.statusOf(service, model).perSecond;
     std::optional<Candidate> best;
     std::size_t bestEvictions = 0;
     std::size_t bestDisk = 0;
-    for (const auto &[id, it] : m_engines) {
+    for (const auto &[id, it] : m_engines.engines()) {
         if (!it.acceptsOrders(service) || !it.isFree(now) || m_reserved.contains(id))
             continue;
         auto victims = victimsFor(it, size, gain);
@@ -163,7 +166,7 @@
         const auto disk = it.state().onDisk.size();
         if (best && std::tie(bestEvictions, bestDisk) <= std::tie(evictions, disk))
             continue;
-        if (!keepsLastCopies(it, model))
+        if (!m_copies.keepsLastCopies(m_engines, it, model))
             continue;
         best = Candidate { id, Duration::zero(), true, std::move(*victims) };
         bestEvictions = evictions;
@@ -174,8 +177,8 @@
 
 void SwapPlanner::planPrefetch(TimePoint now, std::vector<PlacementOrder> &orders)
 {
-    for (const auto &[service, spec] : m_services) {
-        if (!spec.engine || storeLoadsInProgress() >= maxPrefetchLoads()
+    for (const auto &[service, spec] : m_engines.services()) {
+        if (!spec.engine || m_engines.storeLoadsInProgress() >= maxPrefetchLoads()
             || !mayLoadFromStore(*spec.engine, now))
             continue;
         const auto *missing = mostWantedMissing(service, *spec.engine);
