--- a/src/rate/sharedrate.cpp
+++ b/src/rate/sharedrate.cpp
@@ -15,7 +15,7 @@
 constexpr double MaxLevel = 1e18;
 /// The part of the allowed excess that the decision uses. The rest is for counts that are lost with
 /// their daemon and for levels that differ between daemons.
-constexpr double UsedExcess = 0.35;
+constexpr double UsedExcess = 0.4;
 /// Added to the age of the counts: a status of another daemon arrived, while the one sent to it at
 /// the same time may be lost and replaced by the next.
 constexpr Duration LossMargin = milliseconds(300);
