Let refused callers return in time, and relieve full engines only where as many requests wait as run

The refusals doubled: callers near the limit were told positions of up to 8 s, and their responses were late when they came back, although tokens were left before.

The two documentation lines on reports of a later run of an engine are corrected.

--- a/programs/gateway/requestadmission.cpp
+++ b/programs/gateway/requestadmission.cpp
@@ -1,6 +1,7 @@
 #include "gateway/requestadmission.h"
 
 #include "core/digest.h"
+#include "rate/usefulreturn.h"
 
 #include <algorithm>
 
@@ -84,7 +85,9 @@
         const MetricLabels labels { it.organisation, ClassId(it.route->name), {} };
         m_state.metrics.count("bluebell_rate_refusals_total", labels);
         m_state.metrics.observe("bluebell_rate_count_age_seconds", labels, bucket.countAge);
-        return notRun(ErrorCode::RateLimited, "the organisation's rate is used up", *wait);
+        return notRun(
+                ErrorCode::RateLimited, "the organisation's rate is used up",
+                usefulReturn(*wait, it.route->latencyGoal, stableHash(it.caller.attempt.value())));
     }
     it.reserved = tokens;
     if (rate.isLow(now)) {
--- a/src/placement/enginepool.h
+++ b/src/placement/enginepool.h
@@ -29,13 +29,13 @@
     void setServices(const std::map<ServiceId, Service> &services);
     /// Replaces the registry entries of all targets; those that are no engines are left out.
     void noteTargets(const std::map<TargetId, TargetEntry> &targets, TimePoint now);
-    /// Applies a report that was requested; one of another run of the target is ignored.
+    /// Applies a report that was requested; one of a later run shows that this one has ended.
     ///
     /// \param startTimeMs start time of the target's process in the report, see
     ///        TargetEntry::startTimeMs; 0 when the report does not state it
     void noteReport(const TargetId &target, std::uint64_t startTimeMs, const EngineState &state,
                     TimePoint now);
-    /// Records that a target did not respond to a report request.
+    /// Records that a target did not respond, or refused the connection, to a report request.
     void noteReportFailed(const TargetId &target, bool isRefused);
     /// Replaces the hold-offs in force, with their ends.
     void noteHoldOffs(const std::map<TargetId, TimePoint> &ends, TimePoint now);
--- a/src/placement/swapplanner.h
+++ b/src/placement/swapplanner.h
@@ -44,7 +44,7 @@
     {
         m_engines.noteTargets(targets, now);
     }
-    /// Applies a report that was requested; one of another run of the target is ignored.
+    /// Applies a report that was requested; one of a later run shows that this one has ended.
     ///
     /// \param startTimeMs start time of the target's process in the report, see
     ///        TargetEntry::startTimeMs; 0 when the report does not state it
--- a/src/placement/swapplannerprefetch.cpp
+++ b/src/placement/swapplannerprefetch.cpp
@@ -17,9 +17,9 @@
 /// work for them is bounded.
 constexpr std::size_t MaxExtraCopySearches = 2;
 constexpr Duration FailedSearchInterval = std::chrono::milliseconds(200);
-/// Wanted copies relative to the existing ones from which on the batches of a model's engines are
-/// full, so that its requests wait there. Copies are wanted at half-full batches.
-constexpr double FullBatchOverload = 2;
+/// Wanted copies relative to the existing ones from which on as many requests wait at a model's
+/// engines as run there. Copies are wanted at half-full batches.
+constexpr double FullBatchOverload = 4;
 /// Gain of an extra copy per request per second, in the unit of pressureOf().
 constexpr double ExtraCopyGain = 0.4;
 /// Loss below which a model may be evicted for one without a copy at hand, and its increase per
--- a/tests/tst_ratebound.cpp
+++ b/tests/tst_ratebound.cpp
@@ -1,8 +1,10 @@
 #include "fleetratesimulation.h"
+#include "rate/usefulreturn.h"
 
 #include <gtest/gtest.h>
 
 #include <functional>
+#include <set>
 #include <vector>
 
 using namespace bluebell;
@@ -181,6 +183,24 @@
     }
 }
 
+/// Load: an organisation asks for several times its rate. Guards against callers that are told to
+/// come back only when their response is late in any case, and against all of them coming at once.
+TEST(UsefulReturn, CallersWithALatePositionReturnSpreadWithinTheirGoal)
+{
+    std::set<Duration> times;
+    for (std::uint64_t n = 0; n < 1000; ++n)
+        times.insert(usefulReturn(8s, 4s, n));
+    EXPECT_EQ(*times.begin(), 1s);
+    EXPECT_LE(*times.rbegin(), 2s);
+    EXPECT_EQ(times.size(), 1000U);
+}
+
+TEST(UsefulReturn, APositionInTimeIsKept)
+{
+    EXPECT_EQ(usefulReturn(1500ms, 4s, 7), 1500ms);
+    EXPECT_EQ(usefulReturn(200ms, 100ms, 7), 200ms);
+}
+
 /// Guards against refused callers that all come back at the same time.
 TEST(ReturnTimes, SpreadsCallersInTheOrderOfTheirRefusal)
 {
