--- a/src/http/disconnectwatch.cpp
+++ b/src/http/disconnectwatch.cpp
@@ -7,7 +7,8 @@
 
 namespace bluebell::detail {
 
-void DisconnectWatch::start(std::shared_ptr<CancelSource> source, std::shared_ptr<void> owner)
+void DisconnectWatch::start(std::shared_ptr<CancelSource> source,
+                            const std::shared_ptr<void> &owner)
 {
     m_source = std::move(source);
     wait(owner);
--- a/src/http/disconnectwatch.h
+++ b/src/http/disconnectwatch.h
@@ -27,7 +27,7 @@
     /// Triggers `source` when the caller closes the connection.
     ///
     /// \param owner keeps the watch and the socket alive while it waits
-    void start(std::shared_ptr<CancelSource> source, std::shared_ptr<void> owner);
+    void start(std::shared_ptr<CancelSource> source, const std::shared_ptr<void> &owner);
     /// Stops waiting, and other operations of the socket; without effect unless started.
     void stop();
 
--- a/src/rate/sharedrate.cpp
+++ b/src/rate/sharedrate.cpp
@@ -236,7 +236,12 @@
     const auto begin = now - m_bound.window;
     const auto own = std::max(m_own.since(begin), 0.0) + wanted;
     const auto ratio = std::clamp(m_offered.since(begin) / own, 1.0, MaxLoadRatio);
-    return admitted * ratio * toSeconds(age) * LoadSafety;
+    const auto expected = admitted * ratio * toSeconds(age) * LoadSafety;
+    // A full bucket loses what is refilled, so as much of what the others admit changes nothing.
+    const auto capacity = std::max(static_cast<double>(m_limit.burst) * refillShare(), 1.0);
+    const auto fullness = std::clamp(m_level / capacity, 0.0, 1.0);
+    const auto refilled = static_cast<double>(m_limit.rate) * refillShare() * toSeconds(age);
+    return std::max(expected - fullness * refilled, 0.0);
 }
 
 bool SharedRate::suffices(double wanted, TimePoint now) const
