--- a/review/standin-2/lab.cpp
+++ b/review/standin-2/lab.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <random>
 #include <sstream>
 #include <sys/prctl.h>
 #include <sys/socket.h>
@@ -49,16 +50,6 @@
     return true;
 }
 
-void sendAll(int fd, const std::string &bytes)
-{
-    for (std::size_t sent = 0; sent < bytes.size();) {
-        const auto n = ::send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
-        if (n <= 0)
-            return;
-        sent += static_cast<std::size_t>(n);
-    }
-}
-
 void setTimeout(int fd, double seconds)
 {
     timeval it {};
@@ -182,6 +173,16 @@
 
 } // namespace
 
+void sendAll(int fd, const std::string &bytes)
+{
+    for (std::size_t sent = 0; sent < bytes.size();) {
+        const auto n = ::send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (n <= 0)
+            return;
+        sent += static_cast<std::size_t>(n);
+    }
+}
+
 double now()
 {
     return std::chrono::duration<double>(Clock::now() - Started).count();
@@ -211,25 +212,52 @@
 // HttpServer
 
 HttpServer::HttpServer(Handler handler) : m_handler(std::move(handler))
+{
+    listen();
+}
+
+void HttpServer::listen()
 {
     const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    auto address = addressOf("127.0.0.1", 0);
+    const int on = 1;
+    ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    auto address = addressOf("127.0.0.1", m_port);
     socklen_t size = sizeof address;
     ::bind(listener, reinterpret_cast<sockaddr *>(&address), size);
     ::listen(listener, 512);
     ::getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size);
     m_port = ntohs(address.sin_port);
+    m_listener = listener;
     std::thread([this, listener] {
         for (;;) {
             const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
-            if (fd >= 0)
-                std::thread([this, fd] { serve(fd); }).detach();
+            if (fd < 0)
+                break;
+            std::thread([this, fd] { serve(fd); }).detach();
         }
+        ::close(listener);
     }).detach();
 }
 
-void HttpServer::serve(int fd) const
+void HttpServer::stop()
 {
+    const std::lock_guard lock(m_mutex);
+    ::shutdown(m_listener, SHUT_RDWR);
+    for (const int fd : m_open)
+        ::shutdown(fd, SHUT_RDWR);
+}
+
+void HttpServer::restart()
+{
+    listen();
+}
+
+void HttpServer::serve(int fd)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_open.insert(fd);
+    }
     setTimeout(fd, 60);
     Request request;
     if (readRequest(fd, request)) {
@@ -239,12 +267,17 @@
         text += "\r\nConnection: close\r\nContent-Length: " + std::to_string(response.body.size());
         for (const auto &[name, value] : response.headers)
             text += "\r\n" + name + ": " + value;
-        sendAll(fd, text + "\r\n\r\n" + response.body);
+        if (response.write)
+            response.write(fd);
+        else
+            sendAll(fd, text + "\r\n\r\n" + response.body);
         ::shutdown(fd, SHUT_WR);
         std::string rest;
         setTimeout(fd, 1);
         while (receive(fd, rest)) { }
     }
+    const std::lock_guard lock(m_mutex);
+    m_open.erase(fd);
     ::close(fd);
 }
 
@@ -403,6 +436,12 @@
     m_diskSeconds = diskSeconds;
 }
 
+void Server::copyAllToDisk()
+{
+    for (const auto &[name, adapters] : m_known)
+        m_onDisk.insert(name);
+}
+
 void Server::start()
 {
     publish();
@@ -428,7 +467,7 @@
 
 json Server::state()
 {
-    json it = { { "born", 1700000000000 } };
+    json it = { { "born", m_born } };
     if (!m_isEngine)
         return it;
     it["Stage"] = "prefill_decode";
@@ -442,6 +481,8 @@
 void Server::publish()
 {
     const std::lock_guard lock(m_mutex);
+    if (m_isDown)
+        return;
     auto it = state();
     it["Service"] = m_service;
     it["Address"] = "127.0.0.1:" + std::to_string(m_http->port());
@@ -569,22 +610,84 @@
         --m_running[model];
     }
     Response response;
-    response.headers = { { "X-Attempt-Id", id }, { "X-Server-Seal", m_id + ".seal." + id } };
     if (m_isEngine) {
-        response.headers.emplace_back("Content-Type", "text/event-stream");
-        response.body = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
-    } else {
-        response.headers.emplace_back("Content-Type", "text/plain");
-        response.body = "answer to " + id;
+        response.write = [this, request](int fd) {
+            stream(fd, request);
+        };
+        return response;
     }
+    response.headers = { { "X-Attempt-Id", id },
+                         { "X-Server-Seal", m_id + ".seal." + id },
+                         { "Content-Type", "text/plain" } };
+    response.body = "answer to " + id;
     return response;
 }
 
+void Server::stream(int fd, const Request &request)
+{
+    const auto id = request.header("X-Attempt-Id");
+    const auto chunk = [&](const std::string &text) {
+        char size[16];
+        std::snprintf(size, sizeof size, "%zx", text.size());
+        sendAll(fd, std::string(size) + "\r\n" + text + "\r\n");
+    };
+    sendAll(fd,
+            "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n"
+            "Content-Type: text/event-stream\r\nX-Attempt-Id: "
+                    + id + "\r\nX-Server-Seal: " + m_id + ".seal." + id + "\r\n\r\n");
+    const bool isDeadly = !deadlyPart.empty()
+            && request.header("X-Prompt-Prefix").find(deadlyPart + ":") != std::string::npos;
+    const auto born = m_born;
+    for (int n = 1; n <= events && m_born == born && !m_isDown; ++n) {
+        if (!isDeadly || writesEventBeforeCrash)
+            chunk("id: " + std::to_string(n) + "\ndata: tokens\n\n");
+        if (isDeadly) {
+            pause(0.01);
+            crash();
+            return;
+        }
+        pause(eventSeconds);
+    }
+    if (m_born == born && !m_isDown)
+        sendAll(fd, "0\r\n\r\n");
+}
+
+void Server::crash()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isDown)
+            return;
+        m_isDown = true;
+    }
+    m_record.line("server " + m_id + " crashes, back in "
+                  + std::to_string(static_cast<int>(downSeconds * 1000)) + " ms");
+    m_http->stop();
+    if (onCrash)
+        onCrash();
+    std::thread([this] {
+        pause(downSeconds);
+        {
+            const std::lock_guard lock(m_mutex);
+            // It starts empty; its disk is kept.
+            m_born += 100000;
+            m_sequence = 0;
+            m_beats = 0;
+            m_isBusy = false;
+            m_resident.clear();
+            m_running.clear();
+            m_isDown = false;
+        }
+        m_http->restart();
+        publish();
+    }).detach();
+}
+
 // Gateway
 
 int freePort()
 {
-    static int next = 20000 + static_cast<int>(::getpid() % 9000);
+    static int next = 20000 + static_cast<int>(std::random_device()() % 11000);
     for (;;) {
         const int port = next++;
         if (next > 31900)
@@ -675,6 +778,15 @@
         ::kill(m_pid, number);
 }
 
+int Gateway::connectAndSend(const std::string &bytes) const
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto address = addressOf(m_ip, m_front);
+    if (::connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0)
+        sendAll(fd, bytes);
+    return fd;
+}
+
 std::string Gateway::exchange(const std::string &bytes, double seconds) const
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -61,8 +61,12 @@
     int status = 200;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    /// If set, writes the response itself.
+    std::function<void(int fd)> write = {};
 };
 
+void sendAll(int fd, const std::string &bytes);
+
 /// Serves one request on each connection, in a thread of its own.
 class HttpServer
 {
@@ -71,12 +75,20 @@
 
     explicit HttpServer(Handler handler);
     [[nodiscard]] int port() const { return m_port; }
+    /// Ends all connections, as the end of the process does, and refuses new ones.
+    void stop();
+    /// Listens on the same port again.
+    void restart();
 
 private:
-    void serve(int fd) const;
+    void listen();
+    void serve(int fd);
 
     Handler m_handler;
     int m_port = 0;
+    std::mutex m_mutex;
+    int m_listener = -1;
+    std::set<int> m_open;
 };
 
 /// The platform's store. Rows are kept in memory; versions come from one counter.
@@ -140,9 +152,24 @@
     /// Makes the server an engine.
     void holdModels(const std::vector<Model> &known, const std::set<std::string> &resident,
                     double loadSeconds, double diskSeconds);
+    /// Puts copies of all known models on the engine's disk.
+    void copyAllToDisk();
     /// Registers the server, and then each second.
     void start();
 
+    /// The part of a prompt that crashes the server when it begins to write an answer.
+    std::string deadlyPart;
+    /// Whether the first event is written before the crash, or only the head of the answer.
+    bool writesEventBeforeCrash = true;
+    /// How long the server is away after a crash.
+    double downSeconds = 3.0;
+    /// Called at each crash.
+    std::function<void()> onCrash;
+    /// Events of a stream, and the time between them.
+    int events = 2;
+    double eventSeconds = 0;
+
+    [[nodiscard]] const std::string &id() const { return m_id; }
     [[nodiscard]] std::vector<Seen> runs();
     [[nodiscard]] std::vector<Seen> orders();
     double workSeconds = 0.03;
@@ -150,6 +177,8 @@
 private:
     Response handle(const Request &request);
     Response run(const Request &request);
+    void stream(int fd, const Request &request);
+    void crash();
     Response order(const Request &request);
     Response orderAdapter(const std::string &model, const std::string &adapter, bool isLoad);
     json state();
@@ -169,6 +198,8 @@
     std::set<std::string> m_onDisk;
     std::map<std::string, int> m_running;
     bool m_isBusy = false;
+    bool m_isDown = false;
+    std::uint64_t m_born = 1700000000000;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_beats = 0;
     std::vector<Seen> m_runs;
@@ -191,6 +222,8 @@
     /// \returns whether the process runs
     [[nodiscard]] bool isRunning();
     /// Sends bytes on a new connection and reads until the gateway closes it or the time is over.
+    /// \returns a socket on which the bytes were sent
+    [[nodiscard]] int connectAndSend(const std::string &bytes) const;
     [[nodiscard]] std::string exchange(const std::string &bytes, double seconds) const;
 
 private:
