--- a/review/standin-2/lab.cpp
+++ b/review/standin-2/lab.cpp
@@ -694,7 +694,7 @@
             next = 20000;
         const int tcp = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int udp = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-        const auto address = addressOf("0.0.0.0", port);
+        const auto address = addressOf("127.0.0.1", port);
         const auto *it = reinterpret_cast<const sockaddr *>(&address);
         const bool isFree =
                 ::bind(tcp, it, sizeof address) == 0 && ::bind(udp, it, sizeof address) == 0;
--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -233,7 +233,7 @@
     pid_t m_pid = 0;
 };
 
-/// \returns a port that is free on all loopback addresses
+/// \returns a port that is free on 127.0.0.1
 int freePort();
 /// \returns the status of a response, or 0
 int statusOf(const std::string &response);
