Try quarantines that rest on a tie instead of refusing sound requests for good

Cause: two faults, one behind the other. All crashes had the same parts at the same stage, so a tie-break by arrivals and depth decided. And the verdict kept out what could lift it: a response with the part. Its crashes counted as explained, so the deadly part wasn't suspected any more.

Ruled out: evidence lost on the way (the decision test has one daemon and no messages). What was sound before the crashes was not taken as evidence: it says nothing of requests that begin after them, or at another daemon.

Change: a request that contains only some of the equally suspected parts is a trial. The daemons make one at a time, in turns counted from the latest crash; a request waits for that within its deadline. A part that is suspected of all crashes of the one in quarantine and of more is taken too. A daemon that has a verdict without its evidence asks the others for it; if none has it, the leader tries after 2 s. Wire and store are unchanged.

--- a/programs/gateway/gatewaystate.cpp
+++ b/programs/gateway/gatewaystate.cpp
@@ -403,6 +403,14 @@
     notifyRelays();
 }
 
+TrialTurn GatewayState::trialTurn() const
+{
+    TrialTurn turn { 0, fleet.size() };
+    for (const auto &it : fleet.members())
+        turn.rank += it.vm < settings.vm ? 1 : 0;
+    return turn;
+}
+
 void GatewayState::notifyQuarantine()
 {
     quarantineDue.notify();
--- a/programs/gateway/gatewaystate.h
+++ b/programs/gateway/gatewaystate.h
@@ -128,6 +128,8 @@
     [[nodiscard]] std::vector<ModelInFlight> inFlight() const;
     /// \returns the daemons whose admission counts arrive, this one included
     [[nodiscard]] std::size_t daemonsHeard(TimePoint now) const;
+    /// \returns this daemon's place in the order of trials
+    [[nodiscard]] TrialTurn trialTurn() const;
     /// \returns the token bucket of an organisation that has a limit
     [[nodiscard]] SharedRate &rateOf(const SiteOrganisation &organisation, TimePoint now);
     [[nodiscard]] RetryBudget &retryBudgetOf(const ServiceId &service);
--- a/programs/gateway/quarantineservice.cpp
+++ b/programs/gateway/quarantineservice.cpp
@@ -94,6 +94,7 @@
         log::warning(it.isLifted ? "quarantine of a prompt part lifted"
                                  : "prompt part in quarantine",
                      { { "part", it.part.value() },
+                       { "crashes", std::to_string(m_state.quarantine.crashCount(it.part)) },
                        { "generation", std::to_string(it.generation) },
                        { "failed_trials", std::to_string(it.failedTrials) } });
         m_state.metrics.count(it.isLifted ? "bluebell_quarantines_lifted_total"
--- a/programs/gateway/requestadmission.cpp
+++ b/programs/gateway/requestadmission.cpp
@@ -1,6 +1,8 @@
 #include "gateway/requestadmission.h"
 
 #include "core/digest.h"
+#include "core/log.h"
+#include "gateway/requestlog.h"
 #include "rate/usefulreturn.h"
 
 #include <algorithm>
@@ -52,7 +54,7 @@
 {
     const auto now = BootClock::now();
     const auto quarantined = m_state.quarantine.find(it.caller.sharedParts, now);
-    if (!quarantined || it.isTrial)
+    if (!quarantined || it.isTrial || quarantined->mayBeSound)
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     const auto &part = quarantined->part;
     it.isTrial = m_state.leadership.isLeader(now) && m_state.quarantine.startTrial(part, now);
@@ -64,6 +66,20 @@
                   quarantined->retryAfter);
 }
 
+bool RequestAdmission::startTrial(RequestContext &it, TimePoint now)
+{
+    const auto &parts = it.caller.sharedParts;
+    if (it.isTrial || !m_state.quarantine.needsTrial(parts))
+        return true;
+    it.isTrial = m_state.quarantine.startTrialOf(parts, m_state.trialTurn(), now);
+    if (!it.isTrial)
+        return false;
+    m_state.metrics.count("bluebell_quarantine_trials_total", {});
+    log::info("trial of a quarantine",
+              { { "request", it.caller.attempt.value() }, { "prompt_parts", toText(parts) } });
+    return true;
+}
+
 Result<void> RequestAdmission::reserveRate(RequestContext &it)
 {
     if (it.organisation.isEmpty())
--- a/programs/gateway/requestadmission.h
+++ b/programs/gateway/requestadmission.h
@@ -19,11 +19,17 @@
     /// \returns an error if the configuration does not allow the request
     [[nodiscard]] Result<void> resolve(RequestContext &it) const;
 
-    /// Checks that no part of the prompt is in quarantine, or makes the request its trial.
+    /// Checks that no part of the prompt is in quarantine, or makes the request its trial. A
+    /// request that may be sound passes; it becomes a trial when it is sent, see startTrial().
     ///
     /// \returns an error that names the part otherwise
     [[nodiscard]] Result<void> checkQuarantine(RequestContext &it);
 
+    /// Makes a request that is about to be sent a trial, if it has to be one.
+    ///
+    /// \returns whether it may be sent now
+    [[nodiscard]] bool startTrial(RequestContext &it, TimePoint now);
+
     /// Takes the request's tokens from the organisation's rate.
     ///
     /// \returns RateLimited if the rate is used up
--- a/programs/gateway/requestlog.cpp
+++ b/programs/gateway/requestlog.cpp
@@ -38,7 +38,14 @@
                        toMilliseconds(now - notice->at).count(), notice->startTimeMs);
 }
 
-/// \returns the ids, separated by commas, cut to a readable number
+/// \returns the time from `from` to `to` in milliseconds, or nothing if one of them is unknown
+std::string millisecondsBetween(std::optional<TimePoint> from, std::optional<TimePoint> to)
+{
+    return from && to ? std::to_string(toMilliseconds(*to - *from).count()) : std::string();
+}
+
+} // namespace
+
 std::string toText(const std::vector<PromptPartId> &parts)
 {
     constexpr std::size_t MaxParts = 16;
@@ -48,14 +55,6 @@
     return text;
 }
 
-/// \returns the time from `from` to `to` in milliseconds, or nothing if one of them is unknown
-std::string millisecondsBetween(std::optional<TimePoint> from, std::optional<TimePoint> to)
-{
-    return from && to ? std::to_string(toMilliseconds(*to - *from).count()) : std::string();
-}
-
-} // namespace
-
 void recordFailedAttempt(const RequestContext &it, const Attempt &attempt, const Error &error,
                          Metrics &metrics)
 {
--- a/programs/gateway/requestlog.h
+++ b/programs/gateway/requestlog.h
@@ -8,6 +8,9 @@
 
 namespace bluebell::gateway {
 
+/// \returns the ids, separated by commas, cut to a readable number
+[[nodiscard]] std::string toText(const std::vector<PromptPartId> &parts);
+
 /// Records the time to the first chunk of a stream, or the gap since the previous chunk.
 void noteChunk(RequestContext &it, Metrics &metrics);
 
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -26,6 +26,8 @@
 /// Retry-After of a request whose service has only evacuated targets: operators end an evacuation
 /// by hand, so no time is known.
 constexpr Duration EvacuationRetryAfter = std::chrono::seconds(2);
+/// Retry-After of a request that has waited for the trial of a prompt part in quarantine.
+constexpr Duration TrialRetryAfter = std::chrono::seconds(1);
 /// How long the demand of a rejected request is kept after its Retry-After time.
 constexpr Duration RetryAllowance = milliseconds(500);
 /// Minimum time that a running request gets after its key was withdrawn.
@@ -45,8 +47,14 @@
         return allowed.error();
     const auto requirements = targetRequirements(it);
     const auto &targets = m_state.registry.targets();
-    if (auto chosen = m_state.selector.choose(requirements, targets, m_state.residents(now), now))
-        return std::move(*chosen);
+    if (auto chosen = m_state.selector.choose(requirements, targets, m_state.residents(now), now)) {
+        if (m_admission.startTrial(it, now))
+            return std::move(*chosen);
+        if (now < it.deadline)
+            return std::nullopt;
+        return notRun(ErrorCode::Unavailable, "a part of the prompt is being tried",
+                      TrialRetryAfter);
+    }
     if (m_state.selector.isEvacuated(it.service->name, targets)) {
         m_state.metrics.count("bluebell_evacuated_refusals_total", {});
         return notRun(ErrorCode::Unavailable, "all data centres of the service are evacuated",
--- a/src/quarantine/crashevidence.cpp
+++ b/src/quarantine/crashevidence.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/crashevidence.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace bluebell {
@@ -171,23 +172,76 @@
     return report;
 }
 
-bool CrashEvidence::isExplained(const EndedRun &ended, const PromptPartId &part,
-                                const std::set<PromptPartId> &quarantined)
+std::set<PromptPartId> CrashEvidence::explaining(const PromptPartId &part,
+                                                 const std::set<PromptPartId> &quarantined) const
+{
+    std::set<PromptPartId> parts;
+    for (const auto &other : quarantined) {
+        const bool explainsLess =
+                explainsAllOf(part, other) && runsOf(part).size() > runsOf(other).size();
+        if (other != part && !explainsLess)
+            parts.insert(other);
+    }
+    return parts;
+}
+
+bool CrashEvidence::isExplained(const EndedRun &ended, const std::set<PromptPartId> &explaining)
 {
     return std::any_of(ended.suspects.begin(), ended.suspects.end(), [&](const auto &it) {
-        return it.first != part && !it.second.isCleared && quarantined.contains(it.first);
+        return !it.second.isCleared && explaining.contains(it.first);
     });
 }
 
+bool CrashEvidence::isExplainedWithout(const PromptPartId &part,
+                                       const std::vector<PromptPartId> &parts,
+                                       std::size_t maxCauses) const
+{
+    const auto runs = runsOf(part);
+    return !runs.empty()
+            && areExplained(runs, std::set<PromptPartId>(parts.begin(), parts.end()), maxCauses);
+}
+
+bool CrashEvidence::areExplained(const std::set<TargetRun> &runs,
+                                 const std::set<PromptPartId> &excluded,
+                                 std::size_t maxCauses) const
+{
+    if (runs.empty() || maxCauses == 0)
+        return runs.empty();
+    for (const auto &[part, suspect] : m_runs.at(*runs.begin()).suspects) {
+        if (suspect.isCleared || excluded.contains(part))
+            continue;
+        const auto explained = runsOf(part);
+        std::set<TargetRun> rest;
+        std::set_difference(runs.begin(), runs.end(), explained.begin(), explained.end(),
+                            std::inserter(rest, rest.end()));
+        if (areExplained(rest, excluded, maxCauses - 1))
+            return true;
+    }
+    return false;
+}
+
+bool CrashEvidence::explainsAllOf(const PromptPartId &part, const PromptPartId &other) const
+{
+    const auto own = runsOf(part);
+    const auto runs = runsOf(other);
+    return !runs.empty() && std::includes(own.begin(), own.end(), runs.begin(), runs.end());
+}
+
+std::set<TargetRun> CrashEvidence::runsOf(const PromptPartId &part) const
+{
+    const auto record = m_parts.find(part);
+    return record == m_parts.end() ? std::set<TargetRun>() : record->second.runs;
+}
+
 std::vector<const CrashEvidence::EndedRun *>
 CrashEvidence::unexplainedEnds(const PromptPartId &part,
                                const std::set<PromptPartId> &quarantined) const
 {
     std::vector<const EndedRun *> ends;
-    if (const auto record = m_parts.find(part); record != m_parts.end())
-        for (const auto &run : record->second.runs)
-            if (const auto &ended = m_runs.at(run); !isExplained(ended, part, quarantined))
-                ends.push_back(&ended);
+    const auto others = explaining(part, quarantined);
+    for (const auto &run : runsOf(part))
+        if (const auto &ended = m_runs.at(run); !isExplained(ended, others))
+            ends.push_back(&ended);
     std::sort(ends.begin(), ends.end(),
               [](const auto *a, const auto *b) { return a->endedAt < b->endedAt; });
     return ends;
--- a/src/quarantine/crashevidence.h
+++ b/src/quarantine/crashevidence.h
@@ -88,13 +88,26 @@
     [[nodiscard]] std::optional<CrashReport> report(const TargetRun &run, TimePoint now) const;
     /// \returns how strongly a part is suspected
     ///
-    /// \param quarantined parts whose crashes need no other explanation
+    /// \param quarantined parts whose crashes need no other explanation, unless `part` is suspected
+    /// of all of them and of more
     [[nodiscard]] Suspicion suspicion(const PromptPartId &part,
                                       const std::set<PromptPartId> &quarantined) const;
     /// \returns the parts that are suspected at least as strongly as `minimum`, the most likely
     /// cause first
     [[nodiscard]] std::vector<PromptPartId>
     suspects(const Suspicion &minimum, const std::set<PromptPartId> &quarantined) const;
+    /// \returns whether parts that a request doesn't contain explain all crashes of which `part` is
+    /// suspected, if any
+    ///
+    /// \param parts the request's parts
+    /// \param maxCauses how many other parts may explain them together
+    [[nodiscard]] bool isExplainedWithout(const PromptPartId &part,
+                                          const std::vector<PromptPartId> &parts,
+                                          std::size_t maxCauses) const;
+    /// \returns whether a part is suspected of all crashes of which `other` is suspected, if any
+    [[nodiscard]] bool explainsAllOf(const PromptPartId &part, const PromptPartId &other) const;
+    /// \returns the runs of whose end a part is suspected
+    [[nodiscard]] std::set<TargetRun> runsOf(const PromptPartId &part) const;
     /// \returns when the latest run ended of whose end the part is suspected
     [[nodiscard]] std::optional<TimePoint> latestCrash(const PromptPartId &part) const;
     [[nodiscard]] bool isEmpty() const noexcept { return m_runs.empty(); }
@@ -134,9 +147,18 @@
     void unlink(const TargetRun &run, const PromptPartId &part);
     void forget(const TargetRun &run);
     void boundRuns();
-    /// \returns whether a part in quarantine, other than `part`, is a suspect of the run's end
-    [[nodiscard]] static bool isExplained(const EndedRun &ended, const PromptPartId &part,
-                                          const std::set<PromptPartId> &quarantined);
+    /// \returns the parts in quarantine whose crashes need no explanation by `part`
+    [[nodiscard]] std::set<PromptPartId>
+    explaining(const PromptPartId &part, const std::set<PromptPartId> &quarantined) const;
+    /// \returns whether one of these parts is a suspect of the run's end
+    [[nodiscard]] static bool isExplained(const EndedRun &ended,
+                                          const std::set<PromptPartId> &explaining);
+
+    /// \returns whether at most `maxCauses` parts, none of them in `excluded`, explain the ends of
+    /// these runs
+    [[nodiscard]] bool areExplained(const std::set<TargetRun> &runs,
+                                    const std::set<PromptPartId> &excluded,
+                                    std::size_t maxCauses) const;
 
     std::map<TargetRun, EndedRun> m_runs;
     /// Parts that are suspected of the end of at least one run.
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -15,8 +15,11 @@
 
 } // namespace
 
-Duration Quarantine::trialInterval(const Verdict &verdict)
+Duration Quarantine::trialInterval(const PromptPartId &part, const Verdict &verdict) const
 {
+    const bool isUnproven = !verdict.isProven && !hasEvidence(part);
+    if (isUnproven && verdict.failedTrials == 0)
+        return UnprovenTrialDelay;
     constexpr std::uint32_t MaxDoublings = 6;
     const auto doublings = std::min(verdict.failedTrials, MaxDoublings);
     return std::min<Duration>(TrialInterval * (1U << doublings), MaxTrialInterval);
@@ -103,9 +106,13 @@
     if (!isNew)
         m_checksum ^= hashOf(verdict.part, known.generation, known.isLifted);
     m_checksum ^= hashOf(verdict.part, verdict.generation, verdict.isLifted);
-    known = {
-        verdict.generation, verdict.isLifted, verdict.failedTrials, now - verdict.age, now, {}
-    };
+    known = { verdict.generation,
+              verdict.isLifted,
+              verdict.failedTrials,
+              now - verdict.age,
+              now,
+              hasEvidence(verdict.part),
+              {} };
     noteVerdict(verdict.part, now);
     return true;
 }
@@ -152,12 +159,38 @@
         if (m_isRelay)
             noteNews(it.run, now);
     }
+    noteProven();
     // The sender lacks a verdict of this daemon, or this one lacks one of the sender.
-    if (update.checksum != 0 && update.checksum != m_checksum)
+    if (update.checksum != 0 && update.checksum != m_checksum) {
         m_verdictsUntil = now + RepeatTime;
+        repeatEvidence(now);
+    }
     return hasChanged;
 }
 
+void Quarantine::repeatEvidence(TimePoint now)
+{
+    for (const auto &part : m_quarantined)
+        for (const auto &run : m_evidence.runsOf(part))
+            noteNews(run, now);
+}
+
+void Quarantine::noteProven()
+{
+    for (const auto &part : m_quarantined)
+        if (hasEvidence(part))
+            m_verdicts.at(part).isProven = true;
+}
+
+bool Quarantine::lacksEvidence(TimePoint now) const
+{
+    return std::any_of(m_quarantined.begin(), m_quarantined.end(), [&](const auto &part) {
+        const auto &verdict = m_verdicts.at(part);
+        return !verdict.isProven && !hasEvidence(part)
+                && now - verdict.knownSince < CrashEvidence::RecordLifetime;
+    });
+}
+
 void Quarantine::update(TimePoint now)
 {
     m_evidence.expire(now);
@@ -180,28 +213,94 @@
         return true;
     auto &verdict = it->second;
     const bool isRunning = verdict.trialStartedAt && now - *verdict.trialStartedAt < TrialTimeout;
-    if (isRunning || now - verdict.since < trialInterval(verdict))
+    if (isRunning || now - verdict.since < trialInterval(part, verdict))
         return false;
     verdict.trialStartedAt = now;
     return true;
 }
 
+bool Quarantine::mayBeSound(const PromptPartId &part, const std::vector<PromptPartId> &parts) const
+{
+    // The first trial may have met another deadly part.
+    const bool hasFailedAgain = m_verdicts.at(part).failedTrials > 1;
+    return m_evidence.isExplainedWithout(part, parts, hasFailedAgain ? 1 : MaxCauses);
+}
+
+bool Quarantine::concerns(const PromptPartId &quarantined,
+                          const std::vector<PromptPartId> &parts) const
+{
+    return std::any_of(parts.begin(), parts.end(), [&](const auto &it) {
+        return it == quarantined || m_evidence.explainsAllOf(it, quarantined);
+    });
+}
+
+bool Quarantine::needsTrial(const std::vector<PromptPartId> &parts) const
+{
+    return std::any_of(m_quarantined.begin(), m_quarantined.end(),
+                       [&](const auto &it) { return concerns(it, parts); });
+}
+
+bool Quarantine::mayStartTrialOf(const std::vector<PromptPartId> &parts, const TrialTurn &turn,
+                                 TimePoint now) const
+{
+    std::optional<TimePoint> latest;
+    for (const auto &part : m_quarantined) {
+        if (!concerns(part, parts))
+            continue;
+        const auto &verdict = m_verdicts.at(part);
+        const bool isRunning =
+                verdict.trialStartedAt && now - *verdict.trialStartedAt < TrialTurnTime;
+        if (isRunning || now - verdict.knownSince < SoundTrialDelay)
+            return false;
+        latest = std::max(latest, std::optional(verdict.since));
+    }
+    return !latest || isTurn(turn, now - *latest);
+}
+
+bool Quarantine::isTurn(const TrialTurn &turn, Duration age)
+{
+    const auto inRound = age % (TrialTurnTime * static_cast<int>(turn.daemons));
+    const auto inTurn = inRound - TrialTurnTime * static_cast<int>(turn.rank);
+    return inTurn >= Duration::zero() && inTurn < TrialTurnTime / 2;
+}
+
+bool Quarantine::startTrialOf(const std::vector<PromptPartId> &parts, const TrialTurn &turn,
+                              TimePoint now)
+{
+    if (!mayStartTrialOf(parts, turn, now))
+        return false;
+    for (const auto &part : m_quarantined)
+        if (concerns(part, parts))
+            m_verdicts.at(part).trialStartedAt = now;
+    return true;
+}
+
 std::optional<QuarantinedPart> Quarantine::find(const std::vector<PromptPartId> &parts,
                                                 TimePoint now) const
 {
     if (m_quarantined.empty())
         return std::nullopt;
+    std::optional<QuarantinedPart> found;
     for (const auto &part : parts) {
         if (!m_quarantined.contains(part))
             continue;
-        const auto &verdict = m_verdicts.at(part);
-        const auto provisionalLeft = verdict.knownSince + ProvisionalTime - now;
-        if (provisionalLeft > Duration::zero())
-            return QuarantinedPart { part, provisionalLeft, true };
-        const auto trialLeft = verdict.since + trialInterval(verdict) - now;
-        return QuarantinedPart { part, std::max<Duration>(trialLeft, TrialTimeout), false };
+        auto it = describe(part, now);
+        it.mayBeSound = mayBeSound(part, parts);
+        if (!it.mayBeSound)
+            return it;
+        if (!found)
+            found = std::move(it);
     }
-    return std::nullopt;
+    return found;
+}
+
+QuarantinedPart Quarantine::describe(const PromptPartId &part, TimePoint now) const
+{
+    const auto &verdict = m_verdicts.at(part);
+    if (const auto left = verdict.knownSince + ProvisionalTime - now; left > Duration::zero())
+        return { part, left, true, false };
+    const auto trialLeft = verdict.since + trialInterval(part, verdict) - now;
+    return { part, std::max<Duration>(trialLeft, TrialTimeout), false, false };
 }
 
 bool Quarantine::forbidsRetry(const std::vector<PromptPartId> &parts) const
@@ -222,7 +321,8 @@
 QuarantineUpdate Quarantine::message(TimePoint now) const
 {
     QuarantineUpdate it;
-    it.checksum = m_checksum;
+    // Another value than theirs makes the others repeat what they know.
+    it.checksum = lacksEvidence(now) ? ~m_checksum : m_checksum;
     if (now < m_verdictsUntil)
         it.verdicts = verdicts(now);
     std::vector<std::pair<TimePoint, TargetRun>> news;
--- a/tests/quarantinesimulation.cpp
+++ b/tests/quarantinesimulation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace bluebell::testing {
 namespace {
@@ -10,25 +11,38 @@
 
 constexpr Duration Step = 2ms;
 constexpr Duration MessageInterval = 200ms;
+constexpr Duration DecisionInterval = 50ms;
 constexpr Duration RestartTime = 3s;
 /// The users' bound: see BUDGET in their rules.
 constexpr Duration StableTime = 3s;
 constexpr std::size_t CrashesOfBound = 5;
-constexpr double RequestsPerSecond = 40;
-constexpr int FirstParts = 4;
-constexpr int SessionParts = 60;
-const PromptPartId DeadlyPart("dead");
+constexpr std::size_t FirstParts = 4;
+constexpr std::size_t SessionParts = 60;
+/// How long a request waits for the end of a trial.
+constexpr Duration Patience = 10s;
+const PromptPartId CompanyFirstPart("fc");
+const PromptPartId CompanyPart("sc");
+
+PromptPartId deadlyPart(std::size_t n)
+{
+    return PromptPartId("dead" + std::to_string(n));
+}
 
 struct Request
 {
     std::vector<PromptPartId> parts;
     std::size_t daemon = 0;
     std::size_t target = 0;
+    TimePoint arrivedAt;
     TimePoint sentAt;
     TimePoint headAt;
     TimePoint beginsAt;
     TimePoint endsAt;
     bool isDeadly = false;
+    /// Whether it is sound and has the parts of the company.
+    bool isCompany = false;
+    /// Its number among those.
+    std::size_t number = 0;
     bool hasSurvived = false;
 };
 
@@ -49,11 +63,14 @@
     QuarantineOutcome play()
     {
         for (; m_now - m_start < m_world.length; m_now += Step) {
+            restart();
             arrive();
+            sendWaiting();
             crashAtRandom();
             advance();
-            for (auto &it : m_daemons)
-                it.update(m_now);
+            if (elapsed() % DecisionInterval == Duration::zero())
+                for (auto &it : m_daemons)
+                    it.update(m_now);
             if ((m_now - m_start) % MessageInterval == Duration::zero())
                 exchange();
         }
@@ -76,24 +93,77 @@
                 std::uniform_int_distribution<Duration::rep>(from.count(), to.count())(m_random));
     }
 
-    void arrive()
+    [[nodiscard]] Duration elapsed() const { return m_now - m_start; }
+
+    [[nodiscard]] Request draw()
     {
-        if (!happens(RequestsPerSecond * toSeconds(Step)))
-            return;
         Request it;
-        it.isDeadly = happens(m_world.deadlyShare);
-        it.parts = { PromptPartId("f" + std::to_string(below(FirstParts))),
-                     PromptPartId("s" + std::to_string(below(SessionParts))) };
+        it.arrivedAt = m_now;
+        const bool isPaused = elapsed() >= m_world.pauseFrom && elapsed() < m_world.pauseUntil;
+        it.isDeadly = happens(m_world.deadlyShare) && !isPaused;
+        it.isCompany = !it.isDeadly && happens(m_world.companyShare);
+        const bool hasCompany = it.isCompany || (it.isDeadly && elapsed() < m_world.companyTime);
+        const auto session =
+                hasCompany ? CompanyPart : PromptPartId("s" + std::to_string(below(SessionParts)));
+        it.parts = { hasCompany ? CompanyFirstPart
+                                : PromptPartId("f" + std::to_string(below(FirstParts))),
+                     session };
         if (it.isDeadly)
-            it.parts.push_back(DeadlyPart);
+            it.parts.insert(m_world.isDeadlyPartFirst ? std::prev(it.parts.end()) : it.parts.end(),
+                            deadlyPart(below(m_world.deadlyParts)));
         it.daemon = below(m_daemons.size());
-        auto &daemon = m_daemons[it.daemon];
-        daemon.noteArrival(it.parts);
+        if (m_world.areApart && it.isCompany)
+            it.daemon = m_daemons.size() - 1;
+        else if (m_world.areApart && it.isDeadly)
+            it.daemon = below(m_daemons.size() - 1);
+        return it;
+    }
+
+    void arrive()
+    {
+        if (!happens(m_world.requestsPerSecond * toSeconds(Step)))
+            return;
+        auto it = draw();
+        if (it.isCompany && elapsed() < m_world.soundFrom)
+            return;
+        m_daemons[it.daemon].noteArrival(it.parts);
         m_outcome.soundRequests += it.isDeadly ? 0 : 1;
-        if (daemon.find(it.parts, m_now)) {
-            m_outcome.refusedSoundRequests += it.isDeadly ? 0 : 1;
+        if (it.isCompany)
+            m_company.emplace_back(m_now, false);
+        it.number = m_company.size();
+        admit(std::move(it));
+    }
+
+    void refuse(const Request &it) { m_outcome.refusedSoundRequests += it.isDeadly ? 0 : 1; }
+
+    void admit(Request it)
+    {
+        auto &daemon = m_daemons[it.daemon];
+        const auto found = daemon.find(it.parts, m_now);
+        const bool isOld = it.daemon < m_world.oldDaemons;
+        if (found && (!found->mayBeSound || isOld)) {
+            if (it.daemon != 0 || !daemon.startTrial(found->part, m_now))
+                return refuse(it);
+        } else if (!isOld
+                   && !daemon.startTrialOf(it.parts, { it.daemon, m_daemons.size() }, m_now)) {
+            if (m_now - it.arrivedAt > Patience)
+                return refuse(it);
+            m_waiting.push_back(std::move(it));
             return;
         }
+        send(std::move(it));
+    }
+
+    void sendWaiting()
+    {
+        for (auto &it : std::exchange(m_waiting, {}))
+            admit(std::move(it));
+    }
+
+    void send(Request it)
+    {
+        if (it.isCompany)
+            m_company[it.number - 1].second = true;
         it.target = below(m_targets.size());
         if (m_now < m_targets[it.target].downUntil)
             return;
@@ -106,11 +176,29 @@
         m_requests.push_back(std::move(it));
     }
 
+    /// Starts daemons that have lost all but what is stored.
+    void restart()
+    {
+        if (!m_world.restartAt || elapsed() < *m_world.restartAt
+            || std::exchange(m_isRestarted, true))
+            return;
+        for (auto n = m_world.areAllLost ? 0 : m_daemons.size() - 1; n < m_daemons.size(); ++n) {
+            m_daemons[n] = {};
+            for (auto it : m_stored) {
+                it.age = {};
+                m_daemons[n].merge(it, m_now);
+            }
+            std::erase_if(m_requests, [&](const auto &it) { return it.daemon == n; });
+        }
+    }
+
     [[nodiscard]] bool areAllTold() const
     {
-        return std::all_of(m_daemons.begin(), m_daemons.end(), [&](const auto &it) {
-            return it.find({ DeadlyPart }, m_now).has_value();
-        });
+        for (const auto &it : m_daemons)
+            for (std::size_t n = 0; n < m_world.deadlyParts; ++n)
+                if (!it.find({ deadlyPart(n) }, m_now))
+                    return false;
+        return true;
     }
 
     void crashAtRandom()
@@ -147,7 +235,10 @@
     {
         for (const auto &it : m_requests)
             if (it.isDeadly && m_now >= it.beginsAt) {
-                if (++m_outcome.deadlyCrashes == CrashesOfBound)
+                ++m_outcome.deadlyCrashes;
+                if (m_outcome.deadlyCrashes <= CrashesOfBound)
+                    m_boundFrom = m_now;
+                if (m_outcome.deadlyCrashes == CrashesOfBound)
                     m_fifthCrashAt = m_now;
                 crash(it.target);
                 break;
@@ -163,12 +254,19 @@
 
     void exchange()
     {
+        const auto isCut = [&](std::size_t n) {
+            return n + 1 == m_daemons.size() && elapsed() < m_world.lastIsCutUntil;
+        };
+        m_stored.clear();
+        for (const auto &it : m_daemons.front().verdicts(m_now))
+            if (!it.isLifted)
+                m_stored.push_back(it);
         std::vector<QuarantineUpdate> messages;
         for (const auto &it : m_daemons)
             messages.push_back(it.message(m_now));
         for (std::size_t from = 0; from < m_daemons.size(); ++from)
             for (std::size_t to = 0; to < m_daemons.size(); ++to)
-                if (from != to && !happens(m_world.lossRate))
+                if (from != to && !isCut(from) && !isCut(to) && !happens(m_world.lossRate))
                     m_daemons[to].merge(messages[from], m_now);
     }
 
@@ -177,8 +275,14 @@
         m_outcome.isDeadlyPartQuarantined = areAllTold();
         for (const auto &daemon : m_daemons)
             for (const auto &it : daemon.verdicts(m_now))
-                if (!it.isLifted && it.part != DeadlyPart)
+                if (!it.isLifted && !it.part.value().starts_with("dead"))
                     m_outcome.soundPartsQuarantined.insert(it.part);
+        for (const auto &[arrivedAt, isSent] : m_company) {
+            if (!m_boundFrom || arrivedAt < *m_boundFrom + 2 * StableTime)
+                continue;
+            ++m_outcome.lateCompanyRequests;
+            m_outcome.lateCompanySends += isSent ? 1 : 0;
+        }
     }
 
     QuarantineWorld m_world;
@@ -186,7 +290,15 @@
     std::vector<Quarantine> m_daemons;
     std::vector<Target> m_targets;
     std::vector<Request> m_requests;
+    /// Requests that wait for the end of a trial.
+    std::vector<Request> m_waiting;
+    /// Arrivals of the company's sound requests, and whether they were sent.
+    std::vector<std::pair<TimePoint, bool>> m_company;
+    std::vector<QuarantineVerdict> m_stored;
+    bool m_isRestarted = false;
     std::optional<TimePoint> m_fifthCrashAt;
+    /// The fifth deadly crash, or the last one if there are fewer.
+    std::optional<TimePoint> m_boundFrom;
     TimePoint m_start { 1h };
     TimePoint m_now { 1h };
     QuarantineOutcome m_outcome;
--- a/tests/tst_adapter_deadlyparts.cpp
+++ b/tests/tst_adapter_deadlyparts.cpp
@@ -95,6 +95,26 @@
     EXPECT_EQ(crashCount(), crashes);
 }
 
+/// Guards against a sound part behind the deadly one that is refused in its place for good.
+TEST_F(DeadlyParts, DoNotKeepSoundRequestsOutThatShareAllTheirOtherParts)
+{
+    const std::string deadly = "c0:100,dead:30,5e:50,77:20";
+    start(3);
+    for (std::size_t n = 0; n < 3; ++n) {
+        request(n, "/chat/x", "key-1", with(deadly));
+        run(100ms);
+    }
+    run(600ms);
+    for (std::size_t n = 0; n < 2 * settings.size(); ++n)
+        EXPECT_EQ(request(n % settings.size(), "/chat/x", "key-1", with(SoundPrompt)), 200U);
+    run(500ms);
+    const auto crashes = crashCount();
+    for (std::size_t n = 0; n < settings.size(); ++n)
+        EXPECT_NE(request(n, "/chat/x", "key-1", with(deadly)), 200U);
+    EXPECT_EQ(crashCount(), crashes);
+    EXPECT_LE(crashes, MaxCrashes);
+}
+
 TEST_F(DeadlyParts, AreKnownToAGatewayThatStartsLater)
 {
     start(1);
--- a/tests/tst_quarantine.cpp
+++ b/tests/tst_quarantine.cpp
@@ -131,6 +131,92 @@
     EXPECT_FALSE(isQuarantined(quarantine, Common, 3s));
 }
 
+/// Guards against sound requests that are refused for good: crashes by a deadly part that comes
+/// with a sound one put the sound one into quarantine, and no response could show that it is sound.
+TEST(Quarantine, IsTriedSoonByRequestsWithoutAnEquallySuspectedPart)
+{
+    Quarantine quarantine;
+    crashThreeTimes(quarantine, { Common, Deadly, Session });
+    decide(quarantine, 700ms);
+    ASSERT_TRUE(isQuarantined(quarantine, Session, 1s));
+    const Parts sound { Common, Session };
+    EXPECT_TRUE(quarantine.find(sound, at(2s))->mayBeSound);
+    EXPECT_FALSE(quarantine.find({ Common, Deadly, Session }, at(2s))->mayBeSound);
+    EXPECT_TRUE(quarantine.startTrialOf(sound, {}, at(2s)));
+    EXPECT_FALSE(quarantine.startTrialOf(sound, {}, at(2s + 100ms)));
+    quarantine.noteSurvival(sound, at(2s + 100ms), at(2s + 200ms));
+    decide(quarantine, 2s + 200ms);
+    EXPECT_FALSE(quarantine.needsTrial(sound));
+    EXPECT_TRUE(isQuarantined(quarantine, Deadly, 3s));
+    EXPECT_FALSE(quarantine.find({ Deadly }, at(3s))->mayBeSound);
+}
+
+TEST(Quarantine, IsTriedByOneDaemonAtATime)
+{
+    Quarantine quarantine;
+    crashThreeTimes(quarantine, { Common, Deadly, Session });
+    decide(quarantine, 700ms);
+    constexpr std::size_t Daemons = 5;
+    std::vector<std::size_t> trials(Daemons);
+    for (auto when = 2s + 0ms; when < 2s + Daemons * Quarantine::TrialTurnTime; when += 50ms) {
+        std::size_t allowed = 0;
+        for (std::size_t n = 0; n < Daemons; ++n) {
+            // The part that stands out no more than the one in quarantine.
+            const bool mayStart = quarantine.mayStartTrialOf({ Deadly }, { n, Daemons }, at(when));
+            allowed += mayStart ? 1 : 0;
+            trials[n] += mayStart ? 1 : 0;
+        }
+        EXPECT_LE(allowed, 1U);
+    }
+    EXPECT_TRUE(std::all_of(trials.begin(), trials.end(), [](auto n) { return n > 0; }));
+}
+
+TEST(Quarantine, IsNotTriedAgainOnceATrialHasToldThePartsApart)
+{
+    Quarantine quarantine;
+    crashThreeTimes(quarantine, { Common, Session, Deadly });
+    decide(quarantine, 700ms);
+    ASSERT_TRUE(quarantine.startTrialOf({ Common, Deadly }, {}, at(2s)));
+    quarantine.noteCrash(attempt(7, ResponseStage::Starting, 2s + 100ms), { Common, Deadly },
+                         at(2s + 100ms));
+    EXPECT_FALSE(quarantine.find({ Common, Deadly }, at(5s))->mayBeSound);
+}
+
+TEST(Quarantine, TakesAPartThatExplainsMoreThanTheOneInQuarantine)
+{
+    Quarantine quarantine;
+    crashThreeTimes(quarantine, { Common, Deadly, Session });
+    decide(quarantine, 700ms);
+    ASSERT_TRUE(isQuarantined(quarantine, Session, 1s));
+    quarantine.noteCrash(attempt(7, ResponseStage::Starting, 2s), { Deadly }, at(2s));
+    decide(quarantine, 2s);
+    EXPECT_TRUE(isQuarantined(quarantine, Deadly, 3s));
+}
+
+TEST(Quarantine, TellsItsEvidenceToADaemonThatKnowsOnlyTheStoredVerdict)
+{
+    Quarantine quarantine;
+    Quarantine restarted;
+    crashThreeTimes(quarantine, { Common, Deadly, Session });
+    decide(quarantine, 700ms);
+    restarted.merge(QuarantineVerdict { Session, 1, false, 0, {} }, at(10s));
+    ASSERT_FALSE(restarted.find({ Common, Session }, at(10s))->mayBeSound);
+    quarantine.merge(restarted.message(at(10s)), at(10s));
+    restarted.merge(quarantine.message(at(10s)), at(10s));
+    EXPECT_TRUE(restarted.find({ Common, Session }, at(10s))->mayBeSound);
+    EXPECT_EQ(restarted.message(at(10s)).checksum, quarantine.message(at(10s)).checksum);
+}
+
+TEST(Quarantine, IsTriedSoonByTheLeaderIfNoDaemonHasItsEvidence)
+{
+    Quarantine quarantine;
+    quarantine.merge(QuarantineVerdict { Session, 1, false, 0, {} }, at(0s));
+    EXPECT_FALSE(quarantine.startTrial(Session, at(1s)));
+    EXPECT_TRUE(quarantine.startTrial(Session, at(Quarantine::UnprovenTrialDelay)));
+    quarantine.noteCrash(attempt(1, ResponseStage::Starting, 3s), { Session }, at(3s));
+    EXPECT_FALSE(quarantine.startTrial(Session, at(Quarantine::TrialInterval)));
+}
+
 TEST(Quarantine, CountsSurvivorsOnlyAgainstEarlierCrashes)
 {
     Quarantine quarantine;
