Serve waiting requests whose key another organisation holds now

Cause: a request kept the name of its organisation and took its key for withdrawn when the key's holder had another name. Running streams were cut to three quarters of their time by the same test.

Evidence: the line "key withdrawn under a request" names the version, in which the key is held. Ruled out: a moment in which nobody holds the key (one daemon, one change), other parts of the change (a request whose key is removed is denied before and after; a change without a move denies none).

Change: only a key that no organisation holds is withdrawn. Before each sending, also a retry, a resumption or a takeover, the request is given to the organisation that holds its key: name, priority and rate. What was reserved goes back to one and is asked of the other, which may answer 429. An attempt that runs ends as it is. The level of a token bucket goes on under a new name; counts begin anew, as sums of relays would jump.

--- a/programs/gateway/attempts.cpp
+++ b/programs/gateway/attempts.cpp
@@ -155,7 +155,8 @@
         return false;
     const auto other = takeoverTarget(it, now);
     const auto *target = other ? m_state.registry.find(*other) : nullptr;
-    if (target && budget.takeRetry())
+    const bool isStarted = target && budget.takeRetry() && m_admission.renewOrganisation(it);
+    if (isStarted)
         startTakeover(it, *target);
     return false;
 }
--- a/programs/gateway/attempts.h
+++ b/programs/gateway/attempts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/gatewaystate.h"
+#include "gateway/requestadmission.h"
 #include "gateway/requestcontext.h"
 #include "gateway/responserelay.h"
 #include "gateway/takeover.h"
@@ -22,7 +23,7 @@
 {
 public:
     Attempts(boost::asio::any_io_executor executor, GatewayState &state)
-        : m_executor(std::move(executor)), m_state(state), m_relay(state)
+        : m_executor(std::move(executor)), m_state(state), m_admission(state), m_relay(state)
     {
     }
 
@@ -75,6 +76,7 @@
 
     boost::asio::any_io_executor m_executor;
     GatewayState &m_state;
+    RequestAdmission m_admission;
     ResponseRelay m_relay;
 };
 
--- a/programs/gateway/gatewaystate.cpp
+++ b/programs/gateway/gatewaystate.cpp
@@ -206,6 +206,16 @@
     return it;
 }
 
+void GatewayState::renameRates(const SiteIndex &before, TimePoint now)
+{
+    for (const auto &[name, former] : renamedOrganisations(before, *index)) {
+        const auto known = rates.find(former);
+        // The other daemons' counts begin anew under the new name.
+        if (auto *renamed = knownRate(name, now); renamed && known != rates.end())
+            renamed->adoptLevel(known->second.level(now), now);
+    }
+}
+
 RetryBudget &GatewayState::retryBudgetOf(const ServiceId &service)
 {
     return retryBudgets.try_emplace(service, RetryBudgetPerDaemon).first->second;
--- a/programs/gateway/gatewaystate.h
+++ b/programs/gateway/gatewaystate.h
@@ -130,6 +130,11 @@
     [[nodiscard]] std::size_t daemonsHeard(TimePoint now) const;
     /// \returns this daemon's place in the order of trials
     [[nodiscard]] TrialTurn trialTurn() const;
+    /// Keeps the levels of the token buckets of organisations that have another name in the new
+    /// configuration, so that a new name brings no new burst.
+    ///
+    /// \param before the configuration before
+    void renameRates(const SiteIndex &before, TimePoint now);
     /// \returns the token bucket of an organisation that has a limit
     [[nodiscard]] SharedRate &rateOf(const SiteOrganisation &organisation, TimePoint now);
     [[nodiscard]] RetryBudget &retryBudgetOf(const ServiceId &service);
--- a/programs/gateway/requestadmission.cpp
+++ b/programs/gateway/requestadmission.cpp
@@ -6,6 +6,7 @@
 #include "rate/usefulreturn.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bluebell::gateway {
 namespace {
@@ -16,6 +17,14 @@
 /// events of a stream arrive as they are made.
 constexpr Duration DeadlineMargin = milliseconds(20);
 
+/// \returns the priority that a request of its organisation has on its route
+int priorityOf(const RequestContext &it, const SiteIndex &index)
+{
+    const auto *organisation = index.findOrganisation(it.organisation);
+    const auto own = organisation ? organisation->priority : std::nullopt;
+    return own.value_or(it.route->priority);
+}
+
 } // namespace
 
 Result<void> RequestAdmission::resolve(RequestContext &it) const
@@ -26,14 +35,13 @@
     it.route = it.index->findRoute(it.caller.host, it.caller.path);
     if (!it.route)
         return makeError(ErrorCode::NotFound, "no route for this host and path");
-    it.priority = it.route->priority;
     if (it.index->hasOrganisations() && !it.route->allowsAnonymous) {
         const auto *organisation = it.index->findOrganisation(it.caller.key);
         if (it.caller.key.empty() || !organisation)
             return makeError(ErrorCode::Unauthenticated, "the key is not known");
         it.organisation = organisation->name;
-        it.priority = organisation->priority.value_or(it.priority);
     }
+    it.priority = priorityOf(it, *it.index);
     const auto *name = chooseService(*it.route, stableHash(it.caller.attempt.value()));
     it.service = name ? it.index->findService(*name) : nullptr;
     if (!it.service)
@@ -84,7 +92,7 @@
 {
     if (it.organisation.isEmpty())
         return BOOST_OUTCOME_V2_NAMESPACE::success();
-    const auto *organisation = it.index->findOrganisation(it.organisation);
+    const auto *organisation = m_state.index->findOrganisation(it.organisation);
     if (!organisation || !organisation->limit)
         return BOOST_OUTCOME_V2_NAMESPACE::success();
     const auto now = BootClock::now();
@@ -106,6 +114,7 @@
                 usefulReturn(*wait, it.route->latencyGoal, stableHash(it.caller.attempt.value())));
     }
     it.reserved = tokens;
+    it.runsBeforeReservation = it.runs;
     if (rate.isLow(now)) {
         m_state.statusDue.notify();
         m_state.reportDue.notify();
@@ -113,13 +122,45 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
-void RequestAdmission::refundRate(const RequestContext &it)
+bool RequestAdmission::isKeyHeld(const RequestContext &it) const
+{
+    if (it.organisation.isEmpty() || m_state.index->findOrganisation(it.caller.key))
+        return true;
+    const auto *route = m_state.index->findRoute(it.caller.host, it.caller.path);
+    return !m_state.index->hasOrganisations() || (route && route->allowsAnonymous);
+}
+
+Result<void> RequestAdmission::renewOrganisation(RequestContext &it)
+{
+    if (it.organisation.isEmpty())
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    const auto *holder = m_state.index->findOrganisation(it.caller.key);
+    const auto name = holder ? holder->name : OrganisationId();
+    if (name == it.organisation || !isKeyHeld(it))
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    log::info("key of a request held by another organisation",
+              { { "request", it.caller.attempt.value() },
+                { "organisation", name.value() },
+                { "before", it.organisation.value() },
+                { "config", std::to_string(m_state.index->version()) },
+                { "sends", std::to_string(it.sends) } });
+    // An attempt that is under way may run.
+    if (it.latest.isCounted)
+        it.reserved = 0;
+    refundRate(it);
+    it.organisation = name;
+    it.priority = priorityOf(it, *m_state.index);
+    return reserveRate(it);
+}
+
+void RequestAdmission::refundRate(RequestContext &it)
 {
-    if (it.reserved == 0 || it.runs > 0)
+    const auto tokens = std::exchange(it.reserved, 0);
+    if (tokens == 0 || it.runs > it.runsBeforeReservation)
         return;
     const auto rate = m_state.rates.find(it.organisation);
     if (rate != m_state.rates.end())
-        rate->second.refund(it.reserved);
+        rate->second.refund(tokens);
 }
 
 } // namespace bluebell::gateway
--- a/programs/gateway/requestadmission.h
+++ b/programs/gateway/requestadmission.h
@@ -35,8 +35,19 @@
     /// \returns RateLimited if the rate is used up
     [[nodiscard]] Result<void> reserveRate(RequestContext &it);
 
-    /// Refunds the reserved tokens if no target has executed the request.
-    void refundRate(const RequestContext &it);
+    /// Refunds the reserved tokens if no target has executed the request since they were taken.
+    void refundRate(RequestContext &it);
+
+    /// \returns whether the configuration in force allows requests with the request's key, whatever
+    /// organisation holds it
+    [[nodiscard]] bool isKeyHeld(const RequestContext &it) const;
+
+    /// Gives a request that is about to be sent to the organisation that holds its key now. Tokens
+    /// that were taken for it from another one are refunded and taken anew. An attempt that has run
+    /// stays counted at the organisation for which it was sent.
+    ///
+    /// \returns RateLimited if the rate is used up
+    [[nodiscard]] Result<void> renewOrganisation(RequestContext &it);
 
 private:
     GatewayState &m_state;
--- a/programs/gateway/requestcontext.h
+++ b/programs/gateway/requestcontext.h
@@ -101,11 +101,13 @@
     /// Body of `http`, which attempts at targets send without a copy.
     std::shared_ptr<const std::string> body;
     CallerRequest caller;
-    /// Configuration that applies to the request; newer versions do not affect it.
+    /// Configuration in force at the arrival: its route and service apply to the request whatever
+    /// newer versions say. Its key must be held by an organisation in every version.
     std::shared_ptr<const SiteIndex> index;
     const Route *route = nullptr;
     const Service *service = nullptr;
-    /// Empty on routes that need no key.
+    /// The organisation that held the key when the request was last sent, or has arrived. Empty on
+    /// routes that need no key.
     OrganisationId organisation;
     int priority = 5;
     TimePoint receivedAt;
@@ -116,6 +118,8 @@
     bool isKeyWithdrawn = false;
     /// Tokens taken from the organisation's rate limit.
     Tokens reserved = 0;
+    /// Value of `runs` when they were taken.
+    std::uint32_t runsBeforeReservation = 0;
     /// Set when the rate limit rejected the request.
     std::optional<RateLimitDetails> rateDetails;
     /// Attempts that the target started, or may have started, to execute.
--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -45,6 +45,8 @@
         return notRun(ErrorCode::Unavailable, "the daemon is stopping", Duration::zero());
     if (auto allowed = m_admission.checkQuarantine(it); !allowed)
         return allowed.error();
+    if (auto renewed = renewOrganisation(it); !renewed)
+        return renewed.error();
     const auto requirements = targetRequirements(it);
     const auto &targets = m_state.registry.targets();
     if (auto chosen = m_state.selector.choose(requirements, targets, m_state.residents(now), now)) {
@@ -87,6 +89,15 @@
                   *retryAfter);
 }
 
+Result<void> RequestProxy::renewOrganisation(RequestContext &it)
+{
+    const auto before = it.priority;
+    auto renewed = m_admission.renewOrganisation(it);
+    if (it.wait && it.priority != before)
+        m_state.demand.endWait(*std::exchange(it.wait, std::nullopt));
+    return renewed;
+}
+
 asio::awaitable<Result<TargetId>> RequestProxy::awaitTarget(RequestContext &it)
 {
     for (;;) {
@@ -311,10 +322,7 @@
 {
     const auto now = BootClock::now();
     m_active.forEach([&](RequestContext &it) {
-        if (it.organisation.isEmpty() || it.isKeyWithdrawn)
-            return;
-        const auto *organisation = m_state.index->findOrganisation(it.caller.key);
-        if (organisation && organisation->name == it.organisation)
+        if (it.isKeyWithdrawn || m_admission.isKeyHeld(it))
             return;
         it.isKeyWithdrawn = true;
         log::info("key withdrawn under a request",
--- a/programs/gateway/requestproxy.h
+++ b/programs/gateway/requestproxy.h
@@ -31,7 +31,8 @@
     [[nodiscard]] boost::asio::awaitable<void> handle(const HttpRequest &request,
                                                       HttpResponder &responder);
 
-    /// Ends requests whose key is no longer valid in the new configuration.
+    /// Ends requests whose key is no longer valid in the new configuration. A key that another
+    /// organisation holds now is valid.
     ///
     /// Requests that were not sent to a target are cancelled immediately. The deadline of the
     /// others is cut to three quarters of their callers' time, but not below a grace period.
@@ -77,6 +78,10 @@
     /// \returns whether the leader may still find a target that loads the request's model sooner
     /// than a hold-off ends
     [[nodiscard]] bool mayBeLoadedElsewhere(const RequestContext &it, TimePoint now) const;
+    /// Gives a request that is about to be sent to the organisation that holds its key now.
+    ///
+    /// \returns an error if that one's rate is used up
+    [[nodiscard]] Result<void> renewOrganisation(RequestContext &it);
     /// Sends the error response of a request that has got no response yet.
     ///
     /// \returns what the caller has got
--- a/programs/gateway/siteupdates.cpp
+++ b/programs/gateway/siteupdates.cpp
@@ -36,7 +36,10 @@
     const auto known = m_state.index ? m_state.index->version() : 0;
     if (config.value().version <= known)
         return false;
-    m_state.index = std::make_shared<const SiteIndex>(std::move(config.value()));
+    const auto before = std::exchange(m_state.index,
+                                      std::make_shared<const SiteIndex>(std::move(config.value())));
+    if (before)
+        m_state.renameRates(*before, BootClock::now());
     m_state.rawConfig = text;
     log::info("configuration in force",
               { { "version", std::to_string(m_state.index->version()) },
--- a/src/site/siteindex.cpp
+++ b/src/site/siteindex.cpp
@@ -3,6 +3,7 @@
 #include "core/digest.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace bluebell {
@@ -44,7 +45,12 @@
 
 const SiteOrganisation *SiteIndex::findOrganisation(std::string_view key) const
 {
-    const auto it = m_keys.find(digestOfKey(key).value());
+    return findHolder(digestOfKey(key));
+}
+
+const SiteOrganisation *SiteIndex::findHolder(const KeyDigest &key) const
+{
+    const auto it = m_keys.find(key.value());
     return it == m_keys.end() ? nullptr : &m_config.organisations[it->second];
 }
 
@@ -61,6 +67,26 @@
     return it == m_config.services.end() ? nullptr : &it->second;
 }
 
+std::map<OrganisationId, OrganisationId> renamedOrganisations(const SiteIndex &before,
+                                                              const SiteIndex &after)
+{
+    std::map<OrganisationId, OrganisationId> renamed;
+    std::set<OrganisationId> taken;
+    for (const auto &it : after.config().organisations) {
+        if (before.findOrganisation(it.name))
+            continue;
+        for (const auto &key : it.keys) {
+            const auto *former = before.findHolder(key);
+            if (!former || after.findOrganisation(former->name)
+                || !taken.insert(former->name).second)
+                continue;
+            renamed.emplace(it.name, former->name);
+            break;
+        }
+    }
+    return renamed;
+}
+
 const ServiceId *chooseService(const Route &route, std::uint64_t randomValue)
 {
     std::uint64_t sum = 0;
--- a/src/site/siteindex.h
+++ b/src/site/siteindex.h
@@ -2,6 +2,7 @@
 
 #include "site/siteconfig.h"
 
+#include <map>
 #include <memory>
 #include <string_view>
 #include <unordered_map>
@@ -29,6 +30,9 @@
     /// \returns the organisation of the key, or null
     [[nodiscard]] const SiteOrganisation *findOrganisation(std::string_view key) const;
 
+    /// \returns the organisation that holds the key with this digest, or null
+    [[nodiscard]] const SiteOrganisation *findHolder(const KeyDigest &key) const;
+
     /// \returns the organisation with this name, or null
     [[nodiscard]] const SiteOrganisation *findOrganisation(const OrganisationId &name) const;
 
@@ -49,6 +53,13 @@
     std::unordered_map<std::string, std::size_t> m_keys;
 };
 
+/// Finds the organisations that only have another name in a newer configuration: the name is new,
+/// the former one is gone, and they have a key in common.
+///
+/// \returns the former name, by new name
+[[nodiscard]] std::map<OrganisationId, OrganisationId> renamedOrganisations(const SiteIndex &before,
+                                                                            const SiteIndex &after);
+
 /// Chooses one of a route's services at random, in proportion to their weights.
 ///
 /// \param randomValue a uniformly distributed random number
--- a/tests/tst_site.cpp
+++ b/tests/tst_site.cpp
@@ -55,6 +55,27 @@
     EXPECT_EQ(index.findRoute("shop.example", "/b?x=/a/"), nullptr);
 }
 
+TEST(SiteIndex, TellsANewNameFromANewOrganisation)
+{
+    const auto organisation = [](const std::string &name, const std::vector<std::string> &keys) {
+        SiteOrganisation it;
+        it.name = OrganisationId(name);
+        for (const auto &key : keys)
+            it.keys.push_back(digestOfKey(key));
+        return it;
+    };
+    SiteConfig before;
+    before.organisations = { organisation("a", { "1", "2" }), organisation("b", { "3" }),
+                             organisation("c", { "4" }) };
+    SiteConfig after;
+    // The second one that has a key of `a` is new, `b` has taken over from `c`.
+    after.organisations = { organisation("a2", { "2" }), organisation("a3", { "1" }),
+                            organisation("b", { "3", "4" }), organisation("d", { "5" }) };
+    const std::map<OrganisationId, OrganisationId> expected { { OrganisationId("a2"),
+                                                                OrganisationId("a") } };
+    EXPECT_EQ(renamedOrganisations(SiteIndex(before), SiteIndex(after)), expected);
+}
+
 TEST(SiteIndex, FindsOrganisationsByKey)
 {
     SiteConfig config;
