Lift a quarantine that another daemon renews while responses go on

Change: a quarantine is lifted when three of its crashes are cleared and the others don't suffice. A deadly part's crashes are never cleared by a response; three of them by signs of life at once are not to be expected.

--- a/src/quarantine/crashevidence.cpp
+++ b/src/quarantine/crashevidence.cpp
@@ -233,6 +233,15 @@
     return record == m_parts.end() ? std::set<TargetRun>() : record->second.runs;
 }
 
+std::size_t CrashEvidence::clearedCount(const PromptPartId &part) const
+{
+    return static_cast<std::size_t>(std::count_if(m_runs.begin(), m_runs.end(), [&](auto &it) {
+        const auto &suspects = it.second.suspects;
+        const auto suspect = suspects.find(part);
+        return suspect != suspects.end() && suspect->second.isCleared;
+    }));
+}
+
 std::vector<const CrashEvidence::EndedRun *>
 CrashEvidence::unexplainedEnds(const PromptPartId &part,
                                const std::set<PromptPartId> &quarantined) const
--- a/src/quarantine/crashevidence.h
+++ b/src/quarantine/crashevidence.h
@@ -108,6 +108,8 @@
     [[nodiscard]] bool explainsAllOf(const PromptPartId &part, const PromptPartId &other) const;
     /// \returns the runs of whose end a part is suspected
     [[nodiscard]] std::set<TargetRun> runsOf(const PromptPartId &part) const;
+    /// \returns the number of runs of whose end a part was suspected until it was cleared
+    [[nodiscard]] std::size_t clearedCount(const PromptPartId &part) const;
     /// \returns when the latest run ended of whose end the part is suspected
     [[nodiscard]] std::optional<TimePoint> latestCrash(const PromptPartId &part) const;
     [[nodiscard]] bool isEmpty() const noexcept { return m_runs.empty(); }
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -84,6 +84,15 @@
         m_verdictsUntil = now + RepeatTime;
 }
 
+void Quarantine::liftRefuted(TimePoint now)
+{
+    const auto quarantined = m_quarantined;
+    for (const auto &part : quarantined)
+        if (m_evidence.clearedCount(part) >= MinSuspicion.crashes
+            && !m_evidence.suspicion(part, {}).reaches(MinSuspicion))
+            lift(part, now);
+}
+
 void Quarantine::convict(const PromptPartId &part, TimePoint now)
 {
     QuarantineVerdict verdict { part, 1, false, 0, {} };
@@ -195,6 +204,7 @@
 {
     m_evidence.expire(now);
     std::erase_if(m_newsUntil, [&](const auto &it) { return it.second < now; });
+    liftRefuted(now);
     const auto suspects = m_evidence.suspects(MinSuspicion, m_quarantined);
     std::erase_if(m_candidates, [&](const auto &it) {
         return std::find(suspects.begin(), suspects.end(), it.first) == suspects.end();
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -180,6 +180,9 @@
     {
         return m_evidence.latestCrash(part).has_value();
     }
+    /// Lifts quarantines that another daemon has renewed while responses with the part went on:
+    /// their crashes but the latest ones have been cleared.
+    void liftRefuted(TimePoint now);
     /// \returns whether evidence may be missing here that other daemons have
     [[nodiscard]] bool lacksEvidence(TimePoint now) const;
     /// \returns whether a request contains a part in quarantine, or another one that is suspected
--- a/tests/tst_quarantine.cpp
+++ b/tests/tst_quarantine.cpp
@@ -193,6 +193,30 @@
     EXPECT_TRUE(isQuarantined(quarantine, Deadly, 3s));
 }
 
+TEST(Quarantine, IsLiftedAlthoughAnotherDaemonHasRenewedItMeanwhile)
+{
+    Quarantine one;
+    Quarantine other;
+    crashThreeTimes(one, { Common, Deadly, Session });
+    decide(one, 700ms);
+    other.merge(one.message(at(950ms)), at(950ms));
+    const Parts sound { Common, Session };
+    ASSERT_TRUE(one.startTrialOf(sound, {}, at(2s)));
+    ASSERT_TRUE(other.startTrialOf(sound, {}, at(2s)));
+    // Its target ends for another reason.
+    other.noteCrash(attempt(8, ResponseStage::Starting, 2s + 150ms), sound, at(2s + 150ms));
+    one.noteSurvival(sound, at(2s + 100ms), at(2s + 200ms));
+    const auto renewed = other.message(at(2s + 250ms));
+    const auto lifted = one.message(at(2s + 250ms));
+    one.merge(renewed, at(2s + 300ms));
+    other.merge(lifted, at(2s + 300ms));
+    for (auto *it : { &one, &other }) {
+        decide(*it, 2s + 300ms);
+        EXPECT_FALSE(isQuarantined(*it, Session, 3s));
+        EXPECT_TRUE(isQuarantined(*it, Deadly, 3s));
+    }
+}
+
 TEST(Quarantine, TellsItsEvidenceToADaemonThatKnowsOnlyTheStoredVerdict)
 {
     Quarantine quarantine;
