Put the stand-ins of all cases together and renumber the cases

The stand-ins have engines, links that can be cut and several machines, which cases 11 to 13 need. The case on a request inside another one's body is gone, as review/6 shows it already.

--- a/review/standin-3/standin.h
+++ b/review/standin-3/standin.h
@@ -68,6 +68,8 @@
     [[nodiscard]] int readResponse(std::string &head, std::string &body, double seconds);
     /// \returns whether the other side has closed the connection
     [[nodiscard]] bool isClosed() const;
+    /// \returns whether the other side has reset the connection
+    [[nodiscard]] bool isReset() const;
     void close();
     /// Closes the connection with a reset.
     void reset();
@@ -183,11 +185,78 @@
     std::thread m_beats;
 };
 
+/// A connection between two programs that can be cut, as by a partition: bytes and new channels
+/// wait.
+class Link
+{
+public:
+    explicit Link(int port);
+    [[nodiscard]] int port() const { return m_port; }
+    void cut() { m_isCut = true; }
+    void heal() { m_isCut = false; }
+
+private:
+    void accept();
+    void pass(int from, int to) const;
+
+    int m_target;
+    int m_fd = -1;
+    int m_port = 0;
+    std::atomic<bool> m_isCut = false;
+};
+
+/// An order as it has arrived at an engine.
+struct Order
+{
+    double at = 0;
+    std::string holder;
+    std::uint64_t fence = 0;
+    std::string text;
+};
+
+/// A model server that holds one model at a time and registers itself in the store.
+class Engine
+{
+public:
+    Engine(Store &store, Record &record, std::string id);
+    /// Called with each order before it arrives; returns the time for which the network holds it.
+    std::function<double(const std::string &holder)> delay;
+    [[nodiscard]] std::vector<Order> orders() const;
+    /// Makes the engine stand still when the next order comes, as a process does that is paused: it
+    /// sends nothing, and sees what has come meanwhile when it goes on.
+    void fallSilentAtNextOrder(double seconds) { m_nextSilence = seconds; }
+
+private:
+    void handle(const Request &request, Channel &channel);
+    void handleOrder(const Request &request, Channel &channel);
+    void finishOrder();
+    [[nodiscard]] json state() const;
+    void beat();
+
+    Store &m_store;
+    Record &m_record;
+    std::string m_id;
+    std::uint64_t m_born;
+    std::atomic<double> m_nextSilence = 0;
+    std::atomic<double> m_silentUntil = 0;
+    mutable std::mutex m_mutex;
+    std::set<std::string> m_models { "m0" };
+    std::string m_pendingModel;
+    bool m_isPendingLoad = false;
+    double m_pendingUntil = 0;
+    std::uint64_t m_sequence = 0;
+    std::vector<Order> m_orders;
+    std::unique_ptr<Server> m_server;
+    std::thread m_beats;
+};
+
 /// A gateway process with a settings file in a temporary folder.
 class Gateway
 {
 public:
-    Gateway(const std::string &program, const std::string &folder, const Store &store, int number);
+    /// \param name the machine's name
+    Gateway(std::string program, const std::string &folder, int storePort, const std::string &name,
+            bool isFirstStart = true);
     ~Gateway();
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
@@ -206,9 +275,11 @@
     int m_pid = -1;
 };
 
-/// \returns the configuration with one plain service and the routes /order/ (non-idempotent),
-/// /look/ (idempotent) and /open/ (idempotent, without keys)
+/// \returns the configuration with one plain service and the routes /order/ (non-idempotent) and
+/// /look/ (idempotent)
 json siteConfig(std::uint64_t version);
+/// \returns the same with a service of engines and the route /chat/ (a stream)
+json engineConfig(std::uint64_t version);
 
 void sleepMs(int ms);
 
