Let the execution of a request decide the status of an error

Callers saw 429 or 503, which promise that nothing ran, for requests that a target may have executed: a rate that was used up before another attempt of a repeatable request brought 429 (the gateway), and every failed call brought 503 with "outcome_unknown" in its body (the entry daemon). Cause: the status followed from the error's code, and each place that sent an error had to remember the exceptions. Change: httpStatus() takes the whole error; a status that promises needs Execution::NotRun, all others get 502. What ends a request of the gateway after several attempts is decided in one place, and such an error names no time to come back. Ruled out by reading: refusals of requests that were not read (nothing was sent), cut responses and the memory bound (502 before, too), exceptions (502 once an attempt has begun).

--- a/programs/gateway/requestproxy.cpp
+++ b/programs/gateway/requestproxy.cpp
@@ -204,12 +204,8 @@
         const auto waitStartedAt = BootClock::now();
         auto target = co_await awaitTarget(it);
         it.waited += BootClock::now() - waitStartedAt;
-        if (!target) {
-            auto error = target.error();
-            if (it.runs > 0)
-                error.execution = Execution::OutcomeUnknown;
-            co_return error;
-        }
+        if (!target)
+            co_return target.error();
         const auto id = target.value();
         auto attempted = m_attempts.run(it, id, responder);
         auto result = co_await std::move(attempted);
@@ -227,8 +223,6 @@
             if (isSent)
                 co_return BOOST_OUTCOME_V2_NAMESPACE::success();
         }
-        if (it.runs > 0)
-            result.error.execution = Execution::OutcomeUnknown;
         const auto now = BootClock::now();
         noteHoldOff(it, now);
         if (it.holdOffEnd && result.error.retryAfter)
@@ -261,6 +255,9 @@
     const auto watch = it.cancel->add([this] { m_state.stateChanged.notify(); });
     auto served = serve(it, responder);
     result = co_await std::move(served);
+    // Whatever has ended the request: one of its attempts may have run.
+    if (!result && it.runs > 0)
+        result = withUnknownOutcome(std::move(result.error()));
     it.cancel->remove(watch);
     m_admission.refundRate(it);
     co_return result;
--- a/src/core/result.cpp
+++ b/src/core/result.cpp
@@ -6,6 +6,12 @@
 namespace bluebell {
 namespace {
 
+constexpr unsigned StatusRequestTimeout = 408;
+constexpr unsigned StatusMisdirected = 421;
+constexpr unsigned StatusTooManyRequests = 429;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+
 struct CodeEntry
 {
     std::string_view name;
@@ -51,9 +57,17 @@
     return "outcome_unknown";
 }
 
-unsigned httpStatus(ErrorCode code) noexcept
+bool promisesNotRun(unsigned status) noexcept
+{
+    return status == StatusRequestTimeout || status == StatusMisdirected
+            || status == StatusTooManyRequests || status == StatusUnavailable;
+}
+
+unsigned httpStatus(const Error &error) noexcept
 {
-    return Codes.at(static_cast<std::size_t>(code)).status;
+    const auto status = Codes.at(static_cast<std::size_t>(error.code)).status;
+    const bool isTrue = error.execution == Execution::NotRun || !promisesNotRun(status);
+    return isTrue ? status : StatusBadGateway;
 }
 
 Error makeError(ErrorCode code, std::string message)
@@ -61,4 +75,11 @@
     return Error { code, std::move(message), Execution::NotRun, std::nullopt };
 }
 
+Error withUnknownOutcome(Error error)
+{
+    error.execution = Execution::OutcomeUnknown;
+    error.retryAfter.reset();
+    return error;
+}
+
 } // namespace bluebell
--- a/src/core/result.h
+++ b/src/core/result.h
@@ -70,10 +70,18 @@
 /// \returns `not_run`, `ran` or `outcome_unknown`
 [[nodiscard]] std::string_view toString(Execution execution) noexcept;
 
-/// \returns the HTTP status code for `code`
-[[nodiscard]] unsigned httpStatus(ErrorCode code) noexcept;
+/// \returns whether an HTTP status promises the caller that its request was not executed and will
+/// not be: 408, 421, 429 or 503. A caller may send a request that must not run twice again after it
+[[nodiscard]] bool promisesNotRun(unsigned status) noexcept;
+
+/// \returns the HTTP status code for `error`; one that promises that the request was not executed
+/// only for Execution::NotRun, and 502 in its place for others
+[[nodiscard]] unsigned httpStatus(const Error &error) noexcept;
 
 /// Makes an Error of a request that reached no target; sets no retry time.
 [[nodiscard]] Error makeError(ErrorCode code, std::string message);
 
+/// \returns `error` as that of a request that a target may have executed, without a retry time
+[[nodiscard]] Error withUnknownOutcome(Error error);
+
 } // namespace bluebell
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -97,7 +97,7 @@
                                 { "request_id", requestId },
                                 { "execution", toString(error.execution) } } } };
     HttpResponse response;
-    response.status = httpStatus(error.code);
+    response.status = httpStatus(error);
     if (error.retryAfter) {
         const auto seconds = std::max(1.0, std::ceil(toSeconds(*error.retryAfter)));
         response.headers.push_back(
