Await the other target when a silent one refuses the request

A repeatable request is silent at one target, and another is asked to take it over. If the silent one then refuses it (X-Not-Executed), the first bytes of the refusal ended the takeover: the other target's run was cancelled, and the request was sent to it once more; at the request's deadline the caller could be told that nothing had run. Cause: any byte of the silent target counted as its going on, before its head was judged. Change: a takeover is dropped when the head has passed its check; after a refusal it is awaited as after a failure. One that is dropped undecided counts as a run. Evidence: RefusedTakeovers.TheOtherTargetsResponseIsPassedOn failed on the code before (two runs at the other target in place of one) and passes. RefusedTakeovers.ARequestThatTheOtherTargetMayHaveRunIsNotRefusedAsNotRun passed before, too: it guards the waiting that is new. The raw target of the tests of odd statuses is shared now.

--- a/programs/gateway/attempts.cpp
+++ b/programs/gateway/attempts.cpp
@@ -82,7 +82,8 @@
 {
     auto first = runAtOneTarget(it, std::move(target), responder);
     auto result = co_await std::move(first);
-    while (result.outcome == AttemptOutcome::Failed) {
+    // Also after a refusal: a target that was asked meanwhile may be executing the request.
+    while (result.outcome == AttemptOutcome::Failed || result.outcome == AttemptOutcome::NotRun) {
         const bool isTakenOver = co_await awaitTakeover(it);
         if (!isTakenOver)
             break;
@@ -111,6 +112,8 @@
     else
         result = noteNoResponse(it, it.latest, stream.error());
     if (!result) {
+        // A response that refuses the request would have left it to the other target.
+        dropTakeover(it);
         auto relayed = relay(it, std::move(stream.value()), responder);
         result = co_await std::move(relayed);
     }
@@ -121,7 +124,11 @@
 asio::awaitable<AttemptResult> Attempts::relay(RequestContext &it, HttpStream stream,
                                                HttpResponder &responder)
 {
-    const auto silence = silencePolicy(it, streamSilenceLimit(callersPatience(*it.route)));
+    auto silence = silencePolicy(it, streamSilenceLimit(callersPatience(*it.route)));
+    if (silence)
+        silence->noteEndOfSilence = [this, &it] {
+            dropTakeover(it);
+        };
     auto relayed = m_relay.relay(it, std::move(stream), responder, silence);
     co_return co_await std::move(relayed);
 }
@@ -130,10 +137,9 @@
 {
     if (!it.route->isRetryable())
         return std::nullopt;
-    return SilencePolicy { limit, [this, &it] { return tryTakeOver(it); },
-                           [this, &it] {
-                               dropTakeover(it);
-                           } };
+    return SilencePolicy { limit, [this, &it] {
+                              return tryTakeOver(it);
+                          } };
 }
 
 bool Attempts::tryTakeOver(RequestContext &it)
@@ -243,6 +249,9 @@
     const auto takeover = std::exchange(it.takeover, nullptr);
     if (!takeover)
         return;
+    // The request may have reached the target, which has not answered yet.
+    if (takeover->state == TakeoverState::Opening)
+        noteRun(it, takeover->attempt);
     takeover->cancel->cancel();
     stopCounting(takeover->attempt);
 }
--- a/tests/tst_adapter_invalidstatus.cpp
+++ b/tests/tst_adapter_invalidstatus.cpp
@@ -1,13 +1,10 @@
 #include "gatewayfixture.h"
 #include "http/client.h"
+#include "rawtarget.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <string>
@@ -17,7 +14,6 @@
 /// status.
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 
 using namespace bluebell;
 using namespace bluebell::testing;
@@ -25,66 +21,19 @@
 
 namespace {
 
-constexpr auto Await = asio::as_tuple(asio::use_awaitable);
-
-/// Responds to every request with the same status.
-class StatusServer
+RawTarget::Respond respondWith(const std::string &status)
 {
-public:
-    StatusServer(asio::io_context &context, std::string status)
-        : m_acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
-          m_status(std::move(status))
-    {
-        asio::co_spawn(context, run(), asio::detached);
-    }
-
-    [[nodiscard]] Endpoint address() const
-    {
-        return { "127.0.0.1", m_acceptor.local_endpoint().port() };
-    }
-    /// Requests of callers that have arrived.
-    std::size_t requests = 0;
-
-private:
-    asio::awaitable<void> run()
-    {
-        for (;;) {
-            auto [ec, socket] = co_await m_acceptor.async_accept(Await);
-            if (ec)
-                co_return;
-            asio::co_spawn(m_acceptor.get_executor(), respond(std::move(socket)), asio::detached);
-        }
-    }
-
-    asio::awaitable<void> respond(tcp::socket socket)
-    {
-        std::string request(4096, '\0');
-        const auto [readError, n] = co_await socket.async_read_some(asio::buffer(request), Await);
-        if (readError)
-            co_return;
-        request.resize(n);
-        const std::string name = "X-Attempt-Id: ";
-        const auto position = request.find(name);
-        std::string attempt;
-        if (position != std::string::npos) {
-            ++requests;
-            const auto begin = position + name.size();
-            attempt = request.substr(begin, request.find('\r', begin) - begin);
-        }
-        const std::string text = "HTTP/1.1 " + m_status + " Odd\r\nX-Attempt-Id: " + attempt
+    return [status](const std::string &attempt) {
+        return "HTTP/1.1 " + status + " Odd\r\nX-Attempt-Id: " + attempt
                 + "\r\nX-Server-Seal: seal\r\nContent-Type: text/plain\r\nContent-Length: "
                   "2\r\n\r\nok";
-        (void)co_await asio::async_write(socket, asio::buffer(text), Await);
-    }
-
-    tcp::acceptor m_acceptor;
-    std::string m_status;
-};
+    };
+}
 
 Result<HttpResponse> exchangeWith(const std::string &status)
 {
     asio::io_context context;
-    StatusServer server(context, status);
+    RawTarget server(context, respondWith(status));
     HttpCall call;
     call.endpoint = server.address();
     call.request.method = "GET";
@@ -110,15 +59,8 @@
     void addTargetWith(const std::string &status)
     {
         setConfig(siteConfig(1, 1));
-        server = std::make_unique<StatusServer>(context, status);
-        const nlohmann::json it = {
-            { "born", 1000 },        { "Sequence", 1 },
-            { "Service", "plain" },  { "Address", toString(server->address()) },
-            { "Zone", "leicester" }, { "Version", "v1" },
-            { "Slots", 64 },         { "State", "ready" },
-            { "ColdLeftMs", 0 }
-        };
-        store.put("servers", "odd", it.dump());
+        server = std::make_unique<RawTarget>(context, respondWith(status));
+        store.put("servers", "odd", server->entry("plain"));
     }
 
     void expectServerError(const std::string &status)
@@ -136,7 +78,7 @@
         EXPECT_EQ(server->requests, 1U);
     }
 
-    std::unique_ptr<StatusServer> server;
+    std::unique_ptr<RawTarget> server;
 };
 
 } // namespace
