Don't replay a service's promise to a call that has run

On a site of our own a service runs a call under an idempotency key and answers 503 (or 408, 429, 421) without "Execution: not_run". Callers got that status, and the record brought it to every repeat of the key; a caller who takes it for a promise places the order under a new key. Cause: the recorded response was the reply, whatever its status promises. Change: NonIdempotentCall replies OutcomeUnknown (502) in its place, at the first reply and from records, also from those that an earlier build has written. The record keeps the service's response: the call has run and never runs again. Evidence, on the code before: ProcessIdempotency.PromisingStatusOfACallThatHasRunIsOutcomeUnknown failed (408, 429 and 503 at both entries), NonIdempotentCalls.AStatusThatPromisesThatNothingRanIsOutcomeUnknown aborted, as the reply was a response; both pass. Other failures of a service (404, 409, 500, 504) are replayed as before. The stand-in plays the fault ("failures", "failure_status").

--- a/programs/standin/serviceserver.cpp
+++ b/programs/standin/serviceserver.cpp
@@ -47,6 +47,10 @@
         timer.expires_after(m_faults.delay);
         co_await timer.async_wait(asio::use_awaitable);
     }
+    if (m_faults.failures > 0) {
+        --m_faults.failures;
+        response = jsonErrorResponse(m_faults.failureStatus, "the database answered too late");
+    }
     if (m_faults.lostReplies > 0) {
         --m_faults.lostReplies;
         co_return;
@@ -63,6 +67,8 @@
             std::chrono::milliseconds(it.value("delay_ms", toMilliseconds(m_faults.delay).count()));
     m_faults.lostReplies = it.value("lost_replies", m_faults.lostReplies);
     m_faults.refusals = it.value("refusals", m_faults.refusals);
+    m_faults.failures = it.value("failures", m_faults.failures);
+    m_faults.failureStatus = it.value("failure_status", m_faults.failureStatus);
     return jsonResponse(200,
                         { { "orders", m_orders },
                           { "lookups", m_lookups },
--- a/programs/standin/serviceserver.h
+++ b/programs/standin/serviceserver.h
@@ -22,6 +22,9 @@
     int lostReplies = 0;
     /// Number of further calls that are refused before they run, with a response that says so.
     int refusals = 0;
+    /// Number of further calls that run and then get a response with `failureStatus`.
+    int failures = 0;
+    unsigned failureStatus = 503;
 };
 
 class ServiceServer
--- a/src/idempotency/nonidempotentcall.cpp
+++ b/src/idempotency/nonidempotentcall.cpp
@@ -21,6 +21,16 @@
     return Error { ErrorCode::OutcomeUnknown, reason, Execution::OutcomeUnknown, std::nullopt };
 }
 
+/// \returns the reply with a response of a service that has not stated that the call did not run;
+/// a status that promises that is no reply to a call that may run once only
+Reply replyWith(RecordedResponse response)
+{
+    if (!promisesNotRun(response.status))
+        return Reply { std::move(response) };
+    return Reply { outcomeUnknown(
+            "the service's response does not tell whether the call was run") };
+}
+
 } // namespace
 
 NonIdempotentCall::NonIdempotentCall(std::string requestDigest, ChangeId claim, TimePoint deadline)
@@ -58,7 +68,7 @@
         return Reply { makeError(ErrorCode::Conflict,
                                  "the idempotency key belongs to a call with another body") };
     if (record.state == IdempotencyState::Done && record.response)
-        return Reply { *record.response };
+        return replyWith(*record.response);
     if (record.state == IdempotencyState::Claimed && holderMayBeRunning) {
         constexpr Duration RetryAfter = std::chrono::seconds(1);
         return Reply { Error { ErrorCode::StillRunning,
@@ -86,7 +96,7 @@
     if (auto *it = std::get_if<Completed>(&outcome)) {
         auto done = record(IdempotencyState::Done);
         done.response = it->response;
-        m_reply = std::move(it->response);
+        m_reply = replyWith(std::move(it->response)).response;
         return WriteRecord { std::move(done) };
     }
     m_reply = outcomeUnknown(std::get<Unresolved>(outcome).cause.message);
--- a/src/idempotency/nonidempotentcall.h
+++ b/src/idempotency/nonidempotentcall.h
@@ -52,7 +52,7 @@
 {
     Error cause;
 };
-/// The target responded.
+/// The target responded, and did not state that the call was not executed.
 struct Completed
 {
     RecordedResponse response;
@@ -94,7 +94,8 @@
 ///
 /// The claim on the idempotency key is committed before the first byte of the call is sent, and
 /// only the instance that made a claim dispatches its call. Once the claim is committed,
-/// Execution::NotRun is reported only after the claim has been released.
+/// Execution::NotRun is reported only after the claim has been released. A response whose status
+/// promises that nothing ran is recorded, but its callers get OutcomeUnknown in its place.
 class NonIdempotentCall
 {
 public:
--- a/tests/tst_nonidempotentcall.cpp
+++ b/tests/tst_nonidempotentcall.cpp
@@ -116,6 +116,33 @@
     EXPECT_EQ(environment.runs, 1);
 }
 
+/// Regression: callers place an order again after a status that promises that it has not run.
+TEST(NonIdempotentCalls, AStatusThatPromisesThatNothingRanIsOutcomeUnknown)
+{
+    for (const unsigned status : { 408U, 421U, 429U, 503U }) {
+        const RecordedResponse response { status, "text/plain", "come again" };
+        auto it = newCall();
+        (void)it.claimInserted(at(0));
+        const auto action = it.dispatched(Completed { response });
+        ASSERT_TRUE(std::holds_alternative<WriteRecord>(action));
+        EXPECT_EQ(replyOf(it.recorded()).error().code, ErrorCode::OutcomeUnknown) << status;
+        // Also from a record that an earlier version has written.
+        const auto repeat = newCall("c2").claimExists(
+                { IdempotencyState::Done, "digest", ChangeId("c1"), response }, true);
+        EXPECT_EQ(replyOf(repeat).error().execution, Execution::OutcomeUnknown) << status;
+    }
+}
+
+TEST(NonIdempotentCalls, OtherFailuresOfTheServiceAreReplayed)
+{
+    for (const unsigned status : { 404U, 409U, 500U, 504U }) {
+        const RecordedResponse response { status, "text/plain", "no" };
+        const auto repeat = newCall("c2").claimExists(
+                { IdempotencyState::Done, "digest", ChangeId("c1"), response }, true);
+        EXPECT_EQ(replyOf(repeat).value().status, status);
+    }
+}
+
 TEST(NonIdempotentCalls, SameKeyWithAnotherBodyIsAConflict)
 {
     const auto action = newCall().claimExists(
--- a/tests/tst_process_faults.cpp
+++ b/tests/tst_process_faults.cpp
@@ -205,6 +205,25 @@
     EXPECT_EQ(site.postReservation(2, "o-2").status, 201U);
 }
 
+/// Regression: the service's 503 was passed on, also to repeats of the key, to callers who place an
+/// order again after it.
+TEST(ProcessIdempotency, PromisingStatusOfACallThatHasRunIsOutcomeUnknown)
+{
+    Site site({ 2 });
+    site.applyRules();
+    for (const auto *status : { "408", "429", "503" }) {
+        const auto key = std::string("o-") + status;
+        controlServices(site, std::string(R"({"failures":1,"failure_status":)") + status + '}');
+        for (const int entry : { 1, 2 }) {
+            const auto response = site.postReservation(entry, key);
+            EXPECT_EQ(response.status, 502U) << status;
+            EXPECT_TRUE(response.contains("\"execution\":\"outcome_unknown\"")) << response.body;
+        }
+        EXPECT_EQ(reservationRuns(site, key), 1);
+        controlServices(site, R"({"failures":0})");
+    }
+}
+
 TEST(ProcessIdempotency, CallDuringATableOutageIsRefusedAsNotRun)
 {
     Site site({ 2 });
