Remember in the entry daemon that an earlier attempt may have run

Callers of the entry daemon got 503 "not_run" when the retry budget was used up after an attempt that an engine may have executed, and 503 "outcome_unknown" when the engine was lost; a repeated call to a service could end as "not_run" because its last attempt was refused. Cause: the last error decided, and errors are "not run" unless somebody says otherwise. Change: ChatHandler and ServiceHandler note whether any attempt may have run, and decide when the request ends. Evidence: ProcessPath.RequestsThatMayHaveRunAreNotRefusedAsNotRun (30 requests, engines that close the connection at the start) had 503 in the code before, partly with "not_run"; all get 502 "outcome_unknown" now. The path of service calls is changed by reading; it has no test of its own. The stand-in plays the fault ("lost_starts").

--- a/programs/entry/chathandler.cpp
+++ b/programs/entry/chathandler.cpp
@@ -111,8 +111,12 @@
                         {},
                         {},
                         false,
+                        false,
                         std::nullopt };
-    const auto outcome = co_await relay(it);
+    auto outcome = co_await relay(it);
+    // Whatever has ended the request: an earlier attempt may have run.
+    if (!outcome && it.mayHaveRun && outcome.error().execution == Execution::NotRun)
+        outcome = withUnknownOutcome(std::move(outcome.error()));
     if (it.reserved)
         m_dispatcher.release(*it.reserved, context, AttemptResult::Succeeded, 0);
     const auto delivered = static_cast<Tokens>(it.assembler.offset());
@@ -186,6 +190,7 @@
     auto starting =
             startGeneration(assignment.address, std::move(call), startTimeout(context), policy);
     auto stream = co_await std::move(starting);
+    it.mayHaveRun = it.mayHaveRun || stream || stream.error().execution != Execution::NotRun;
     if (!stream) {
         const auto &error = stream.error();
         const bool isRefused =
--- a/programs/entry/chathandler.h
+++ b/programs/entry/chathandler.h
@@ -42,6 +42,8 @@
         TimePoint lastTokenAt;
         /// The caller closed its connection or reads too slowly.
         bool isDisconnected = false;
+        /// Whether a target may have executed an attempt.
+        bool mayHaveRun = false;
         /// The target of the next attempt, with a retry taken from the budget for it.
         std::optional<Assignment> reserved;
     };
--- a/programs/entry/servicehandler.cpp
+++ b/programs/entry/servicehandler.cpp
@@ -109,6 +109,7 @@
     constexpr std::size_t MaxAttempts = 3;
     m_budget.noteFirstAttempt();
     Error error = makeError(ErrorCode::Unavailable, "the route has no target");
+    bool mayHaveRun = false;
     for (std::size_t n = 0; n < MaxAttempts; ++n) {
         const auto targets = targetsOf(context);
         const auto timeLeft = context.deadline - BootClock::now();
@@ -119,7 +120,10 @@
         if (response)
             co_return toRecordedResponse(std::move(response.value()));
         error = response.error();
+        mayHaveRun = mayHaveRun || error.execution != Execution::NotRun;
     }
+    if (mayHaveRun)
+        error = withUnknownOutcome(std::move(error));
     co_return error;
 }
 
--- a/programs/standin/engineserver.cpp
+++ b/programs/standin/engineserver.cpp
@@ -310,6 +310,10 @@
         return run == m_run && found != m_replicas.end() ? &found->second : nullptr;
     };
     ++m_counters.generations;
+    if (m_faults.lostStarts > 0) {
+        --m_faults.lostStarts;
+        co_return;
+    }
     ++replica()->running;
     ++m_waiting;
     while (m_running >= m_settings.slots)
@@ -359,6 +363,7 @@
     const auto silence = toMilliseconds(m_faults.silence).count();
     m_faults.silence = std::chrono::milliseconds(it.value("silent_ms", silence));
     m_faults.affectedStreams = it.value("strikes", m_faults.affectedStreams);
+    m_faults.lostStarts = it.value("lost_starts", m_faults.lostStarts);
     m_faults.injectsForeignTokens = it.value("crosses_tokens", m_faults.injectsForeignTokens);
     if (it.value("restart", false))
         restart();
--- a/programs/standin/engineserver.h
+++ b/programs/standin/engineserver.h
@@ -45,6 +45,8 @@
     Duration silence = std::chrono::minutes(2);
     /// Number of further streams that `cutAfter` and `silentAfter` apply to.
     int affectedStreams = 0;
+    /// Number of further generations that begin and whose connection is closed without a response.
+    int lostStarts = 0;
     /// Precedes every token by one of another request and one of an older attempt.
     bool injectsForeignTokens = false;
 };
--- a/tests/tst_process_path.cpp
+++ b/tests/tst_process_path.cpp
@@ -171,3 +171,24 @@
     EXPECT_FALSE(response.isComplete);
     EXPECT_TRUE(response.contains("truncated")) << response.body;
 }
+
+/// Regression: requests that had reached an engine were refused as not run when the retry budget
+/// was used up, and with status 503 otherwise.
+TEST(ProcessPath, RequestsThatMayHaveRunAreNotRefusedAsNotRun)
+{
+    constexpr int Callers = 30;
+    Site site({ 1 });
+    site.applyRules();
+    ASSERT_TRUE(site.streamChat(1, "cartridge-02", 2).contains(Done));
+    for (int n = 1; n <= 9; ++n)
+        site.control("matcher-" + std::to_string(n), R"({"lost_starts":1000})");
+    std::vector<std::future<CallResult>> calls;
+    for (int n = 0; n < Callers; ++n)
+        calls.push_back(std::async(std::launch::async,
+                                   [&] { return site.streamChat(1, "cartridge-02", 4); }));
+    for (auto &it : calls) {
+        const auto response = it.get();
+        EXPECT_EQ(response.status, 502U) << response.body;
+        EXPECT_TRUE(response.contains("outcome_unknown")) << response.body;
+    }
+}
