--- a/src/placement/placementorder.h
+++ b/src/placement/placementorder.h
@@ -40,7 +40,8 @@
     Refused,
     /// The connection was not established; the order was not sent.
     NotSent,
-    /// No response: the target may have accepted the order, or may still accept it seconds later.
+    /// No response, or one that does not tell: the target may have accepted the order, or may still
+    /// accept it seconds later.
     Unknown,
 };
 
