--- a/tests/tst_adapter_orders.cpp
+++ b/tests/tst_adapter_orders.cpp
@@ -48,11 +48,22 @@
     return platform::sendOrder(std::move(engine), std::move(order), VmId("vm-1"), 1, 2s);
 }
 
+asio::awaitable<platform::ReportResponse> fetchReport(TargetEntry engine)
+{
+    return platform::fetchReport(std::move(engine), 2s);
+}
+
 OrderOutcome orderAnsweredWith(const std::string &head)
 {
     return callAnsweredWith(head, sendLoad).outcome;
 }
 
+/// \returns whether a report that is answered with `head` tells that the engine has ended
+bool reportTellsOfAnEnd(const std::string &head)
+{
+    return callAnsweredWith(head, fetchReport).report.error().execution == Execution::NotRun;
+}
+
 } // namespace
 
 /// Regression: 429 and 503, which the protocol of orders does not name, counted as refusals.
@@ -72,3 +83,12 @@
     EXPECT_EQ(orderAnsweredWith("202 Accepted"), OrderOutcome::Accepted);
     EXPECT_EQ(orderAnsweredWith("409 Conflict"), OrderOutcome::Conflict);
 }
+
+/// Regression: an engine that answered reports with a failure counted as one that has ended, and
+/// lost its models in the plans.
+TEST(EngineReports, OnlyAnotherProcessAtTheAddressTellsThatTheEngineHasEnded)
+{
+    for (const auto *head : { "429 Too Many Requests", "500 Error", "503 Service Unavailable" })
+        EXPECT_FALSE(reportTellsOfAnEnd(head)) << head;
+    EXPECT_TRUE(reportTellsOfAnEnd("421 Misdirected Request"));
+}
