Withhold a target's promise that an order has not run

The gateway passed the 503 on, which promises that the order has not run, and the caller placed it again. The same with 429 and 408, with streams that can't be resumed, and whatever the framing or the method.

Cause: a number read as a statement. X-Not-Executed was read to learn whether we may try elsewhere; the status went to the caller without a question what it promises. The log line of the request (sends 1, runs 1, outcome answered, refused_full 0) ruled out that the gateway took the response for a refusal or sent the order twice.

Change: judgeResponse() decides from the head of a target's response, before any byte of it leaves, what becomes of it. A status that promises what the target has not stated is withheld from callers whose request may run once only; these get 502 without seal, Retry-After and the target's text. Others get the target's response unchanged, since a repetition harms nothing. A log line tells the target's status and what the caller got, a counter counts. Retry-After still holds later requests back from the target; the request counts as run.

--- a/programs/gateway/requestlog.cpp
+++ b/programs/gateway/requestlog.cpp
@@ -74,6 +74,21 @@
                    { "prompt_parts", toText(it.caller.sharedParts) } });
 }
 
+void recordWithheldResponse(const RequestContext &it, const Attempt &attempt,
+                            const ResponseHead &head, const Error &error, Metrics &metrics)
+{
+    const auto status = std::to_string(head.status);
+    metrics.count("bluebell_withheld_responses_total",
+                  { it.organisation, ClassId(it.route->name), status });
+    log::warning("response of a target withheld: its status promises that nothing ran",
+                 { { "request", it.caller.attempt.value() },
+                   { "target", attempt.target.value() },
+                   { "start_time_ms", std::to_string(attempt.startTimeMs) },
+                   { "route", it.route->name },
+                   { "target_status", status },
+                   { "status", std::to_string(httpStatus(error)) } });
+}
+
 void noteChunk(RequestContext &it, Metrics &metrics)
 {
     const auto now = BootClock::now();
--- a/programs/gateway/requestlog.h
+++ b/programs/gateway/requestlog.h
@@ -2,6 +2,7 @@
 
 #include "gateway/requestcontext.h"
 #include "metrics/metrics.h"
+#include "site/targetresponse.h"
 
 /// \file
 /// Log lines and metrics of callers' requests.
@@ -19,6 +20,12 @@
 void recordFailedAttempt(const RequestContext &it, const Attempt &attempt, const Error &error,
                          Metrics &metrics);
 
+/// Writes metrics and the log line of a target's response that its caller does not get.
+///
+/// \param error what the caller gets in its place
+void recordWithheldResponse(const RequestContext &it, const Attempt &attempt,
+                            const ResponseHead &head, const Error &error, Metrics &metrics);
+
 /// Writes metrics and the log line of a finished request.
 void recordOutcome(const RequestContext &it, const Result<void> &result, Delivery delivery,
                    Metrics &metrics);
--- a/programs/gateway/responserelay.cpp
+++ b/programs/gateway/responserelay.cpp
@@ -4,6 +4,7 @@
 #include "gateway/requestlog.h"
 #include "gateway/targetnotices.h"
 #include "platform/requests.h"
+#include "site/responseverdict.h"
 
 #include <algorithm>
 #include <utility>
@@ -51,28 +52,18 @@
     const auto head = platform::decodeResponse(stream.head(), it.caller.attempt);
     noteResponseHead(m_state, attempt, head, now);
     applyNotices(m_state, it, attempt, head.notices, now);
-    // Targets may omit the id when they refuse; the connection has carried no other request.
-    if (head.isNotRun && !head.namesOtherAttempt) {
-        if (head.isMisdirected && it.caller.replica) {
-            ++it.refusalsNotResident;
-            m_state.selector.noteNotResident(attempt.target, *it.caller.replica, now);
-        } else {
-            ++it.refusalsFull;
-            m_state.selector.noteOutcome(attempt.target, TargetOutcome::Full, now);
-        }
-        return AttemptResult { AttemptOutcome::NotRun,
-                               notRun(ErrorCode::Overloaded, "the target refused the request",
-                                      milliseconds(200)) };
-    }
+    const auto verdict = judgeResponse(head, *it.route);
+    if (verdict == ResponseVerdict::NotRun)
+        return refused(it, attempt, head);
     noteRun(it, attempt);
-    const bool isUntrusted =
-            !head.matchesAttempt || head.isEncoded || (head.isSuccess() && !head.isSigned);
-    if (isUntrusted) {
+    if (verdict == ResponseVerdict::Untrusted) {
         m_state.selector.noteOutcome(attempt.target, TargetOutcome::Broken, now);
         return AttemptResult { AttemptOutcome::Failed,
                                mayHaveRun(ErrorCode::Unavailable,
                                           "the answer is not the target's own") };
     }
+    if (verdict == ResponseVerdict::Withhold)
+        return withheld(it, attempt, head);
     if (it.hasStartedResponse && (!head.isSuccess() || mediaTypeOf(stream) != it.mediaType)) {
         m_state.selector.noteOutcome(attempt.target, TargetOutcome::Failed, now);
         return truncated("the stream did not go on", false);
@@ -80,6 +71,34 @@
     return std::nullopt;
 }
 
+AttemptResult ResponseRelay::refused(RequestContext &it, const Attempt &attempt,
+                                     const ResponseHead &head)
+{
+    const auto now = BootClock::now();
+    if (head.isMisdirected && it.caller.replica) {
+        ++it.refusalsNotResident;
+        m_state.selector.noteNotResident(attempt.target, *it.caller.replica, now);
+    } else {
+        ++it.refusalsFull;
+        m_state.selector.noteOutcome(attempt.target, TargetOutcome::Full, now);
+    }
+    return { AttemptOutcome::NotRun,
+             notRun(ErrorCode::Overloaded, "the target refused the request", milliseconds(200)) };
+}
+
+AttemptResult ResponseRelay::withheld(RequestContext &it, const Attempt &attempt,
+                                      const ResponseHead &head)
+{
+    const bool hasFailed = head.status >= StatusServerError;
+    m_state.selector.noteOutcome(attempt.target,
+                                 hasFailed ? TargetOutcome::Failed : TargetOutcome::Answered,
+                                 BootClock::now());
+    auto error = mayHaveRun(ErrorCode::OutcomeUnknown,
+                            "the target's response does not tell whether the request was executed");
+    recordWithheldResponse(it, attempt, head, error, m_state.metrics);
+    return { AttemptOutcome::Failed, std::move(error) };
+}
+
 asio::awaitable<AttemptResult> ResponseRelay::relay(RequestContext &it, HttpStream stream,
                                                     HttpResponder &responder,
                                                     const std::optional<SilencePolicy> &silence)
--- a/programs/gateway/responserelay.h
+++ b/programs/gateway/responserelay.h
@@ -4,6 +4,7 @@
 #include "gateway/requestcontext.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "site/targetresponse.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -42,6 +43,12 @@
           const std::optional<SilencePolicy> &silence);
 
 private:
+    /// Notes that the target of an attempt has refused the request without executing it.
+    [[nodiscard]] AttemptResult refused(RequestContext &it, const Attempt &attempt,
+                                        const ResponseHead &head);
+    /// Notes a response whose status must not reach the caller.
+    [[nodiscard]] AttemptResult withheld(RequestContext &it, const Attempt &attempt,
+                                         const ResponseHead &head);
     /// \returns the result of an attempt whose response can't be kept; counts it
     [[nodiscard]] AttemptResult noMemory();
     /// Reads the complete body and then sends the response. An error response of the target is
