Play and notice promises without a ground in the soak and the load tool

Its check of "refused, but it was executed" holds for all answers of ours and for all requests that may run once only; a response that bears a target's signature on a repeatable request is passed on unchanged, as the pages say, and has to have the target's body. The load tool counts refusals whose status promises what their body does not say ("unfounded_promises"). The load tool's counter was built, not played.

--- a/programs/load/load.cpp
+++ b/programs/load/load.cpp
@@ -153,10 +153,34 @@
         progress.coldStart(toSeconds(d));
 }
 
-void noteRefusal(const PendingRequest &pending, unsigned status, Progress &progress)
+/// \returns whether a response promises by its status that nothing ran, and not by its body
+bool isUnfoundedPromise(unsigned status, const std::string &body)
+{
+    if (!promisesNotRun(status))
+        return false;
+    const auto it = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json::json_pointer execution("/error/execution");
+    return it.is_discarded() || !it.contains(execution) || it[execution] != "not_run";
+}
+
+/// \returns what arrives of the body
+asio::awaitable<std::string> readBody(HttpStream &stream)
+{
+    std::string body;
+    for (;;) {
+        auto chunk = co_await stream.read(BootClock::now() + ResponseTimeout);
+        if (!chunk || !chunk.value())
+            co_return body;
+        body += *chunk.value();
+    }
+}
+
+void noteRefusal(const PendingRequest &pending, unsigned status, const std::string &body,
+                 Progress &progress)
 {
     constexpr unsigned RateLimited = 429;
     ++progress.report.refused;
+    progress.report.unfoundedPromises += isUnfoundedPromise(status, body) ? 1 : 0;
     ++progress.keys[pending.key].refused;
     if (status == RateLimited && pending.isWithinRate)
         ++progress.report.wrongfullyRefused;
@@ -168,10 +192,12 @@
     const auto begin = BootClock::now();
     auto stream = co_await openStream(std::move(pending.call));
     if (!stream || stream.value().status() != 200) {
-        if (stream)
-            noteRefusal(pending, stream.value().status(), progress);
-        else
+        if (stream) {
+            const auto body = co_await readBody(stream.value());
+            noteRefusal(pending, stream.value().status(), body, progress);
+        } else {
             ++progress.report.failed;
+        }
         --progress.inFlight;
         co_return;
     }
@@ -278,8 +304,10 @@
                        static_cast<double>(report.tokens) / report.seconds)
             + line("first token", report.firstToken) + line("token gap", report.tokenGap)
             + line("cold start", report.coldStart) + line("worst key", report.worstFirstToken)
-            + fmt::format("worst key is number {}, refused {}; wrongfully refused in total {}\n",
-                          report.worstKey + 1, report.worstRefused, report.wrongfullyRefused);
+            + fmt::format("worst key is number {}, refused {}; wrongfully refused in total {}; "
+                          "promises without a ground {}\n",
+                          report.worstKey + 1, report.worstRefused, report.wrongfullyRefused,
+                          report.unfoundedPromises);
 }
 
 std::string toJson(const Report &report)
@@ -300,7 +328,8 @@
         { "worst_key", report.worstKey + 1 },
         { "worst_first_token", json(report.worstFirstToken) },
         { "worst_refused", report.worstRefused },
-        { "wrongfully_refused", report.wrongfullyRefused }
+        { "wrongfully_refused", report.wrongfullyRefused },
+        { "unfounded_promises", report.unfoundedPromises }
     }.dump();
 }
 
--- a/programs/load/load.h
+++ b/programs/load/load.h
@@ -52,6 +52,9 @@
     std::uint64_t completed = 0;
     /// Requests that got a response with a status other than 200.
     std::uint64_t refused = 0;
+    /// Those of them whose status promises that the request was not executed, and whose body does
+    /// not say so.
+    std::uint64_t unfoundedPromises = 0;
     /// Requests without a response, and streams that broke off.
     std::uint64_t failed = 0;
     std::uint64_t tokens = 0;
--- a/tests/gatewaysoak.cpp
+++ b/tests/gatewaysoak.cpp
@@ -384,14 +384,25 @@
             behaviour.isFull = !behaviour.isFull;
             note({}, SoakGateways, false,
                  "target " + std::to_string(n) + (behaviour.isFull ? " is full" : " accepts"));
+        } else if (behaviour.failureStatus != 0 || rng.chance(15)) {
+            // Requests run, and the response promises that they have not.
+            constexpr std::array<unsigned, 3> Statuses { 408, 429, 503 };
+            behaviour.failureStatus = behaviour.failureStatus != 0
+                    ? 0
+                    : Statuses.at(static_cast<std::size_t>(rng.number(0, 2)));
+            note({}, SoakGateways, false,
+                 "target " + std::to_string(n) + " answers with status "
+                         + std::to_string(behaviour.failureStatus));
         } else {
             const auto length = rng.time(800ms, 1800ms);
             behaviour.silentUntil = BootClock::now() + length;
             note(length, SoakGateways, false, "target " + std::to_string(n) + " is silent");
         }
     }
-    for (auto &it : m_targets)
+    for (auto &it : m_targets) {
         it->behaviour.isFull = false;
+        it->behaviour.failureStatus = 0;
+    }
 }
 
 asio::awaitable<void> Soak::suspend(std::size_t n, Duration length)
--- a/tests/soakchecks.cpp
+++ b/tests/soakchecks.cpp
@@ -138,7 +138,7 @@
         case 421:
         case 429:
         case 503:
-            return countOf(TargetStep::Executing) == 0 ? "" : "refused, but it was executed";
+            return checkPromise();
         case 502:
         case 504:
             return {};
@@ -147,13 +147,31 @@
         }
     }
 
-    [[nodiscard]] std::string checkSuccess() const
+    /// \returns the target whose signature the response bears, or an empty string
+    [[nodiscard]] std::string signer() const
     {
         constexpr std::string_view Seal = "seal-of-";
         const auto seal = m_exchange.response.header("X-Server-Seal");
-        if (!seal.starts_with(Seal) || countOf(TargetStep::Executing) == 0)
+        return seal.starts_with(Seal) ? std::string(seal.substr(Seal.size())) : std::string();
+    }
+
+    [[nodiscard]] std::string checkPromise() const
+    {
+        if (countOf(TargetStep::Executing) == 0)
+            return {};
+        // The status of a target is passed on unchanged to callers that may repeat the request.
+        const bool isTargetsOwn = m_request.isIdempotent() && !signer().empty();
+        if (!isTargetsOwn)
+            return "refused, but it was executed";
+        return m_exchange.response.body == "answer of " + signer() ? ""
+                                                                   : "a failure with another body";
+    }
+
+    [[nodiscard]] std::string checkSuccess() const
+    {
+        const auto target = signer();
+        if (target.empty() || countOf(TargetStep::Executing) == 0)
             return "a success that no target gave";
-        const auto target = std::string(seal.substr(Seal.size()));
         const auto body = m_request.isStream() ? expectedStream() : "answer of " + target;
         return m_exchange.response.body == body ? "" : "a success with another body";
     }
