--- a/tests/tst_adapter_targetnotices.cpp
+++ b/tests/tst_adapter_targetnotices.cpp
@@ -33,6 +33,28 @@
         return text.empty() ? std::nullopt : std::optional(std::stod(text));
     }
 
+    /// Starts a gateway before a plain target that answers each call with 503 and a time of 3 s,
+    /// and does not state that nothing ran.
+    TargetStandIn &startWithAnUnstatedHoldOff()
+    {
+        auto &target = addTarget("p1", "plain");
+        addGateway("vm-1");
+        EXPECT_TRUE(awaitReady(0));
+        target.behaviour.retryAfter = "3";
+        target.behaviour.statesNotRun = false;
+        return target;
+    }
+
+    /// Expects that the next request is refused with the rest of that time, without a second call.
+    void expectHeldOff(const TargetStandIn &target, const std::string &path)
+    {
+        const auto reply = ask(path);
+        EXPECT_EQ(reply->status(), 503U);
+        EXPECT_EQ(target.calls, 1U);
+        ASSERT_TRUE(retryAfterOf(*reply));
+        EXPECT_GE(*retryAfterOf(*reply), 2.5);
+    }
+
     /// Lets requests to plain targets wait for up to two seconds.
     void allowWaiting()
     {
@@ -219,37 +241,21 @@
 
 TEST_F(TargetNoticesTest, ACompleteResponseThatNamesATimeReachesTheCaller)
 {
-    auto &first = addTarget("p1", "plain");
-    addGateway("vm-1");
-    ASSERT_TRUE(awaitReady(0));
-    first.behaviour.retryAfter = "3";
-    first.behaviour.statesNotRun = false;
+    const auto &target = startWithAnUnstatedHoldOff();
     const auto reply = ask("/open/x");
     EXPECT_EQ(reply->status(), 503U);
     EXPECT_EQ(retryAfterOf(*reply), 3.0);
-    const auto second = ask("/open/x");
-    EXPECT_EQ(second->status(), 503U);
-    EXPECT_EQ(first.calls, 1U);
-    ASSERT_TRUE(retryAfterOf(*second));
-    EXPECT_GE(*retryAfterOf(*second), 2.5);
+    expectHeldOff(target, "/open/x");
 }
 
 /// The first order may have run, so its caller gets no promise; the time holds back later ones.
 TEST_F(TargetNoticesTest, ATimeIsKeptAlsoIfTheOrderThatBroughtItMayHaveRun)
 {
-    auto &first = addTarget("p1", "plain");
-    addGateway("vm-1");
-    ASSERT_TRUE(awaitReady(0));
-    first.behaviour.retryAfter = "3";
-    first.behaviour.statesNotRun = false;
+    const auto &target = startWithAnUnstatedHoldOff();
     const auto reply = ask("/order/x");
     EXPECT_EQ(reply->status(), 502U);
     EXPECT_FALSE(retryAfterOf(*reply));
-    const auto second = ask("/order/x");
-    EXPECT_EQ(second->status(), 503U);
-    EXPECT_EQ(first.calls, 1U);
-    ASSERT_TRUE(retryAfterOf(*second));
-    EXPECT_GE(*retryAfterOf(*second), 2.5);
+    expectHeldOff(target, "/order/x");
 }
 
 TEST_F(TargetNoticesTest, AnAbsurdTimeIsIgnored)
